--- /dev/null
+++ b/notchjunction/__init__.py
@@ -0,0 +1,1 @@
+"""notchjunction: a load balancer for services that call services."""
--- /dev/null
+++ b/notchjunction/interface.py
@@ -0,0 +1,178 @@
+"""Types that the decision module shares with whatever hosts it: a bench adapter now, a real node later.
+
+Times are seconds, ids are small whole numbers given out by the host. Nothing here decides.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Effect(Enum):
+    """What a second run of a job does."""
+
+    REISSUABLE = "reissuable"
+    NUMBERED = "numbered"
+    AT_MOST_ONCE = "at-most-once"
+
+
+class Group(Enum):
+    """Which servers drop a numbered job's repeats."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Presence(Enum):
+    """What the list says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Result(Enum):
+    """How a dispatch or a probe ended."""
+
+    HONOURED = "honoured"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    NO_CONNECTION = "no connection"
+    RESET = "reset"
+    RECALLED = "recalled"
+    NEVER_SENT = "never sent"
+    UNKNOWN = "unknown"
+
+
+class News(Enum):
+    """What kind of list news came."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    REMEMBERED = "remembered"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    contract_time: float
+    abandon_time: float
+    revenue: float = 1.0
+    late_share: float = 0.0
+    effect: Effect = Effect.AT_MOST_ONCE
+    group: Group = Group.CELL
+    window: float = 0.0
+    contract_stretch: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a node is told at start."""
+
+    seed: int
+    profiles: Sequence[Profile]
+    operator_quotas: Sequence[float] = ()
+    nodes: int = 1
+    depth: int | None = None
+    depths: int = 0
+    zone: int = 0
+    must_follow: bool = False
+    probes: bool = True
+    recalls: bool = True
+    second_copies: bool = True
+    advice_limit: float = 0.0
+    max_dispatches: int = 1
+    ask_within: float = 0.0
+    tick: float = 0.005
+    crossing_price: float = 0.0
+    cold_share: float = 1.0
+    cold_time: float = 0.0
+    tip_multiple: float = 3.0
+    tip_span: float = 1.0
+
+
+@dataclass(slots=True)
+class Job:
+    id: int
+    profile: int
+    operator: int
+    time_left: float
+    repeat: bool = False
+    work_hint: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """A server's own report; a figure it does not give is None."""
+
+    held: float | None = None
+    waiting: float | None = None
+    busy: float | None = None
+    pace: float | None = None
+    rate: float | None = None
+    errors: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    server: int
+    presence: Presence
+    started_at: float = 0.0
+    zone: int = 0
+    cell: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    job: int
+    dispatch: int
+    server: int
+    result: Result
+    seconds: float
+    over: bool = False
+    load: Load | None = None
+
+
+class Host(Protocol):
+    """What a node can do for the decisions."""
+
+    def now(self) -> float: ...
+
+    def dispatch(self, job: int, server: int, within: float) -> None: ...
+
+    def recall(self, job: int, dispatch: int) -> None: ...
+
+    def probe(self, server: int) -> None: ...
+
+    def turn_back(self, job: int, come_back_in: float) -> None: ...
+
+    def write_off(self, job: int) -> None: ...
+
+    def set_timer(self, delay: float, token: int) -> None: ...
+
+    def follow(self) -> None: ...
+
+    def remark(self, text: str) -> None: ...
+
+
+class Decisions(Protocol):
+    """What a host calls; `rules.Balancer` is one."""
+
+    def take(self, job: Job) -> None: ...
+
+    def outcome(self, outcome: Outcome) -> None: ...
+
+    def streaming(self, job: int, dispatch: int) -> None: ...
+
+    def withdrawn(self, job: int) -> None: ...
+
+    def probed(self, server: int, result: Result, load: Load | None) -> None: ...
+
+    def timer(self, token: int) -> None: ...
+
+    def listed(self, news: News, entries: Sequence[ServerEntry]) -> None: ...
--- /dev/null
+++ b/notchjunction/rules.py
@@ -0,0 +1,642 @@
+"""Every decision of notchjunction, for one node.
+
+A host (see `Host` and `Decisions` in interface.py) builds one `Balancer` from the `Terms` it was given and
+calls it for each thing that happens: `take`, `outcome`, `streaming`, `withdrawn`, `probed`, `timer`,
+`listed`. The balancer answers through the host: `dispatch`, `recall`, `probe`, `turn_back`, `write_off`, ...
+Each happening becomes an input to a job; TABLE says, by the job's state, what is done; `_step` reads it.
+The design is error ownership on one hop and a probe pool: see docs/design.md.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import insort
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from random import Random
+from statistics import median
+from typing import NamedTuple
+
+from notchjunction.interface import (
+    Effect,
+    Group,
+    Host,
+    Job,
+    Load,
+    News,
+    Outcome,
+    Presence,
+    Profile,
+    Result,
+    ServerEntry,
+    Terms,
+)
+
+# Constants: unit, and why this size.
+RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
+RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
+PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
+PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
+FRESH_SPAN = 4.0  # s an answer counts; beyond it a server has turned over what it held several times
+LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
+HEALTH_GAP = 0.35  # share of successes by which a server must trail the others; under it is chance in eight
+ASIDE_SPAN = 2.0  # s set aside at least; short against troubles of many seconds, long against a blip
+ASIDE_RANDOM = 2.0  # s more at most, at random, so that nodes do not return together
+ASIDE_MOST = 0.5  # share of ready servers set aside at most; more failing is a trouble common to all
+RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
+HOLD_SHARE = 0.5  # of the contract time that dispatched jobs may take to clear; the rest is slack for chance
+WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
+FLOOR_EACH = 4.0  # jobs a ready server gets from all nodes before anything is learned: a small machine's
+SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
+SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
+SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
+COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
+NEAR_SLACK = 2.0  # times the far server's score at which a near server still wins
+GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
+RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
+ADVICE_LEAST = 0.25  # s a turned back client is asked to wait at least
+
+
+class State(Enum):
+    NEW = auto()
+    WAITING = auto()  # nothing out, room awaited
+    OUT = auto()  # at least one dispatch out
+    STREAMING = auto()  # the answer has begun and belongs to the client
+    ENDED = auto()
+
+
+class Input(Enum):
+    ARRIVED = auto()
+    TURN = auto()  # room may have come
+    OWNED = auto()  # a dispatch failed by its server's own fault
+    PASSED_ALONG = auto()  # a dispatch failed, not or not surely by its server's fault
+    OVER = auto()  # the client has its answer
+    BEGUN = auto()
+    LAST_CALL = auto()
+    WITHDRAWN = auto()
+
+
+@dataclass(slots=True)
+class Dispatch:
+    server: Server
+    at: float
+    out: bool = True
+    may_have_run: bool = True
+
+
+@dataclass(slots=True)
+class Held:
+    """A job without its final answer."""
+
+    id: int
+    profile: int
+    contract_end: float
+    abandon_end: float
+    past_share: bool
+    state: State = State.NEW
+    sent: list[Dispatch] = field(default_factory=list)
+    choice: Server | None = None
+
+    def rank(self) -> tuple[bool, float]:
+        return (self.past_share, self.contract_end)
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this node knows of one server, mostly from its own traffic."""
+
+    entry: ServerEntry
+    out: int = 0
+    last: deque[bool] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
+    seconds: deque[float] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
+    sends: deque[float] = field(default_factory=lambda: deque(maxlen=256))
+    answer: Load | None = None
+    answered_at: float = -math.inf
+    back_at: float = -math.inf
+    cold_next: float = -math.inf
+
+    def sends_since(self, moment: float) -> int:
+        count = 0
+        for at in reversed(self.sends):
+            if at <= moment:
+                break
+            count += 1
+        return count
+
+
+class Row(NamedTuple):
+    state: State
+    input: Input
+    when: Callable[[Balancer, Held], bool]
+    then: State
+    effect: Callable[[Balancer, Held], None]
+
+
+class Balancer:
+    def __init__(self, terms: Terms, host: Host) -> None:
+        self._host = host
+        self._random = Random(terms.seed)
+        self._profiles = list(terms.profiles)
+        self._nodes = terms.nodes
+        self._deepest = terms.depth is not None and terms.depth == terms.depths - 1
+        tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
+        self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
+        front = not terms.depth
+        self._shares = [quota / terms.nodes * SHARE_SPAN if front else 0.0 for quota in terms.operator_quotas]
+        self._zone = terms.zone
+        self._near_first = terms.crossing_price > 0
+        self._probes = terms.probes
+        self._recalls = terms.recalls
+        self._copies = terms.second_copies
+        self._max_dispatches = terms.max_dispatches
+        self._advice_limit = terms.advice_limit
+        self._guard = GUARD_TICKS * terms.tick
+        self._must_follow = terms.must_follow
+        self._renew_limit = terms.ask_within / 4 or math.inf
+        self._cold_share = terms.cold_share
+        self._cold_time = terms.cold_time
+        self._tip_multiple = terms.tip_multiple
+
+        self._servers: dict[int, Server] = {}
+        self._held: dict[int, Held] = {}
+        self._flying: dict[tuple[int, int], Dispatch] = {}
+        self._queue: list[Held] = []
+        self._out = 0
+        self._firsts: deque[float] = deque()
+        self._retries: deque[float] = deque()
+        self._cleared: deque[tuple[float, float]] = deque()
+        self._asked: list[deque[float]] = [deque() for _ in self._shares]
+        self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
+        self._lefts: list[deque[float]] = [deque(maxlen=32) for _ in self._profiles]
+        self._unprobed = 0
+        self._failures = 0
+        self._timers: dict[int, Callable[[], None]] = {}
+        self._token = 0
+        self._began = host.now()
+        if self._must_follow:
+            host.follow()
+        if self._probes:
+            self._after(self._random.uniform(0, PROBE_SPAN), self._probe_on)
+
+    # What the host calls.
+
+    def take(self, job: Job) -> None:
+        now = self._host.now()
+        profile = self._profile(job.profile)
+        age = self._age(job, profile)
+        stretch = profile.contract_stretch * (job.work_hint or 0.0)
+        held = Held(
+            id=job.id,
+            profile=job.profile,
+            contract_end=now - age + min(profile.contract_time + stretch, profile.abandon_time),
+            abandon_end=now + job.time_left,
+            past_share=self._past_share(job.operator, now),
+        )
+        self._held[job.id] = held
+        # Guards against a job left unanswered when nothing else happens before its abandon time.
+        self._after(max(job.time_left - self._guard, job.time_left / 2), lambda: self._last_call(job.id))
+        self._step(held, Input.ARRIVED)
+
+    def outcome(self, outcome: Outcome) -> None:
+        dispatch = self._flying.pop((outcome.job, outcome.dispatch), None)
+        if dispatch is None:
+            return
+        now = self._host.now()
+        dispatch.out = False
+        dispatch.may_have_run = outcome.result not in NEVER_RAN
+        dispatch.server.out -= 1
+        self._out -= 1
+        if outcome.load is not None:
+            self._answered(dispatch.server, outcome.load, now)
+        self._judge(dispatch.server, outcome, now)
+        held = self._held.get(outcome.job)
+        if held is not None:
+            if outcome.result is Result.HONOURED:
+                profile = self._profile(held.profile)
+                self._cleared.append((now, profile.contract_time))
+                if held.profile < len(self._spent):
+                    self._spent[held.profile].append(outcome.seconds)
+            if outcome.over:
+                self._step(held, Input.OVER)
+            else:
+                owned = OWNED_DEEPEST if self._deepest else OWNED_ANYWHERE
+                self._step(held, Input.OWNED if outcome.result in owned else Input.PASSED_ALONG)
+        self._turn()
+
+    def streaming(self, job: int, dispatch: int) -> None:
+        held = self._held.get(job)
+        if held is not None:
+            self._step(held, Input.BEGUN)
+
+    def withdrawn(self, job: int) -> None:
+        held = self._held.get(job)
+        if held is not None:
+            self._step(held, Input.WITHDRAWN)
+            self._turn()
+
+    def probed(self, server: int, result: Result, load: Load | None) -> None:
+        known = self._servers.get(server)
+        if known is None:
+            return
+        if result is Result.HONOURED:
+            self._answered(known, load or Load(), self._host.now())
+        else:
+            known.answered_at = -math.inf
+
+    def timer(self, token: int) -> None:
+        due = self._timers.pop(token, None)
+        if due is not None:
+            due()
+
+    def listed(self, news: News, entries: Sequence[ServerEntry]) -> None:
+        if news is News.FAILED:
+            self._failures += 1
+            # Guards against all nodes asking a troubled list service again at the same moment.
+            delay = RENEW_LEAST * (1 + self._random.random()) * self._failures
+            self._after(min(delay, self._renew_limit), self._host.follow)
+            return
+        if news is not News.REMEMBERED:
+            self._failures = 0
+        named = {entry.server for entry in entries}
+        if news is not News.CHANGES:
+            for index in [index for index in self._servers if index not in named]:
+                del self._servers[index]
+        for entry in entries:
+            self._enter(entry)
+        self._turn()
+
+    # The loop and what it reads.
+
+    def _step(self, held: Held, event: Input) -> None:
+        for row in ROWS.get((held.state, event), ()):
+            if row.when(self, held):
+                held.state = row.then
+                row.effect(self, held)
+                return
+
+    def _turn(self) -> None:
+        """Gives waiting jobs their turn, the most pressing first, while room lasts."""
+        while self._queue:
+            head = self._queue[0]
+            self._step(head, Input.TURN)
+            if head.state is State.WAITING:
+                return
+
+    def _last_call(self, job: int) -> None:
+        held = self._held.get(job)
+        if held is not None:
+            self._step(held, Input.LAST_CALL)
+            self._turn()
+
+    # Judgements: what the table asks.
+
+    def _always(self, held: Held) -> bool:
+        return True
+
+    def _hopeless(self, held: Held) -> bool:
+        """No server could answer it in time for any revenue; late answers count only while none waits."""
+        now = self._host.now()
+        quick = self._quick(held.profile)
+        if held.abandon_end - now - self._guard < quick:
+            return True
+        scarce = bool(self._queue) or self._out >= self._room()
+        return held.contract_end - now < quick and (scarce or not self._profile(held.profile).late_share)
+
+    def _finds_place(self, held: Held) -> bool:
+        room = self._room() * (SPARE_SHARE if held.past_share else 1.0)
+        overtakes = not self._queue or self._queue[0].rank() >= held.rank()
+        if self._out >= room or not overtakes:
+            return False
+        held.choice = self._pick(held)
+        return held.choice is not None
+
+    def _may_wait(self, held: Held) -> bool:
+        if held.past_share:
+            return False
+        now = self._host.now()
+        ahead = sum(1 for other in self._queue if other.rank() < held.rank())
+        wait = (ahead + 1) / max(self._rate(now), 1.0)
+        slack = held.contract_end - now - self._quick(held.profile)
+        return wait <= min(slack, WAIT_SHARE * self._profile(held.profile).contract_time)
+
+    def _others_out(self, held: Held) -> bool:
+        return any(dispatch.out for dispatch in held.sent)
+
+    def _may_retry(self, held: Held) -> bool:
+        now = self._host.now()
+        self._prune(self._firsts, now - RETRY_SPAN)
+        self._prune(self._retries, now - RETRY_SPAN)
+        if len(self._retries) + 1 > RETRY_SHARE * len(self._firsts):
+            return False
+        if len(held.sent) >= self._max_dispatches or self._hopeless(held):
+            return False
+        held.choice = self._pick(held)
+        return held.choice is not None
+
+    # Effects: what the table does.
+
+    def _nothing(self, held: Held) -> None:
+        pass
+
+    def _wait(self, held: Held) -> None:
+        insort(self._queue, held, key=Held.rank)
+
+    def _send_first(self, held: Held) -> None:
+        if held in self._queue:
+            self._queue.remove(held)
+        self._firsts.append(self._host.now())
+        self._send(held)
+        self._unprobed += 1
+        if self._probes and self._unprobed >= PROBE_EVERY:
+            self._probe()
+
+    def _send_again(self, held: Held) -> None:
+        self._retries.append(self._host.now())
+        self._send(held)
+
+    def _send(self, held: Held) -> None:
+        now = self._host.now()
+        server = held.choice
+        assert server is not None
+        held.choice = None
+        dispatch = Dispatch(server, now)
+        self._flying[held.id, len(held.sent)] = dispatch
+        held.sent.append(dispatch)
+        server.out += 1
+        server.sends.append(now)
+        self._out += 1
+        if self._is_cold(server, now):
+            server.cold_next = now + self._cold_gap(server, now) * self._random.uniform(0.75, 1.25)
+        end = held.abandon_end
+        if not self._profile(held.profile).late_share:
+            end = min(end, held.contract_end)
+        self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
+
+    def _give_up(self, held: Held) -> None:
+        """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
+        self._leave(held)
+        if self._turn_back_is_harmless(held):
+            self._host.turn_back(held.id, self._advice())
+        else:
+            self._host.write_off(held.id)
+
+    def _leave(self, held: Held) -> None:
+        del self._held[held.id]
+        if held in self._queue:
+            self._queue.remove(held)
+        if self._recalls:
+            # Guards against servers working on for nobody.
+            for number, dispatch in enumerate(held.sent):
+                if dispatch.out:
+                    self._host.recall(held.id, number)
+
+    # Which server.
+
+    def _pick(self, held: Held) -> Server | None:
+        now = self._host.now()
+        most = self._server_room()
+        fits = [
+            server
+            for server in self._ready()
+            if server.back_at <= now
+            and server.out < most
+            and not any(dispatch.server is server for dispatch in held.sent)
+            and (not held.sent or self._may_run_on(held, server, now))
+            and not (self._is_cold(server, now) and server.cold_next > now)
+        ]
+        choice = self._better(fits, now)
+        if choice is not None and self._near_first and choice.entry.zone != self._zone:
+            # Acts only where crossing zones is priced: a near server wins unless clearly worse.
+            near = self._better([server for server in fits if server.entry.zone == self._zone], now)
+            if near is not None and self._score(near, now) <= NEAR_SLACK * self._score(choice, now):
+                return near
+        return choice
+
+    def _better(self, fits: list[Server], now: float) -> Server | None:
+        """The better of two random entries of the probe pool, else of two random servers by own jobs."""
+        if len(fits) < 2:
+            return fits[0] if fits else None
+        fresh = [server for server in fits if now - server.answered_at <= FRESH_SPAN]
+        if len(fresh) >= 2:
+            return min(self._random.sample(fresh, 2), key=lambda server: self._score(server, now))
+        return min(self._random.sample(fits, 2), key=lambda server: server.out)
+
+    def _score(self, server: Server, now: float) -> float:
+        """The answer's load plus own sends since, in seconds by the server's pace."""
+        answer = server.answer or Load()
+        since = server.sends_since(server.answered_at)
+        if answer.held is not None:
+            held = answer.held + since
+        else:
+            held = (answer.waiting or 0.0) + max(server.out, since)
+        pace = answer.pace
+        if pace is None:
+            pace = median(server.seconds) if server.seconds else self._usual_seconds()
+        return (held + 1.0) * max(pace, 0.001)
+
+    def _usual_seconds(self) -> float:
+        known = [median(server.seconds) for server in self._ready() if server.seconds]
+        return median(known) if known else 1.0
+
+    def _ready(self) -> list[Server]:
+        return [server for server in self._servers.values() if server.entry.presence is Presence.READY]
+
+    # The four rules.
+
+    def _may_run_on(self, held: Held, server: Server, now: float) -> bool:
+        """Whether a further dispatch there cannot make an effect happen twice."""
+        profile = self._profile(held.profile)
+        if not self._copies and self._others_out(held):
+            return False
+        ran = [dispatch for dispatch in held.sent if dispatch.may_have_run]
+        if not ran or profile.effect is Effect.REISSUABLE:
+            return True
+        if profile.effect is Effect.AT_MOST_ONCE or now >= ran[0].at + profile.window - self._guard:
+            return False
+        return all(self._drops_repeats(profile, dispatch.server, server) for dispatch in ran)
+
+    def _drops_repeats(self, profile: Profile, first: Server, second: Server) -> bool:
+        if profile.group is Group.ALL:
+            return True
+        if profile.group is Group.ZONE:
+            return first.entry.zone == second.entry.zone
+        return first.entry.cell == second.entry.cell and first.entry.zone == second.entry.zone
+
+    def _turn_back_is_harmless(self, held: Held) -> bool:
+        if not any(dispatch.may_have_run for dispatch in held.sent):
+            return True
+        profile = self._profile(held.profile)
+        if profile.effect is Effect.NUMBERED:
+            return profile.group is Group.ALL
+        return profile.effect is Effect.REISSUABLE
+
+    def _is_cold(self, server: Server, now: float) -> bool:
+        return server.entry.started_at > 0 and now < server.entry.started_at + self._cold_time
+
+    def _cold_gap(self, server: Server, now: float) -> float:
+        """Seconds between own sends to a cold server, so that all nodes together stay in its budget."""
+        ready = self._ready()
+        warm = sum(1 for other in ready if not self._is_cold(other, now)) or len(ready) or 1
+        self._prune(self._firsts, now - RETRY_SPAN)
+        each = len(self._firsts) / RETRY_SPAN / warm
+        warmed = max(0.0, now - server.entry.started_at) / self._cold_time
+        share = self._cold_share + (1.0 - self._cold_share) * min(1.0, warmed)
+        return min(1.0 / max(each * share * self._tip_multiple * COLD_CARE, 1e-6), self._cold_time)
+
+    # Room, health and the rest.
+
+    def _room(self) -> float:
+        """Jobs out at most: what the last answers' rate clears within a part of the contract time."""
+        now = self._host.now()
+        self._prune_cleared(now)
+        span = min(RATE_SPAN, max(now - self._began, 0.1))
+        learned = sum(contract for _, contract in self._cleared) / span * self._hold_share
+        floor = max(2.0, FLOOR_EACH * len(self._ready()) / self._nodes)
+        return max(floor, learned)
+
+    def _server_room(self) -> float:
+        return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready())))
+
+    def _rate(self, now: float) -> float:
+        self._prune_cleared(now)
+        return len(self._cleared) / min(RATE_SPAN, max(now - self._began, 0.1))
+
+    def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
+        """Sets a server aside when its last few outcomes trail the others'."""
+        if outcome.result is Result.HONOURED:
+            server.last.append(True)
+            server.seconds.append(outcome.seconds)
+            return
+        if outcome.result not in FAULTS:
+            return
+        server.last.append(False)
+        if outcome.result is Result.TIMED_OUT:
+            server.seconds.append(outcome.seconds)
+        ready = self._ready()
+        others = [good for other in ready if other is not server for good in other.last]
+        usual = sum(others) / len(others) if others else 1.0
+        aside = sum(1 for other in ready if other.back_at > now)
+        # Guards against setting the fleet aside in a trouble common to all.
+        if sum(server.last) / len(server.last) < usual - HEALTH_GAP and aside + 1 <= ASIDE_MOST * len(ready):
+            server.back_at = now + ASIDE_SPAN + self._random.uniform(0, ASIDE_RANDOM)
+
+    def _answered(self, server: Server, load: Load, now: float) -> None:
+        server.answer = load
+        server.answered_at = now
+
+    def _probe_on(self) -> None:
+        self._probe()
+        self._after(PROBE_SPAN, self._probe_on)
+
+    def _probe(self) -> None:
+        ready = self._ready()
+        self._unprobed = 0
+        if ready:
+            self._host.probe(self._random.choice(ready).entry.server)
+
+    def _enter(self, entry: ServerEntry) -> None:
+        known = self._servers.get(entry.server)
+        now = self._host.now()
+        if known is None or entry.started_at > known.entry.started_at:
+            # Guards against judging a restarted server by what it was before.
+            known = Server(entry)
+            self._servers[entry.server] = known
+            if self._is_cold(known, now):
+                known.cold_next = now + self._random.uniform(0, self._cold_gap(known, now))
+        elif entry.presence is Presence.GONE and entry.zone == 0 and entry.cell == 0:
+            known.entry = ServerEntry(entry.server, entry.presence, known.entry.started_at)
+        else:
+            known.entry = entry
+
+    def _past_share(self, operator: int, now: float) -> bool:
+        if operator >= len(self._shares) or self._shares[operator] <= 0:
+            return False
+        asked = self._asked[operator]
+        self._prune(asked, now - SHARE_SPAN)
+        if len(asked) >= self._shares[operator]:
+            return True
+        asked.append(now)
+        return False
+
+    def _age(self, job: Job, profile: Profile) -> float:
+        """How long the client has waited, read off the time left against the longest seen lately."""
+        if job.profile >= len(self._lefts):
+            return 0.0
+        lefts = self._lefts[job.profile]
+        lefts.append(job.time_left)
+        usual = max(lefts)
+        if job.repeat:
+            return profile.abandon_time - job.time_left if job.time_left < 0.98 * usual else 0.0
+        return usual - job.time_left
+
+    def _quick(self, profile: int) -> float:
+        spent = self._spent[profile] if profile < len(self._spent) else ()
+        return sorted(spent)[len(spent) // 4] if spent else 0.0
+
+    def _advice(self) -> float:
+        wait = ADVICE_LEAST + len(self._queue) / max(self._rate(self._host.now()), 1.0)
+        return min(wait * self._random.uniform(1.0, 2.0), self._advice_limit)
+
+    def _profile(self, index: int) -> Profile:
+        # An unknown profile is taken as at-most-once.
+        return self._profiles[index] if index < len(self._profiles) else UNKNOWN_PROFILE
+
+    def _after(self, delay: float, due: Callable[[], None]) -> None:
+        self._token += 1
+        self._timers[self._token] = due
+        self._host.set_timer(delay, self._token)
+
+    def _prune(self, moments: deque[float], since: float) -> None:
+        while moments and moments[0] < since:
+            moments.popleft()
+
+    def _prune_cleared(self, now: float) -> None:
+        while self._cleared and self._cleared[0][0] < now - RATE_SPAN:
+            self._cleared.popleft()
+
+
+UNKNOWN_PROFILE = Profile(contract_time=1.0, abandon_time=math.inf)
+NEVER_RAN = (Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT)
+OWNED_ANYWHERE = (Result.FULL, Result.NO_CONNECTION, Result.RESET)
+OWNED_DEEPEST = (*OWNED_ANYWHERE, Result.ERROR, Result.TIMED_OUT)
+FAULTS = (Result.ERROR, Result.TIMED_OUT, Result.NO_CONNECTION, Result.RESET)
+
+B, S, E = Balancer, State, Input
+TABLE = (
+    # state, input, judgement, next state, effect; the first row whose judgement holds is taken
+    Row(S.NEW, E.ARRIVED, B._hopeless, S.ENDED, B._give_up),
+    Row(S.NEW, E.ARRIVED, B._finds_place, S.OUT, B._send_first),
+    Row(S.NEW, E.ARRIVED, B._may_wait, S.WAITING, B._wait),
+    Row(S.NEW, E.ARRIVED, B._always, S.ENDED, B._give_up),
+    Row(S.WAITING, E.TURN, B._hopeless, S.ENDED, B._give_up),
+    Row(S.WAITING, E.TURN, B._finds_place, S.OUT, B._send_first),
+    Row(S.WAITING, E.LAST_CALL, B._always, S.ENDED, B._give_up),
+    Row(S.WAITING, E.WITHDRAWN, B._always, S.ENDED, B._leave),
+    Row(S.OUT, E.OWNED, B._others_out, S.OUT, B._nothing),
+    Row(S.OUT, E.OWNED, B._may_retry, S.OUT, B._send_again),
+    Row(S.OUT, E.OWNED, B._always, S.ENDED, B._give_up),
+    Row(S.OUT, E.PASSED_ALONG, B._others_out, S.OUT, B._nothing),
+    Row(S.OUT, E.PASSED_ALONG, B._always, S.ENDED, B._give_up),
+    Row(S.OUT, E.BEGUN, B._always, S.STREAMING, B._nothing),
+    Row(S.OUT, E.OVER, B._always, S.ENDED, B._leave),
+    Row(S.OUT, E.LAST_CALL, B._always, S.ENDED, B._give_up),
+    Row(S.OUT, E.WITHDRAWN, B._always, S.ENDED, B._leave),
+    Row(S.STREAMING, E.OWNED, B._others_out, S.STREAMING, B._nothing),
+    Row(S.STREAMING, E.OWNED, B._always, S.ENDED, B._give_up),
+    Row(S.STREAMING, E.PASSED_ALONG, B._others_out, S.STREAMING, B._nothing),
+    Row(S.STREAMING, E.PASSED_ALONG, B._always, S.ENDED, B._give_up),
+    Row(S.STREAMING, E.OVER, B._always, S.ENDED, B._leave),
+    Row(S.STREAMING, E.WITHDRAWN, B._always, S.ENDED, B._leave),
+)
+
+
+def _by_state(rows: Iterable[Row]) -> dict[tuple[State, Input], list[Row]]:
+    found: dict[tuple[State, Input], list[Row]] = {}
+    for row in rows:
+        found.setdefault((row.state, row.input), []).append(row)
+    return found
+
+
+ROWS = _by_state(TABLE)
--- /dev/null
+++ b/notchjunction/simhost.py
@@ -0,0 +1,198 @@
+"""Hosts many instances of the decisions on the bench's wire: ids to indices, milliseconds to seconds."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import sys
+import traceback
+
+from notchjunction.interface import Decisions, Job, News, Outcome, Presence, Result, ServerEntry
+from notchjunction.rules import Balancer
+from notchjunction.simwire import words
+from notchjunction.simwire.codec import Event, Fields, Reader, WireError, act, write_reply
+
+log = logging.getLogger("notchjunction.simhost")
+
+
+class Instance:
+    """One node's Host: what the module asks for becomes lines of the reply."""
+
+    def __init__(self, clock: float, provision: Event) -> None:
+        self.rows: list[str] = []
+        self._clock = clock
+        self._tickets: list[str] = []
+        self._jobs: dict[str, int] = {}
+        self._servers: list[str] = []
+        self._indices: dict[str, int] = {}
+        paths = provision.fields
+        self._load_fields = paths.get("report.fields", "").split(",")
+        self._core: Decisions = Balancer(words.terms(provision.whole("init_seed"), paths), self)
+
+    def now(self) -> float:
+        return self._clock
+
+    def dispatch(self, job: int, server: int, within: float) -> None:
+        time_out = round(within * 1000, 3)
+        self.rows.append(
+            act("SEND", ticket=self._tickets[job], server=self._servers[server], within=time_out)
+        )
+
+    def recall(self, job: int, dispatch: int) -> None:
+        self.rows.append(act("RECALL", ticket=self._tickets[job], go=dispatch))
+
+    def probe(self, server: int) -> None:
+        self.rows.append(act("CHECK", server=self._servers[server]))
+
+    def turn_back(self, job: int, come_back_in: float) -> None:
+        wait = round(come_back_in * 1000, 3)
+        self.rows.append(act("OVERLOAD_REPLY", ticket=self._tickets[job], not_before_for=wait))
+
+    def write_off(self, job: int) -> None:
+        self.rows.append(act("REPORT_FAILURE", ticket=self._tickets[job]))
+
+    def set_timer(self, delay: float, token: int) -> None:
+        self.rows.append(act("SET_TIMER", offset=round(delay * 1000, 3), nonce=token))
+
+    def follow(self) -> None:
+        self.rows.append(act("FOLLOW", enable=1))
+
+    def remark(self, text: str) -> None:
+        self.rows.append(act("REMARK", text=text))
+
+    def _server(self, name: str) -> int:
+        if name not in self._indices:
+            self._indices[name] = len(self._servers)
+            self._servers.append(name)
+        return self._indices[name]
+
+    def _entry(self, fields: Fields) -> ServerEntry:
+        event = Event(0, "M", fields)
+        return ServerEntry(
+            server=self._server(event.text("server")),
+            presence=words.PRESENCES.get(fields.get("availability", ""), Presence.DRAINING),
+            started_at=event.number("start_time", 0.0) / 1000,
+            zone=event.whole("campus", 0),
+            cell=event.whole("bay", 0),
+        )
+
+    def feed(self, clock: float, event: Event, lists: dict[int, list[Fields]]) -> None:
+        """Hands one event to the module; events it has no use for are passed over."""
+        self._clock = clock
+        core = self._core
+        if event.name == "JOB_IN":
+            self._take(event)
+        elif event.name == "FINISHED":
+            index = self._jobs.get(event.text("ticket"))
+            if index is not None:
+                core.outcome(self._outcome(index, event))
+        elif event.name == "ELAPSED":
+            core.timer(event.whole("nonce"))
+        elif event.name == "HEALTH":
+            result = words.RESULTS.get(event.text("code"), Result.UNKNOWN)
+            report = words.load(self._load_fields, event.fields.get("report"))
+            core.probed(self._server(event.text("server")), result, report)
+        elif event.name == "UPDATE":
+            news = words.NEWS.get(event.text("scope"))
+            if news is News.FAILED:
+                core.listed(news, ())
+            elif news is not None:
+                core.listed(news, [self._entry(fields) for fields in lists[event.whole("bank")]])
+        elif event.name in ("WITHDRAWN", "STREAMING"):
+            index = self._jobs.get(event.text("ticket"))
+            if index is not None and event.name == "WITHDRAWN":
+                core.withdrawn(index)
+            elif index is not None:
+                core.streaming(index, event.whole("go"))
+
+    def _take(self, event: Event) -> None:
+        ticket = event.text("ticket")
+        index = len(self._tickets)
+        self._tickets.append(ticket)
+        self._jobs[ticket] = index
+        hint = event.number("size_hint", -1.0)
+        self._core.take(
+            Job(
+                id=index,
+                profile=event.whole("category", 0),
+                operator=event.whole("customer", 0),
+                time_left=event.number("time_left", 0.0) / 1000,
+                repeat=event.flag("again_by_client"),
+                work_hint=hint / 1000 if hint >= 0 else None,
+            )
+        )
+
+    def _outcome(self, index: int, event: Event) -> Outcome:
+        return Outcome(
+            job=index,
+            dispatch=event.whole("go"),
+            server=self._server(event.text("server")),
+            result=words.RESULTS.get(event.text("code"), Result.UNKNOWN),
+            seconds=event.number("wait_time", 0.0) / 1000,
+            over=event.flag("over"),
+            load=words.load(self._load_fields, event.fields.get("report")),
+        )
+
+
+class SimHost:
+    """Routes each batch's events to its instances and gathers their actions."""
+
+    def __init__(self) -> None:
+        self._instances: dict[int, Instance] = {}
+        self._lists: dict[int, list[Fields]] = {}
+
+    def serve(self, clock: float, events: list[Event]) -> list[tuple[int, list[str]]]:
+        addressed: int | None = None
+        touched: dict[int, None] = {}
+        for event in events:
+            if event.name == "TO":
+                addressed = event.whole("node_id")
+            elif event.name == "REGISTER":
+                self._lists[event.whole("bank")] = event.entries
+            elif addressed is None:
+                log.warning("line %d: %s for no instance, skipped", event.line, event.name)
+            elif event.name == "CRASH_NOW":
+                self._instances.pop(addressed, None)
+            else:
+                touched[addressed] = None
+                fault = self._feed(addressed, clock, event)
+                if fault is not None:
+                    return [(addressed, [fault])]
+        replies = [(node, self._instances[node].rows) for node in touched if node in self._instances]
+        for node, rows in replies:
+            self._instances[node].rows = []
+            log.debug("node %d: %d actions", node, len(rows))
+        return replies
+
+    def _feed(self, node: int, clock: float, event: Event) -> str | None:
+        try:
+            if event.name == "PROVISION":
+                self._instances[node] = Instance(clock, event)
+            elif node in self._instances:
+                self._instances[node].feed(clock, event, self._lists)
+        except WireError:
+            raise
+        except Exception as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            traceback.print_exc(file=sys.stderr)
+            where = f"{place.filename.rpartition('/')[2]}:{place.lineno}"
+            return act("EXCEPTION", text=f"{type(error).__name__} at {where}: {str(error)[:120]}")
+        return None
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="notchjunction.simhost", description=__doc__)
+    parser.add_argument("--log-level", default="ERROR", help="of the standard error log (default: ERROR)")
+    logging.basicConfig(stream=sys.stderr, level=parser.parse_args().log_level.upper())
+    host = SimHost()
+    try:
+        for batch in Reader(sys.stdin.buffer).batches():
+            write_reply(sys.stdout, host.serve(batch.at_ms / 1000, batch.events))
+    except WireError as error:
+        print(f"notchjunction: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,205 @@
+"""Short stories, one for each failure met."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from notchjunction.interface import Effect, Group, News, Presence, Result
+from tests.fake_host import PLAIN, FakeHost, profile
+
+ONCE = Effect.AT_MOST_ONCE
+
+
+@pytest.mark.parametrize(
+    ("result", "deepest", "dispatches"),
+    [
+        (Result.NO_CONNECTION, False, 2),
+        (Result.RESET, False, 2),
+        (Result.FULL, False, 2),
+        (Result.ERROR, False, 1),
+        (Result.TIMED_OUT, False, 1),
+        (Result.ERROR, True, 2),
+        (Result.TIMED_OUT, True, 2),
+        (Result.UNKNOWN, True, 1),
+        (Result.NEVER_SENT, True, 1),
+    ],
+)
+def test_only_what_the_server_itself_caused_is_retried(result: Result, deepest: bool, dispatches: int) -> None:
+    host = FakeHost(depth=1 if deepest else 0, depths=2)
+    host.serve(20)
+    job = host.take()
+    host.end(job, result)
+    servers = host.sent(job)
+    assert len(servers) == dispatches and len(set(servers)) == dispatches
+    assert (host.finals(job) == []) == (dispatches == 2)
+
+
+def test_an_error_at_unknown_depth_goes_up_unretried() -> None:
+    host = FakeHost(depth=None, depths=0)
+    host.serve(20)
+    job = host.take()
+    host.end(job, Result.ERROR)
+    assert len(host.sent(job)) == 1
+
+
+def test_retries_stay_within_a_fifth_of_first_sends() -> None:
+    host = FakeHost(servers=30)
+    host.serve(50, Result.FULL)
+    assert 0 < host.count("dispatch") - 50 <= 10
+
+
+@pytest.mark.parametrize(
+    ("effect", "group", "result", "resent", "final"),
+    [
+        (ONCE, Group.ALL, Result.RESET, False, "write_off"),
+        (ONCE, Group.ALL, Result.FULL, True, "turn_back"),
+        (Effect.NUMBERED, Group.ALL, Result.RESET, True, "turn_back"),
+        (Effect.NUMBERED, Group.ZONE, Result.RESET, False, "write_off"),
+        (Effect.NUMBERED, Group.CELL, Result.RESET, False, "write_off"),
+        (Effect.REISSUABLE, Group.ALL, Result.RESET, True, "turn_back"),
+    ],
+)
+def test_no_effect_happens_twice(
+    effect: Effect, group: Group, result: Result, resent: bool, final: str
+) -> None:
+    host = FakeHost(servers=0, profiles=[profile(effect, group), PLAIN], max_dispatches=2)
+    for server in range(4):
+        host.list_servers(server, zone=server, cell=server)
+    for _ in range(20):
+        host.end(host.take(profile=1))
+    job = host.take()
+    host.end(job, result)
+    assert (len(host.sent(job)) == 2) == resent
+    if resent:
+        host.end(job, result, dispatch=1)
+    assert host.finals(job) == [final]
+
+
+def test_a_numbered_job_is_not_resent_after_its_window() -> None:
+    host = FakeHost(profiles=[replace(profile(Effect.NUMBERED), window=0.5)])
+    host.serve(20)
+    job = host.take()
+    host.advance(0.6)
+    host.end(job, Result.RESET)
+    assert len(host.sent(job)) == 1
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_each_job_is_answered_once_before_it_is_abandoned(effect: Effect) -> None:
+    host = FakeHost(profiles=[profile(effect)])
+    job = host.take(time_left=0.8)
+    host.advance(0.799)
+    assert len(host.finals(job)) == 1
+    host.end(job, Result.TIMED_OUT)
+    host.advance(5.0)
+    assert len(host.finals(job)) == 1 and len(host.sent(job)) == 1
+
+
+def test_with_no_ready_server_a_job_is_turned_back() -> None:
+    host = FakeHost(servers=0)
+    job = host.take(time_left=0.5)
+    host.advance(0.5)
+    assert host.finals(job) == ["turn_back"]
+
+
+@pytest.mark.parametrize("presence", [Presence.DRAINING, Presence.GONE])
+def test_nothing_new_goes_to_a_server_that_drains_or_is_gone(presence: Presence) -> None:
+    host = FakeHost(servers=2)
+    host.list_servers(1, presence=presence)
+    jobs = [host.take() for _ in range(10)]
+    assert {server for job in jobs for server in host.sent(job)} == {0}
+
+
+def test_a_restarted_server_gets_little_until_it_is_warm() -> None:
+    host = FakeHost(cold_share=0.2, cold_time=10.0, nodes=4)
+    host.serve(200)
+    host.list_servers(0, started_at=host.clock - 0.1)
+    before = len(host.did)
+    host.serve(100)
+    early = sum(1 for row in host.did[before:] if row[0] == "dispatch" and row[2] == 0)
+    host.advance(10.0)
+    before = len(host.did)
+    host.serve(100)
+    late = sum(1 for row in host.did[before:] if row[0] == "dispatch" and row[2] == 0)
+    assert early <= 12 and late >= 15
+
+
+def test_the_list_is_asked_for_again_after_a_failure() -> None:
+    host = FakeHost(must_follow=True, ask_within=10.0)
+    assert host.count("follow") == 1
+    host.core.listed(News.FAILED, ())
+    assert host.count("follow") == 1
+    host.advance(2.5)
+    assert host.count("follow") == 2
+
+
+def test_probes_go_out_with_and_without_jobs() -> None:
+    host = FakeHost()
+    host.advance(10.0)
+    assert host.count("probe") >= 2
+    before = host.count("probe")
+    host.serve(100, every=0.0)
+    assert host.count("probe") - before >= 10
+
+
+def test_the_better_of_two_fresh_answers_is_taken() -> None:
+    host = FakeHost(servers=2)
+    host.answer(0, held=9.0, pace=0.1)
+    host.answer(1, held=0.0, pace=0.1)
+    assert host.sent(host.take()) == [1]
+
+
+def test_a_failing_server_is_set_aside_and_returns() -> None:
+    host = FakeHost(servers=4)
+    host.serve(40)
+    for _ in range(60):
+        job = host.take()
+        host.advance(0.02)
+        host.end(job, Result.ERROR if host.sent(job)[0] == 0 else Result.HONOURED)
+    late = [host.take() for _ in range(3)]
+    assert all(host.sent(job) != [0] for job in late)
+    for job in late:
+        host.end(job)
+    host.advance(4.1)
+    host.until(lambda: any(row[0] == "dispatch" and row[2] == 0 for row in host.did[-3:]))
+
+
+def test_a_trouble_common_to_all_sets_no_server_aside() -> None:
+    host = FakeHost(servers=4, depths=2)
+    host.serve(80, Result.ERROR)
+    jobs = [host.take() for _ in range(8)]
+    assert {server for job in jobs for server in host.sent(job)} == {0, 1, 2, 3}
+
+
+def test_surplus_waits_a_little_or_is_turned_back_at_once() -> None:
+    host = FakeHost(servers=2, advice_limit=3.0)
+    jobs = [host.take() for _ in range(100)]
+    assert 0 < host.count("dispatch") < 30
+    assert any(host.finals(job) == ["turn_back"] for job in jobs)
+    assert all(row[2] > 0 for row in host.did if row[0] == "turn_back")
+
+
+def test_a_withdrawn_job_is_recalled_and_owed_nothing() -> None:
+    host = FakeHost()
+    job = host.take()
+    host.core.withdrawn(job)
+    host.core.withdrawn(job)
+    host.end(job, Result.RECALLED)
+    assert host.count("recall") == 1 and host.finals(job) == []
+
+
+def test_an_unknown_profile_is_at_most_once() -> None:
+    host = FakeHost()
+    host.serve(20)
+    job = host.take(profile=9)
+    host.end(job, Result.RESET)
+    assert host.finals(job) == ["write_off"]
+
+
+def test_an_operator_past_its_share_yields_first() -> None:
+    host = FakeHost(servers=4, operator_quotas=[2.0, 100.0])
+    jobs = [host.take(operator=n % 2) for n in range(24)]
+    sent = [n % 2 for n, job in enumerate(jobs) if host.sent(job)]
+    assert sent.count(1) > sent.count(0)
