--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -76,7 +76,9 @@
         self.core.take(Job(self.jobs, profile, operator, time_left, repeat))
         return self.jobs
 
-    def end(self, job: int, result: Result = Result.HONOURED, dispatch: int = 0, seconds: float = 0.1) -> None:
+    def end(
+        self, job: int, result: Result = Result.HONOURED, dispatch: int = 0, seconds: float = 0.1
+    ) -> None:
         over = result is Result.HONOURED
         server = self.sent(job)[dispatch]
         self.core.outcome(Outcome(job, dispatch, server, result, seconds, over))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -26,7 +26,9 @@
         (Result.NEVER_SENT, True, 1),
     ],
 )
-def test_only_what_the_server_itself_caused_is_retried(result: Result, deepest: bool, dispatches: int) -> None:
+def test_only_what_the_server_itself_caused_is_retried(
+    result: Result, deepest: bool, dispatches: int
+) -> None:
     host = FakeHost(depth=1 if deepest else 0, depths=2)
     host.serve(20)
     job = host.take()
