--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -46,7 +46,8 @@
 ASIDE_RANDOM = 2.0  # s more at most, at random, so that nodes do not return together
 ASIDE_MOST = 0.5  # share of ready servers set aside at most; more failing is a trouble common to all
 RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
-HOLD_SHARE = 0.5  # of the contract time that dispatched jobs may take to clear; the rest is slack for chance
+YOUNG_SPANS = 2.0  # times that part after which a dispatch counts as stuck and takes up no room
+HOLD_SHARE = 0.35  # of the contract time that dispatched jobs may take to clear; the rest is slack for chance
 WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
 FLOOR_EACH = 4.0  # jobs a ready server gets from all nodes before anything is learned: a small machine's
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
@@ -82,6 +83,7 @@
 class Dispatch:
     server: Server
     at: float
+    contract_time: float
     out: bool = True
     may_have_run: bool = True
 
@@ -163,10 +165,10 @@
         self._held: dict[int, Held] = {}
         self._flying: dict[tuple[int, int], Dispatch] = {}
         self._queue: list[Held] = []
-        self._out = 0
         self._firsts: deque[float] = deque()
         self._retries: deque[float] = deque()
-        self._cleared: deque[tuple[float, float]] = deque()
+        self._ended: deque[tuple[float, float]] = deque()
+        self._recent: deque[Dispatch] = deque()
         self._asked: list[deque[float]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
         self._lefts: list[deque[float]] = [deque(maxlen=32) for _ in self._profiles]
@@ -207,17 +209,15 @@
         dispatch.out = False
         dispatch.may_have_run = outcome.result not in NEVER_RAN
         dispatch.server.out -= 1
-        self._out -= 1
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
         self._judge(dispatch.server, outcome, now)
+        if dispatch.may_have_run:
+            self._ended.append((now, dispatch.contract_time))
         held = self._held.get(outcome.job)
         if held is not None:
-            if outcome.result is Result.HONOURED:
-                profile = self._profile(held.profile)
-                self._cleared.append((now, profile.contract_time))
-                if held.profile < len(self._spent):
-                    self._spent[held.profile].append(outcome.seconds)
+            if outcome.result is Result.HONOURED and held.profile < len(self._spent):
+                self._spent[held.profile].append(outcome.seconds)
             if outcome.over:
                 self._step(held, Input.OVER)
             else:
@@ -301,13 +301,13 @@
         quick = self._quick(held.profile)
         if held.abandon_end - now - self._guard < quick:
             return True
-        scarce = bool(self._queue) or self._out >= self._room()
+        scarce = bool(self._queue) or self._pressing(now) >= self._room()
         return held.contract_end - now < quick and (scarce or not self._profile(held.profile).late_share)
 
     def _finds_place(self, held: Held) -> bool:
         room = self._room() * (SPARE_SHARE if held.past_share else 1.0)
         overtakes = not self._queue or self._queue[0].rank() >= held.rank()
-        if self._out >= room or not overtakes:
+        if self._pressing(self._host.now()) >= room or not overtakes:
             return False
         held.choice = self._pick(held)
         return held.choice is not None
@@ -361,12 +361,12 @@
         server = held.choice
         assert server is not None
         held.choice = None
-        dispatch = Dispatch(server, now)
+        dispatch = Dispatch(server, now, self._profile(held.profile).contract_time)
+        self._recent.append(dispatch)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
         server.out += 1
         server.sends.append(now)
-        self._out += 1
         if self._is_cold(server, now):
             server.cold_next = now + self._cold_gap(server, now) * self._random.uniform(0.75, 1.25)
         end = held.abandon_end
@@ -488,20 +488,29 @@
     # Room, health and the rest.
 
     def _room(self) -> float:
-        """Jobs out at most: what the last answers' rate clears within a part of the contract time."""
+        """Jobs out at most: what the last endings' rate clears within a part of the contract time."""
         now = self._host.now()
-        self._prune_cleared(now)
+        self._prune_ended(now)
         span = min(RATE_SPAN, max(now - self._began, 0.1))
-        learned = sum(contract for _, contract in self._cleared) / span * self._hold_share
+        learned = sum(contract for _, contract in self._ended) / span * self._hold_share
         floor = max(2.0, FLOOR_EACH * len(self._ready()) / self._nodes)
         return max(floor, learned)
 
+    def _pressing(self, now: float) -> int:
+        """Jobs out and still young. Guards against swallowed jobs, out for seconds, using up the room."""
+        while self._recent and (
+            not self._recent[0].out
+            or now - self._recent[0].at > YOUNG_SPANS * self._hold_share * self._recent[0].contract_time
+        ):
+            self._recent.popleft()
+        return sum(1 for dispatch in self._recent if dispatch.out)
+
     def _server_room(self) -> float:
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready())))
 
     def _rate(self, now: float) -> float:
-        self._prune_cleared(now)
-        return len(self._cleared) / min(RATE_SPAN, max(now - self._began, 0.1))
+        self._prune_ended(now)
+        return len(self._ended) / min(RATE_SPAN, max(now - self._began, 0.1))
 
     def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
         """Sets a server aside when its last few outcomes trail the others'."""
@@ -592,9 +601,9 @@
         while moments and moments[0] < since:
             moments.popleft()
 
-    def _prune_cleared(self, now: float) -> None:
-        while self._cleared and self._cleared[0][0] < now - RATE_SPAN:
-            self._cleared.popleft()
+    def _prune_ended(self, now: float) -> None:
+        while self._ended and self._ended[0][0] < now - RATE_SPAN:
+            self._ended.popleft()
 
 
 UNKNOWN_PROFILE = Profile(contract_time=1.0, abandon_time=math.inf)
