--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -46,8 +46,7 @@
 ASIDE_RANDOM = 2.0  # s more at most, at random, so that nodes do not return together
 ASIDE_MOST = 0.5  # share of ready servers set aside at most; more failing is a trouble common to all
 RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
-BEST_SPAN = 20.0  # s over which the best rate and the best time are looked for; outlasts most troubles
-ROOM_GAIN = 1.4  # times best rate x best time that may be out; as in congestion control, lets the rate grow
+HOLD_SHARE = 0.5  # of the contract time that jobs out may take to clear; the rest is slack for chance
 YOUNG_SHARE = 1.0  # of the contract time after which a dispatch counts as stuck and takes up no room
 WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
 FLOOR_EACH = 4.0  # jobs a ready server gets from all nodes before anything is learned: a small machine's
@@ -145,6 +144,7 @@
         self._nodes = terms.nodes
         self._deepest = terms.depth is not None and terms.depth == terms.depths - 1
         tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
+        self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
         self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
         front = not terms.depth
         self._shares = [quota / terms.nodes * SHARE_SPAN if front else 0.0 for quota in terms.operator_quotas]
@@ -168,9 +168,7 @@
         self._queue: list[Held] = []
         self._firsts: deque[float] = deque()
         self._retries: deque[float] = deque()
-        self._room_until = -math.inf
-        self._room_now = 0.0
-        self._ended: deque[tuple[float, float]] = deque()
+        self._answers: deque[tuple[float, float]] = deque()
         self._recent: deque[Dispatch] = deque()
         self._asked: list[deque[float]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
@@ -179,6 +177,7 @@
         self._failures = 0
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
+        self._began = host.now()
         if self._must_follow:
             host.follow()
         if self._probes:
@@ -215,7 +214,7 @@
             self._answered(dispatch.server, outcome.load, now)
         self._judge(dispatch.server, outcome, now)
         if outcome.result is Result.HONOURED:
-            self._ended.append((now, min(outcome.seconds, dispatch.contract_time)))
+            self._answers.append((now, dispatch.contract_time))
         held = self._held.get(outcome.job)
         if held is not None:
             if outcome.result is Result.HONOURED and held.profile < len(self._spent):
@@ -490,23 +489,13 @@
     # Room, health and the rest.
 
     def _room(self) -> float:
-        """Jobs out at most: a gain over the bandwidth-delay product, best rate x best time seen lately.
-
-        Guards against servers holding so much that they turn slow; a slowdown of all leaves it as it is.
-        """
+        """Jobs out at most: what the last answers' rate clears within a part of the contract time."""
         now = self._host.now()
-        if now >= self._room_until:
-            self._room_until = now + RATE_SPAN / 4
-            self._prune_ended(now)
-            spans: dict[int, list[float]] = {}
-            for at, seconds in self._ended:
-                spans.setdefault(int((now - at) / RATE_SPAN), []).append(seconds)
-            rate = max((len(span) for span in spans.values()), default=0) / RATE_SPAN
-            means = [sum(span) / len(span) for span in spans.values() if len(span) >= LAST_FEW]
-            best = min(means, default=0.0)
-            floor = max(2.0, FLOOR_EACH * len(self._ready()) / self._nodes)
-            self._room_now = max(floor, ROOM_GAIN * rate * best)
-        return self._room_now
+        self._prune_answers(now)
+        span = min(RATE_SPAN, max(now - self._began, 0.1))
+        learned = sum(contract for _, contract in self._answers) / span * self._hold_share
+        floor = max(2.0, FLOOR_EACH * len(self._ready()) / self._nodes)
+        return max(floor, learned)
 
     def _pressing(self, now: float) -> int:
         """Jobs out and still young. Guards against swallowed jobs, out for seconds, using up the room."""
@@ -521,12 +510,8 @@
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready())))
 
     def _rate(self, now: float) -> float:
-        count = 0
-        for at, _ in reversed(self._ended):
-            if at < now - RATE_SPAN:
-                break
-            count += 1
-        return count / RATE_SPAN
+        self._prune_answers(now)
+        return len(self._answers) / RATE_SPAN
 
     def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
         """Sets a server aside when its last few outcomes trail the others'."""
@@ -617,9 +602,9 @@
         while moments and moments[0] < since:
             moments.popleft()
 
-    def _prune_ended(self, now: float) -> None:
-        while self._ended and self._ended[0][0] < now - BEST_SPAN:
-            self._ended.popleft()
+    def _prune_answers(self, now: float) -> None:
+        while self._answers and self._answers[0][0] < now - RATE_SPAN:
+            self._answers.popleft()
 
 
 UNKNOWN_PROFILE = Profile(contract_time=1.0, abandon_time=math.inf)
