--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -53,6 +53,8 @@
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
+PATIENCE = 4.0  # times the usual seconds before a dispatch counts as unanswered; jobs differ in size
+SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
 NEAR_SLACK = 2.0  # times the far server's score at which a near server still wins
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
@@ -79,7 +81,7 @@
     WITHDRAWN = auto()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Dispatch:
     server: Server
     at: float
@@ -88,7 +90,7 @@
     may_have_run: bool = True
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Held:
     """A job without its final answer."""
 
@@ -110,7 +112,8 @@
     """What this node knows of one server, mostly from its own traffic."""
 
     entry: ServerEntry
-    out: int = 0
+    flights: list[Dispatch] = field(default_factory=list)
+    heard_at: float = -math.inf
     last: deque[bool] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
     seconds: deque[float] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
     sends: deque[float] = field(default_factory=lambda: deque(maxlen=256))
@@ -119,6 +122,10 @@
     back_at: float = -math.inf
     cold_next: float = -math.inf
 
+    @property
+    def out(self) -> int:
+        return len(self.flights)
+
     def sends_since(self, moment: float) -> int:
         count = 0
         for at in reversed(self.sends):
@@ -209,7 +216,9 @@
         now = self._host.now()
         dispatch.out = False
         dispatch.may_have_run = outcome.result not in NEVER_RAN
-        dispatch.server.out -= 1
+        dispatch.server.flights.remove(dispatch)
+        if outcome.result is not Result.RECALLED and outcome.result is not Result.TIMED_OUT:
+            dispatch.server.heard_at = now
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
         self._judge(dispatch.server, outcome, now)
@@ -325,13 +334,14 @@
     def _others_out(self, held: Held) -> bool:
         return any(dispatch.out for dispatch in held.sent)
 
-    def _may_retry(self, held: Held) -> bool:
+    def _budget_left(self) -> bool:
         now = self._host.now()
         self._prune(self._firsts, now - RETRY_SPAN)
         self._prune(self._retries, now - RETRY_SPAN)
-        if len(self._retries) + 1 > RETRY_SHARE * len(self._firsts):
-            return False
-        if len(held.sent) >= self._max_dispatches or self._hopeless(held):
+        return len(self._retries) + 1 <= RETRY_SHARE * len(self._firsts)
+
+    def _may_retry(self, held: Held) -> bool:
+        if not self._budget_left() or len(held.sent) >= self._max_dispatches or self._hopeless(held):
             return False
         held.choice = self._pick(held)
         return held.choice is not None
@@ -366,15 +376,29 @@
         self._recent.append(dispatch)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
-        server.out += 1
+        server.flights.append(dispatch)
         server.sends.append(now)
         if self._is_cold(server, now):
             server.cold_next = now + self._cold_gap(server, now) * self._random.uniform(0.75, 1.25)
         end = held.abandon_end
         if not self._profile(held.profile).late_share:
             end = min(end, held.contract_end)
+        if self._cut_short(held):
+            end = min(end, now + PATIENCE * self._usual_seconds())
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
 
+    def _cut_short(self, held: Held) -> bool:
+        """Whether a time-out before the job's end is the called server's own and leaves a retry to be made.
+
+        Guards against jobs lost in servers that answer none. Acts at the deepest tier only.
+        """
+        if not self._deepest or len(held.sent) >= self._max_dispatches or not self._budget_left():
+            return False
+        profile = self._profile(held.profile)
+        return profile.effect is Effect.REISSUABLE or (
+            profile.effect is Effect.NUMBERED and profile.group is not Group.CELL
+        )
+
     def _give_up(self, held: Held) -> None:
         """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
         self._leave(held)
@@ -398,11 +422,17 @@
     def _pick(self, held: Held) -> Server | None:
         now = self._host.now()
         most = self._server_room()
+        ready = self._ready()
+        patience = PATIENCE * self._usual_seconds()
+        silent = {id(server) for server in ready if self._is_silent(server, now, patience)}
+        if len(silent) > SILENT_MOST * len(ready):
+            silent = set()
         fits = [
             server
-            for server in self._ready()
+            for server in ready
             if server.back_at <= now
             and server.out < most
+            and id(server) not in silent
             and not any(dispatch.server is server for dispatch in held.sent)
             and (not held.sent or self._may_run_on(held, server, now))
             and not (self._is_cold(server, now) and server.cold_next > now)
@@ -437,6 +467,13 @@
             pace = median(server.seconds) if server.seconds else self._usual_seconds()
         return (held + 1.0) * max(pace, 0.001)
 
+    def _is_silent(self, server: Server, now: float, patience: float) -> bool:
+        """Guards against servers that take jobs and answer none: nothing heard since an overdue dispatch."""
+        if not server.flights:
+            return False
+        oldest = server.flights[0].at
+        return now - oldest > patience and server.heard_at < oldest
+
     def _usual_seconds(self) -> float:
         known = [median(server.seconds) for server in self._ready() if server.seconds]
         return median(known) if known else 1.0
