--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -77,6 +77,7 @@
     PASSED_ALONG = auto()  # a dispatch failed, not or not surely by its server's fault
     OVER = auto()  # the client has its answer
     BEGUN = auto()
+    OVERDUE = auto()  # a dispatch is out for several usual times
     LAST_CALL = auto()
     WITHDRAWN = auto()
 
@@ -294,6 +295,9 @@
             if head.state is State.WAITING:
                 return
 
+    def _overdue(self, held: Held) -> None:
+        self._step(held, Input.OVERDUE)
+
     def _last_call(self, job: int) -> None:
         held = self._held.get(job)
         if held is not None:
@@ -346,6 +350,16 @@
         held.choice = self._pick(held)
         return held.choice is not None
 
+    def _swallowed(self, held: Held) -> bool:
+        """Its server answers nothing while most others do: the server's own fault, seen before the time-out.
+
+        Guards against jobs lost in servers that take work and answer none. Acts at any tier, in the budget.
+        """
+        now = self._host.now()
+        server = held.sent[-1].server
+        silent = self._silent(self._ready(), now)
+        return held.sent[-1].out and server in silent and self._may_retry(held)
+
     # Effects: what the table does.
 
     def _nothing(self, held: Held) -> None:
@@ -367,6 +381,10 @@
         self._retries.append(self._host.now())
         self._send(held)
 
+    def _recall_and_send(self, held: Held) -> None:
+        self._host.recall(held.id, len(held.sent) - 1)
+        self._send_again(held)
+
     def _send(self, held: Held) -> None:
         now = self._host.now()
         server = held.choice
@@ -383,21 +401,9 @@
         end = held.abandon_end
         if not self._profile(held.profile).late_share:
             end = min(end, held.contract_end)
-        if self._cut_short(held):
-            end = min(end, now + PATIENCE * self._usual_seconds())
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
-
-    def _cut_short(self, held: Held) -> bool:
-        """Whether a time-out before the job's end is the called server's own and leaves a retry to be made.
-
-        Guards against jobs lost in servers that answer none. Acts at the deepest tier only.
-        """
-        if not self._deepest or len(held.sent) >= self._max_dispatches or not self._budget_left():
-            return False
-        profile = self._profile(held.profile)
-        return profile.effect is Effect.REISSUABLE or (
-            profile.effect is Effect.NUMBERED and profile.group is not Group.CELL
-        )
+        if self._recalls:
+            self._after(PATIENCE * self._usual_seconds(), lambda: self._overdue(held))
 
     def _give_up(self, held: Held) -> None:
         """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
@@ -423,16 +429,13 @@
         now = self._host.now()
         most = self._server_room()
         ready = self._ready()
-        patience = PATIENCE * self._usual_seconds()
-        silent = {id(server) for server in ready if self._is_silent(server, now, patience)}
-        if len(silent) > SILENT_MOST * len(ready):
-            silent = set()
+        silent = self._silent(ready, now)
         fits = [
             server
             for server in ready
             if server.back_at <= now
             and server.out < most
-            and id(server) not in silent
+            and server not in silent
             and not any(dispatch.server is server for dispatch in held.sent)
             and (not held.sent or self._may_run_on(held, server, now))
             and not (self._is_cold(server, now) and server.cold_next > now)
@@ -467,12 +470,15 @@
             pace = median(server.seconds) if server.seconds else self._usual_seconds()
         return (held + 1.0) * max(pace, 0.001)
 
-    def _is_silent(self, server: Server, now: float, patience: float) -> bool:
-        """Guards against servers that take jobs and answer none: nothing heard since an overdue dispatch."""
-        if not server.flights:
-            return False
-        oldest = server.flights[0].at
-        return now - oldest > patience and server.heard_at < oldest
+    def _silent(self, ready: list[Server], now: float) -> list[Server]:
+        """Servers from which nothing was heard since an overdue dispatch; none if that is most of them."""
+        due = now - PATIENCE * self._usual_seconds()
+        silent = [
+            server
+            for server in ready
+            if server.flights and server.flights[0].at < due and server.heard_at < server.flights[0].at
+        ]
+        return silent if len(silent) <= SILENT_MOST * len(ready) else []
 
     def _usual_seconds(self) -> float:
         known = [median(server.seconds) for server in self._ready() if server.seconds]
@@ -666,6 +672,7 @@
     Row(S.OUT, E.OWNED, B._always, S.ENDED, B._give_up),
     Row(S.OUT, E.PASSED_ALONG, B._others_out, S.OUT, B._nothing),
     Row(S.OUT, E.PASSED_ALONG, B._always, S.ENDED, B._give_up),
+    Row(S.OUT, E.OVERDUE, B._swallowed, S.OUT, B._recall_and_send),
     Row(S.OUT, E.BEGUN, B._always, S.STREAMING, B._nothing),
     Row(S.OUT, E.OVER, B._always, S.ENDED, B._leave),
     Row(S.OUT, E.LAST_CALL, B._always, S.ENDED, B._give_up),
