--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -53,6 +53,7 @@
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
+OVERDUE_TIMES = 8.0  # times the usual seconds before a second copy; rarer than a large job on a sound server
 PATIENCE = 4.0  # times the usual seconds before a dispatch counts as unanswered; jobs differ in size
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
@@ -381,10 +382,6 @@
         self._retries.append(self._host.now())
         self._send(held)
 
-    def _recall_and_send(self, held: Held) -> None:
-        self._host.recall(held.id, len(held.sent) - 1)
-        self._send_again(held)
-
     def _send(self, held: Held) -> None:
         now = self._host.now()
         server = held.choice
@@ -402,8 +399,8 @@
         if not self._profile(held.profile).late_share:
             end = min(end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
-        if self._recalls:
-            self._after(PATIENCE * self._usual_seconds(), lambda: self._overdue(held))
+        if self._copies:
+            self._after(OVERDUE_TIMES * self._usual_seconds(), lambda: self._overdue(held))
 
     def _give_up(self, held: Held) -> None:
         """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
@@ -672,7 +669,7 @@
     Row(S.OUT, E.OWNED, B._always, S.ENDED, B._give_up),
     Row(S.OUT, E.PASSED_ALONG, B._others_out, S.OUT, B._nothing),
     Row(S.OUT, E.PASSED_ALONG, B._always, S.ENDED, B._give_up),
-    Row(S.OUT, E.OVERDUE, B._swallowed, S.OUT, B._recall_and_send),
+    Row(S.OUT, E.OVERDUE, B._swallowed, S.OUT, B._send_again),
     Row(S.OUT, E.BEGUN, B._always, S.STREAMING, B._nothing),
     Row(S.OUT, E.OVER, B._always, S.ENDED, B._leave),
     Row(S.OUT, E.LAST_CALL, B._always, S.ENDED, B._give_up),
