--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -457,14 +457,13 @@
     def _score(self, server: Server, now: float) -> float:
         """The answer's load plus own sends since, in seconds by the server's pace."""
         answer = server.answer or Load()
-        since = server.sends_since(server.answered_at)
-        if answer.held is not None:
-            held = answer.held + since
-        else:
-            held = (answer.waiting or 0.0) + max(server.out, since)
+        usual = self._usual_seconds()
+        reported = answer.held if answer.held is not None else answer.waiting or 0.0
+        weight = usual / (usual + now - server.answered_at)
+        held = weight * reported + server.out
         pace = answer.pace
         if pace is None:
-            pace = median(server.seconds) if server.seconds else self._usual_seconds()
+            pace = median(server.seconds) if server.seconds else usual
         return (held + 1.0) * max(pace, 0.001)
 
     def _silent(self, ready: list[Server], now: float) -> list[Server]:
