--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -39,7 +39,8 @@
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
 PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
-FRESH_SPAN = 4.0  # s an answer counts; beyond it a server has turned over what it held several times
+FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
+POOL_SHARE = 0.34  # of the fresh answers, the best, that make up the pool; random enough against herds
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
 HEALTH_GAP = 0.35  # share of successes by which a server must trail the others; under it is chance in eight
 ASIDE_SPAN = 2.0  # s set aside at least; short against troubles of many seconds, long against a blip
@@ -451,7 +452,9 @@
             return fits[0] if fits else None
         fresh = [server for server in fits if now - server.answered_at <= FRESH_SPAN]
         if len(fresh) >= 2:
-            return min(self._random.sample(fresh, 2), key=lambda server: self._score(server, now))
+            scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
+            pool = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
+            return min(self._random.sample(pool, 2))[2]
         return min(self._random.sample(fits, 2), key=lambda server: server.out)
 
     def _score(self, server: Server, now: float) -> float:
