--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -464,10 +464,15 @@
         reported = answer.held if answer.held is not None else answer.waiting or 0.0
         weight = usual / (usual + now - server.answered_at)
         held = weight * reported + server.out
-        pace = answer.pace
-        if pace is None:
-            pace = median(server.seconds) if server.seconds else usual
-        return (held + 1.0) * max(pace, 0.001)
+        # Guards against herds: among idle servers a noisy pace would decide alone, so it counts half.
+        return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2
+
+    def _slowness(self, server: Server, usual: float) -> float:
+        """How many times slower than usual the server is, by its own report, else by its last few answers."""
+        if server.answer is not None and server.answer.pace is not None:
+            paces = [other.answer.pace for other in self._ready() if other.answer and other.answer.pace]
+            return server.answer.pace / median(paces) if paces else 1.0
+        return median(server.seconds) / usual if server.seconds else 1.0
 
     def _silent(self, ready: list[Server], now: float) -> list[Server]:
         """Servers from which nothing was heard since an overdue dispatch; none if that is most of them."""
