--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -16,7 +16,6 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from random import Random
-from statistics import median
 from typing import NamedTuple
 
 from notchjunction.interface import (
@@ -39,6 +38,7 @@
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
 PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
+USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
 POOL_SHARE = 0.34  # of the fresh answers, the best, that make up the pool; random enough against herds
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
@@ -138,6 +138,18 @@
         return count
 
 
+class Usual(NamedTuple):
+    """What is usual among ready servers just now."""
+
+    seconds: float
+    pace: float
+
+
+def middle(values: Iterable[float], default: float) -> float:
+    ordered = sorted(values)
+    return ordered[len(ordered) // 2] if ordered else default
+
+
 class Row(NamedTuple):
     state: State
     input: Input
@@ -188,6 +200,8 @@
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
         self._began = host.now()
+        self._usual_until = -math.inf
+        self._usual_now = Usual(1.0, 1.0)
         if self._must_follow:
             host.follow()
         if self._probes:
@@ -401,7 +415,7 @@
             end = min(end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
         if self._copies:
-            self._after(OVERDUE_TIMES * self._usual_seconds(), lambda: self._overdue(held))
+            self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._overdue(held))
 
     def _give_up(self, held: Held) -> None:
         """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
@@ -460,23 +474,22 @@
     def _score(self, server: Server, now: float) -> float:
         """The answer's load plus own sends since, in seconds by the server's pace."""
         answer = server.answer or Load()
-        usual = self._usual_seconds()
+        usual = self._usual()
         reported = answer.held if answer.held is not None else answer.waiting or 0.0
-        weight = usual / (usual + now - server.answered_at)
+        weight = usual.seconds / (usual.seconds + now - server.answered_at)
         held = weight * reported + server.out
         # Guards against herds: among idle servers a noisy pace would decide alone, so it counts half.
         return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2
 
-    def _slowness(self, server: Server, usual: float) -> float:
+    def _slowness(self, server: Server, usual: Usual) -> float:
         """How many times slower than usual the server is, by its own report, else by its last few answers."""
         if server.answer is not None and server.answer.pace is not None:
-            paces = [other.answer.pace for other in self._ready() if other.answer and other.answer.pace]
-            return server.answer.pace / median(paces) if paces else 1.0
-        return median(server.seconds) / usual if server.seconds else 1.0
+            return server.answer.pace / usual.pace
+        return middle(server.seconds, usual.seconds) / usual.seconds
 
     def _silent(self, ready: list[Server], now: float) -> list[Server]:
         """Servers from which nothing was heard since an overdue dispatch; none if that is most of them."""
-        due = now - PATIENCE * self._usual_seconds()
+        due = now - PATIENCE * self._usual().seconds
         silent = [
             server
             for server in ready
@@ -484,9 +497,15 @@
         ]
         return silent if len(silent) <= SILENT_MOST * len(ready) else []
 
-    def _usual_seconds(self) -> float:
-        known = [median(server.seconds) for server in self._ready() if server.seconds]
-        return median(known) if known else 1.0
+    def _usual(self) -> Usual:
+        now = self._host.now()
+        if now >= self._usual_until:
+            self._usual_until = now + USUAL_SPAN
+            ready = self._ready()
+            seconds = [middle(server.seconds, 1.0) for server in ready if server.seconds]
+            paces = [server.answer.pace for server in ready if server.answer and server.answer.pace]
+            self._usual_now = Usual(max(middle(seconds, 1.0), 0.001), max(middle(paces, 1.0), 0.001))
+        return self._usual_now
 
     def _ready(self) -> list[Server]:
         return [server for server in self._servers.values() if server.entry.presence is Presence.READY]
