--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -41,6 +41,7 @@
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
 POOL_SHARE = 0.34  # of the fresh answers, the best, that make up the pool; random enough against herds
+PACE_NOISE = 1.5  # times the usual pace that a report may show by chance alone
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
 HEALTH_GAP = 0.35  # share of successes by which a server must trail the others; under it is chance in eight
 ASIDE_SPAN = 2.0  # s set aside at least; short against troubles of many seconds, long against a blip
@@ -484,7 +485,8 @@
     def _slowness(self, server: Server, usual: Usual) -> float:
         """How many times slower than usual the server is, by its own report, else by its last few answers."""
         if server.answer is not None and server.answer.pace is not None:
-            return server.answer.pace / usual.pace
+            # Guards against herds: every caller reads the same report; what is near the usual says nothing.
+            return max(1.0, server.answer.pace / usual.pace / PACE_NOISE)
         return middle(server.seconds, usual.seconds) / usual.seconds
 
     def _silent(self, ready: list[Server], now: float) -> list[Server]:
