--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -587,6 +587,9 @@
             server.last.append(True)
             server.seconds.append(outcome.seconds)
             return
+        if outcome.result is Result.FULL:
+            # Guards against a second refusal there: a full server has room when a job of the usual time ends.
+            server.back_at = max(server.back_at, now + self._usual().seconds)
         if outcome.result not in FAULTS:
             return
         server.last.append(False)
