--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -36,7 +36,7 @@
 # Constants: unit, and why this size.
 RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
-PROBE_EVERY = 2  # first sends a probe; five times the least of the design, as answers age within a few jobs
+PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
