--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -90,7 +90,6 @@
     server: Server
     at: float
     contract_time: float
-    size: float = 1.0
     out: bool = True
     may_have_run: bool = True
 
@@ -104,7 +103,6 @@
     contract_end: float
     abandon_end: float
     past_share: bool
-    size: float = 1.0
     state: State = State.NEW
     sent: list[Dispatch] = field(default_factory=list)
     choice: Server | None = None
@@ -198,7 +196,6 @@
         self._asked: list[deque[float]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
         self._lefts: list[deque[float]] = [deque(maxlen=32) for _ in self._profiles]
-        self._hints: deque[float] = deque(maxlen=32)
         self._unprobed = 0
         self._failures = 0
         self._timers: dict[int, Callable[[], None]] = {}
@@ -224,7 +221,6 @@
             contract_end=now - age + min(profile.contract_time + stretch, profile.abandon_time),
             abandon_end=now + job.time_left,
             past_share=self._past_share(job.operator, now),
-            size=self._size(job),
         )
         self._held[job.id] = held
         # Guards against a job left unanswered when nothing else happens before its abandon time.
@@ -407,7 +403,7 @@
         server = held.choice
         assert server is not None
         held.choice = None
-        dispatch = Dispatch(server, now, self._profile(held.profile).contract_time, held.size)
+        dispatch = Dispatch(server, now, self._profile(held.profile).contract_time)
         self._recent.append(dispatch)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
@@ -482,7 +478,7 @@
         usual = self._usual()
         reported = answer.held if answer.held is not None else answer.waiting or 0.0
         weight = usual.seconds / (usual.seconds + now - server.answered_at)
-        held = weight * reported + sum(dispatch.size for dispatch in server.flights)
+        held = weight * reported + server.out
         # Guards against herds: among idle servers a noisy pace would decide alone, so it counts half.
         return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2
 
@@ -656,16 +652,6 @@
             return profile.abandon_time - job.time_left if job.time_left < 0.98 * usual else 0.0
         return usual - job.time_left
 
-    def _size(self, job: Job) -> float:
-        """The job's expected work against the mean of the last hints; 1 where no hints are given.
-
-        Guards against short jobs sent behind a long one that counts as one job like them.
-        """
-        if not job.work_hint:
-            return 1.0
-        self._hints.append(job.work_hint)
-        return job.work_hint * len(self._hints) / sum(self._hints)
-
     def _quick(self, profile: int) -> float:
         spent = self._spent[profile] if profile < len(self._spent) else ()
         return sorted(spent)[len(spent) // 4] if spent else 0.0
