--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -57,7 +57,6 @@
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
 OVERDUE_TIMES = 8.0  # times the usual seconds before a second copy; rarer than a large job on a sound server
 COPY_AFTER = 0.5  # of the contract time left before a second copy; the other half is left for it
-COPY_ROOM = 0.4  # of the room out at most for a copy from a server that is not silent; copies are for idle times
 PATIENCE = 4.0  # times the usual seconds before a dispatch counts as unanswered; jobs differ in size
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
@@ -376,9 +375,8 @@
         """
         now = self._host.now()
         server = held.sent[-1].server
-        spare = self._pressing(now) < COPY_ROOM * self._room()
-        suspect = spare or server in self._silent(self._ready(), now)
-        return held.sent[-1].out and suspect and self._may_retry(held)
+        silent = self._silent(self._ready(), now)
+        return held.sent[-1].out and server in silent and self._may_retry(held)
 
     # Effects: what the table does.
 
