--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -56,7 +56,6 @@
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
 OVERDUE_TIMES = 8.0  # times the usual seconds before a second copy; rarer than a large job on a sound server
-COPY_AFTER = 0.5  # of the contract time left before a second copy; the other half is left for it
 PATIENCE = 4.0  # times the usual seconds before a dispatch counts as unanswered; jobs differ in size
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
@@ -417,8 +416,7 @@
             end = min(end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
         if self._copies:
-            late = COPY_AFTER * max(held.contract_end - now, 0.0)
-            self._after(min(OVERDUE_TIMES * self._usual().seconds, late), lambda: self._overdue(held))
+            self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._overdue(held))
 
     def _give_up(self, held: Held) -> None:
         """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
