--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -50,7 +50,7 @@
 RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
 HOLD_SHARE = 0.5  # of the contract time that jobs out may take to clear; the rest is slack for chance
 REST_SHARE = 0.3  # the same while answers are slow, so that overdriven servers come to rest
-SLOW_SHARE = 0.45  # of the contract time; the middle answer slower than this means servers hold too much
+SLOW_SHARE = 0.33  # of the contract time; the middle answer slower than this means servers hold too much
 YOUNG_SHARE = 0.75  # of the contract time after which a dispatch counts as stuck and takes up no room
 WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
 FLOOR_EACH = 6.0  # jobs a ready server gets from all nodes before anything is learned: a small machine's
@@ -249,7 +249,8 @@
             self._answered(dispatch.server, outcome.load, now)
         self._judge(dispatch.server, outcome, now)
         if outcome.result is Result.HONOURED:
-            self._answers.append(Answer(now, dispatch.contract_time, outcome.seconds / dispatch.contract_time))
+            slowness = outcome.seconds / dispatch.contract_time
+            self._answers.append(Answer(now, dispatch.contract_time, slowness))
         held = self._held.get(outcome.job)
         if held is not None:
             if outcome.result is Result.HONOURED and held.profile < len(self._spent):
