--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -49,8 +49,6 @@
 ASIDE_MOST = 0.5  # share of ready servers set aside at most; more failing is a trouble common to all
 RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
 HOLD_SHARE = 0.5  # of the contract time that jobs out may take to clear; the rest is slack for chance
-REST_SHARE = 0.3  # the same while answers are slow, so that overdriven servers come to rest
-SLOW_SHARE = 0.33  # of the contract time; the middle answer slower than this means servers hold too much
 YOUNG_SHARE = 0.75  # of the contract time after which a dispatch counts as stuck and takes up no room
 WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
 FLOOR_EACH = 6.0  # jobs a ready server gets from all nodes before anything is learned: a small machine's
@@ -141,12 +139,6 @@
         return count
 
 
-class Answer(NamedTuple):
-    at: float
-    contract_time: float
-    slowness: float  # seconds taken, as a share of the contract time
-
-
 class Usual(NamedTuple):
     """What is usual among ready servers just now."""
 
@@ -175,8 +167,8 @@
         self._nodes = terms.nodes
         self._deepest = terms.depth is not None and terms.depth == terms.depths - 1
         tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
-        self._part = tiers_left / max(1, terms.depths)
-        self._young_share = YOUNG_SHARE * self._part
+        self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
+        self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
         front = not terms.depth
         self._shares = [quota / terms.nodes * SHARE_SPAN if front else 0.0 for quota in terms.operator_quotas]
         self._zone = terms.zone
@@ -199,7 +191,7 @@
         self._queue: list[Held] = []
         self._firsts: deque[float] = deque()
         self._retries: deque[float] = deque()
-        self._answers: deque[Answer] = deque()
+        self._answers: deque[tuple[float, float]] = deque()
         self._recent: deque[Dispatch] = deque()
         self._asked: list[deque[float]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
@@ -249,8 +241,7 @@
             self._answered(dispatch.server, outcome.load, now)
         self._judge(dispatch.server, outcome, now)
         if outcome.result is Result.HONOURED:
-            slowness = outcome.seconds / dispatch.contract_time
-            self._answers.append(Answer(now, dispatch.contract_time, slowness))
+            self._answers.append((now, dispatch.contract_time))
         held = self._held.get(outcome.job)
         if held is not None:
             if outcome.result is Result.HONOURED and held.profile < len(self._spent):
@@ -570,10 +561,7 @@
         now = self._host.now()
         self._prune_answers(now)
         span = min(RATE_SPAN, max(now - self._began, 0.1))
-        # Guards against servers overdriven for good: each stays slow until it has rested.
-        slow = middle((answer.slowness for answer in self._answers), 0.0) > SLOW_SHARE * self._part
-        share = (REST_SHARE if slow else HOLD_SHARE) * self._part
-        learned = sum(answer.contract_time for answer in self._answers) / span * share
+        learned = sum(contract for _, contract in self._answers) / span * self._hold_share
         floor = max(2.0, FLOOR_EACH * len(self._ready()) / self._nodes)
         return max(floor, learned)
 
@@ -686,7 +674,7 @@
             moments.popleft()
 
     def _prune_answers(self, now: float) -> None:
-        while self._answers and self._answers[0].at < now - RATE_SPAN:
+        while self._answers and self._answers[0][0] < now - RATE_SPAN:
             self._answers.popleft()
 
 
