--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -175,6 +175,17 @@
     assert {server for job in jobs for server in host.sent(job)} == {0, 1, 2, 3}
 
 
+def test_never_more_than_half_the_servers_are_set_aside() -> None:
+    host = FakeHost(servers=4, depths=2)
+    host.serve(40)
+    for _ in range(120):
+        job = host.take()
+        host.advance(0.005)
+        host.end(job, Result.HONOURED if host.sent(job)[0] == 3 else Result.ERROR)
+    late = {server for _ in range(8) for server in host.sent(host.take())}
+    assert 3 in late and len(late) >= 2
+
+
 def test_surplus_waits_a_little_or_is_turned_back_at_once() -> None:
     host = FakeHost(servers=2, advice_limit=3.0)
     jobs = [host.take() for _ in range(100)]
@@ -205,3 +216,70 @@
     jobs = [host.take(operator=n % 2) for n in range(24)]
     sent = [n % 2 for n, job in enumerate(jobs) if host.sent(job)]
     assert sent.count(1) > sent.count(0)
+
+
+def swallow(host: FakeHost) -> int:
+    """Server 0 takes a job and answers nothing more, while the others go on."""
+    host.serve(40)
+    for _ in range(100):
+        job = host.take()
+        if host.sent(job) == [0]:
+            return job
+        host.end(job)
+    raise AssertionError("server 0 was never picked")
+
+
+def test_a_server_that_swallows_jobs_is_passed_over() -> None:
+    host = FakeHost(servers=4, second_copies=False)
+    swallow(host)
+    host.serve(10, every=0.06)
+    jobs = [host.take() for _ in range(6)]
+    assert host.core._silent(host.core._ready(), host.clock)
+    assert all(host.sent(job) != [0] for job in jobs)
+
+
+@pytest.mark.parametrize(("effect", "copies"), [(Effect.REISSUABLE, 2), (ONCE, 1)])
+def test_a_swallowed_job_gets_a_second_copy_where_it_may_run_again(effect: Effect, copies: int) -> None:
+    host = FakeHost(servers=4, profiles=[profile(effect)])
+    job = swallow(host)
+    host.serve(20, every=0.05)
+    assert len(host.sent(job)) == copies and len(set(host.sent(job))) == copies
+
+
+def test_stuck_jobs_take_up_no_room() -> None:
+    host = FakeHost(servers=2, nodes=10)
+    stuck = [host.take() for _ in range(2)]
+    assert all(host.sent(job) for job in stuck)
+    refused = host.take()
+    host.advance(0.9)
+    assert host.finals(refused) == ["turn_back"] and host.sent(host.take())
+
+
+def test_a_full_server_is_left_alone_for_one_job_time() -> None:
+    host = FakeHost(servers=2)
+    host.serve(20)
+    job = host.take()
+    full = host.sent(job)[0]
+    host.end(job, Result.FULL)
+    assert all(host.sent(host.take()) != [full] for _ in range(3))
+
+
+def test_an_old_answer_says_little() -> None:
+    host = FakeHost(servers=2, probes=False)
+    host.serve(20)
+    host.answer(0, held=3.0)
+    host.advance(9.0)
+    host.answer(1, held=1.0)
+    assert host.sent(host.take()) == [0]
+
+
+def test_noise_in_reported_paces_draws_no_herd() -> None:
+    host = FakeHost(servers=4)
+    for server in range(4):
+        host.answer(server, held=0.0, pace=0.1 - 0.01 * server)
+    picks = set()
+    for _ in range(60):
+        job = host.take()
+        picks.add(host.sent(job)[0])
+        host.end(job)
+    assert picks == {0, 1, 2, 3}
