--- a/notchjunction/simhost.py
+++ b/notchjunction/simhost.py
@@ -97,7 +97,10 @@
             if news is News.FAILED:
                 core.listed(news, ())
             elif news is not None:
-                core.listed(news, [self._entry(fields) for fields in lists[event.whole("bank")]])
+                bank = event.whole("bank")
+                if bank not in lists:
+                    raise WireError(f"line {event.line}: UPDATE names list {bank}, which was never sent")
+                core.listed(news, [self._entry(fields) for fields in lists[bank]])
         elif event.name in ("WITHDRAWN", "STREAMING"):
             index = self._jobs.get(event.text("ticket"))
             if index is not None and event.name == "WITHDRAWN":
