--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -120,7 +120,6 @@
     heard_at: float = -math.inf
     last: deque[bool] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
     seconds: deque[float] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
-    sends: deque[float] = field(default_factory=lambda: deque(maxlen=256))
     answer: Load | None = None
     answered_at: float = -math.inf
     back_at: float = -math.inf
@@ -130,14 +129,6 @@
     def out(self) -> int:
         return len(self.flights)
 
-    def sends_since(self, moment: float) -> int:
-        count = 0
-        for at in reversed(self.sends):
-            if at <= moment:
-                break
-            count += 1
-        return count
-
 
 class Usual(NamedTuple):
     """What is usual among ready servers just now."""
@@ -179,7 +170,6 @@
         self._max_dispatches = terms.max_dispatches
         self._advice_limit = terms.advice_limit
         self._guard = GUARD_TICKS * terms.tick
-        self._must_follow = terms.must_follow
         self._renew_limit = terms.ask_within / 4 or math.inf
         self._cold_share = terms.cold_share
         self._cold_time = terms.cold_time
@@ -203,7 +193,7 @@
         self._began = host.now()
         self._usual_until = -math.inf
         self._usual_now = Usual(1.0, 1.0)
-        if self._must_follow:
+        if terms.must_follow:
             host.follow()
         if self._probes:
             self._after(self._random.uniform(0, PROBE_SPAN), self._probe_on)
@@ -312,9 +302,6 @@
             if head.state is State.WAITING:
                 return
 
-    def _overdue(self, held: Held) -> None:
-        self._step(held, Input.OVERDUE)
-
     def _last_call(self, job: int) -> None:
         held = self._held.get(job)
         if held is not None:
@@ -408,7 +395,6 @@
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
         server.flights.append(dispatch)
-        server.sends.append(now)
         if self._is_cold(server, now):
             server.cold_next = now + self._cold_gap(server, now) * self._random.uniform(0.75, 1.25)
         end = held.abandon_end
@@ -416,7 +402,7 @@
             end = min(end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
         if self._copies:
-            self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._overdue(held))
+            self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._step(held, Input.OVERDUE))
 
     def _give_up(self, held: Held) -> None:
         """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
@@ -473,7 +459,7 @@
         return min(self._random.sample(fits, 2), key=lambda server: server.out)
 
     def _score(self, server: Server, now: float) -> float:
-        """The answer's load plus own sends since, in seconds by the server's pace."""
+        """The answer's load, less as it ages, plus own sends still out, by the server's pace."""
         answer = server.answer or Load()
         usual = self._usual()
         reported = answer.held if answer.held is not None else answer.waiting or 0.0
--- a/notchjunction/simwire/codec.py
+++ b/notchjunction/simwire/codec.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import BinaryIO, TextIO
+from typing import BinaryIO, TextIO, TypeVar
 
 Fields = dict[str, str]
+T = TypeVar("T", int, float)
 
 
 class WireError(Exception):
@@ -27,26 +28,19 @@
         return value
 
     def number(self, key: str, default: float | None = None) -> float:
-        value = self.fields.get(key)
-        if not value:
-            if default is not None:
-                return default
-            raise WireError(f"line {self.line}: {self.name} without {key}")
-        try:
-            return float(value)
-        except ValueError:
-            raise WireError(f"line {self.line}: {self.name}: {key} is no number: {value!r}") from None
+        return self._read(key, default, float, "number")
 
     def whole(self, key: str, default: int | None = None) -> int:
-        value = self.fields.get(key)
-        if not value:
-            if default is not None:
-                return default
-            raise WireError(f"line {self.line}: {self.name} without {key}")
+        return self._read(key, default, int, "whole number")
+
+    def _read(self, key: str, default: T | None, kind: Callable[[str], T], name: str) -> T:
+        if default is not None and not self.fields.get(key):
+            return default
+        value = self.text(key)
         try:
-            return int(value)
+            return kind(value)
         except ValueError:
-            raise WireError(f"line {self.line}: {self.name}: {key} is no whole number: {value!r}") from None
+            raise WireError(f"line {self.line}: {self.name}: {key} is no {name}: {value!r}") from None
 
     def flag(self, key: str) -> bool:
         return self.fields.get(key, "0") in ("1", "true")
