Pick from the newest 48 answers; usual figures from the last outcomes of all servers

Cause: at full size each pick ranked every server, and usual figures were worked out anew over the fleet.

--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -40,8 +40,11 @@
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
+POOL_MOST = 48  # newest answers that are looked at; bounds the work of a pick, however large the fleet
+POOL_TRIES = 12  # random servers looked at for two that fit, before the whole fleet is
 POOL_SHARE = 0.34  # of the fresh answers, the best, that make up the pool; random enough against herds
 PACE_NOISE = 1.5  # times the usual pace that a report may show by chance alone
+LAST_ALL = 64  # outcomes kept of all servers together; what is usual, in a second or a few of traffic
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
 HEALTH_GAP = 0.35  # share of successes by which a server must trail the others; under it is chance in eight
 ASIDE_SPAN = 2.0  # s set aside at least; short against troubles of many seconds, long against a blip
@@ -130,6 +133,14 @@
         return len(self.flights)
 
 
+class End(NamedTuple):
+    """One of the last outcomes of all servers."""
+
+    server: Server
+    good: bool
+    seconds: float
+
+
 class Usual(NamedTuple):
     """What is usual among ready servers just now."""
 
@@ -176,6 +187,9 @@
         self._tip_multiple = terms.tip_multiple
 
         self._servers: dict[int, Server] = {}
+        self._ready: list[Server] = []
+        self._pool: deque[Server] = deque(maxlen=POOL_MOST)
+        self._ends: deque[End] = deque(maxlen=LAST_ALL)
         self._held: dict[int, Held] = {}
         self._flying: dict[tuple[int, int], Dispatch] = {}
         self._queue: list[Held] = []
@@ -283,6 +297,10 @@
                 del self._servers[index]
         for entry in entries:
             self._enter(entry)
+        # Kept between news: going through a large fleet for each job costs more than all its decisions.
+        self._ready = [server for server in self._servers.values() if server.entry.presence is Presence.READY]
+        known = (server for server in self._pool if self._servers.get(server.entry.server) is server)
+        self._pool = deque(known, maxlen=POOL_MOST)
         self._turn()
 
     # The loop and what it reads.
@@ -361,8 +379,7 @@
         """
         now = self._host.now()
         server = held.sent[-1].server
-        silent = self._silent(self._ready(), now)
-        return held.sent[-1].out and server in silent and self._may_retry(held)
+        return held.sent[-1].out and server in self._silent(now) and self._may_retry(held)
 
     # Effects: what the table does.
 
@@ -427,36 +444,46 @@
     def _pick(self, held: Held) -> Server | None:
         now = self._host.now()
         most = self._server_room()
-        ready = self._ready()
-        silent = self._silent(ready, now)
-        fits = [
-            server
-            for server in ready
-            if server.back_at <= now
-            and server.out < most
-            and server not in silent
-            and not any(dispatch.server is server for dispatch in held.sent)
-            and (not held.sent or self._may_run_on(held, server, now))
-            and not (self._is_cold(server, now) and server.cold_next > now)
-        ]
-        choice = self._better(fits, now)
-        if choice is not None and self._near_first and choice.entry.zone != self._zone:
+        silent = self._silent(now)
+
+        def fits(server: Server) -> bool:
+            return (
+                server.back_at <= now
+                and server.out < most
+                and server.entry.presence is Presence.READY
+                and server not in silent
+                and not (server.cold_next > now and self._is_cold(server, now))
+                and not any(dispatch.server is server for dispatch in held.sent)
+                and (not held.sent or self._may_run_on(held, server, now))
+            )
+
+        fresh = [server for server in self._pool if now - server.answered_at <= FRESH_SPAN and fits(server)]
+        choice = self._better(fresh, now)
+        if choice is None:
+            return self._by_own_jobs(fits)
+        if self._near_first and choice.entry.zone != self._zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
-            near = self._better([server for server in fits if server.entry.zone == self._zone], now)
+            near = self._better([server for server in fresh if server.entry.zone == self._zone], now)
             if near is not None and self._score(near, now) <= NEAR_SLACK * self._score(choice, now):
                 return near
         return choice
 
-    def _better(self, fits: list[Server], now: float) -> Server | None:
-        """The better of two random entries of the probe pool, else of two random servers by own jobs."""
-        if len(fits) < 2:
-            return fits[0] if fits else None
-        fresh = [server for server in fits if now - server.answered_at <= FRESH_SPAN]
-        if len(fresh) >= 2:
-            scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
-            pool = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
-            return min(self._random.sample(pool, 2))[2]
-        return min(self._random.sample(fits, 2), key=lambda server: server.out)
+    def _better(self, fresh: list[Server], now: float) -> Server | None:
+        """The better of two random entries of the probe pool; none under two fresh answers."""
+        if len(fresh) < 2:
+            return None
+        scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
+        pool = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
+        return min(self._random.sample(pool, 2))[2]
+
+    def _by_own_jobs(self, fits: Callable[[Server], bool]) -> Server | None:
+        """The better of two random ready servers by own jobs in flight."""
+        tried = self._random.sample(self._ready, min(POOL_TRIES, len(self._ready)))
+        found = [server for server in tried if fits(server)][:2]
+        if not found and len(tried) < len(self._ready):
+            found = [server for server in self._ready if fits(server)]
+            found = self._random.sample(found, min(2, len(found)))
+        return min(found, key=lambda server: server.out, default=None)
 
     def _score(self, server: Server, now: float) -> float:
         """The answer's load, less as it ages, plus own sends still out, by the server's pace."""
@@ -475,29 +502,25 @@
             return max(1.0, server.answer.pace / usual.pace / PACE_NOISE)
         return middle(server.seconds, usual.seconds) / usual.seconds
 
-    def _silent(self, ready: list[Server], now: float) -> list[Server]:
+    def _silent(self, now: float) -> list[Server]:
         """Servers from which nothing was heard since an overdue dispatch; none if that is most of them."""
         due = now - PATIENCE * self._usual().seconds
         silent = [
             server
-            for server in ready
+            for server in self._ready
             if server.flights and server.flights[0].at < due and server.heard_at < server.flights[0].at
         ]
-        return silent if len(silent) <= SILENT_MOST * len(ready) else []
+        return silent if len(silent) <= SILENT_MOST * len(self._ready) else []
 
     def _usual(self) -> Usual:
         now = self._host.now()
         if now >= self._usual_until:
             self._usual_until = now + USUAL_SPAN
-            ready = self._ready()
-            seconds = [middle(server.seconds, 1.0) for server in ready if server.seconds]
-            paces = [server.answer.pace for server in ready if server.answer and server.answer.pace]
-            self._usual_now = Usual(max(middle(seconds, 1.0), 0.001), max(middle(paces, 1.0), 0.001))
+            seconds = middle((end.seconds for end in self._ends if end.seconds), 1.0)
+            paces = (server.answer.pace for server in self._pool if server.answer and server.answer.pace)
+            self._usual_now = Usual(max(seconds, 0.001), max(middle(paces, 1.0), 0.001))
         return self._usual_now
 
-    def _ready(self) -> list[Server]:
-        return [server for server in self._servers.values() if server.entry.presence is Presence.READY]
-
     # The four rules.
 
     def _may_run_on(self, held: Held, server: Server, now: float) -> bool:
@@ -532,8 +555,7 @@
 
     def _cold_gap(self, server: Server, now: float) -> float:
         """Seconds between own sends to a cold server, so that all nodes together stay in its budget."""
-        ready = self._ready()
-        warm = sum(1 for other in ready if not self._is_cold(other, now)) or len(ready) or 1
+        warm = sum(1 for other in self._ready if not self._is_cold(other, now)) or len(self._ready) or 1
         self._prune(self._firsts, now - RETRY_SPAN)
         each = len(self._firsts) / RETRY_SPAN / warm
         warmed = max(0.0, now - server.entry.started_at) / self._cold_time
@@ -548,7 +570,7 @@
         self._prune_answers(now)
         span = min(RATE_SPAN, max(now - self._began, 0.1))
         learned = sum(contract for _, contract in self._answers) / span * self._hold_share
-        floor = max(2.0, FLOOR_EACH * len(self._ready()) / self._nodes)
+        floor = max(2.0, FLOOR_EACH * len(self._ready) / self._nodes)
         return max(floor, learned)
 
     def _pressing(self, now: float) -> int:
@@ -561,7 +583,7 @@
         return sum(1 for dispatch in self._recent if dispatch.out)
 
     def _server_room(self) -> float:
-        return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready())))
+        return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready)))
 
     def _rate(self, now: float) -> float:
         self._prune_answers(now)
@@ -569,39 +591,41 @@
 
     def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
         """Sets a server aside when its last few outcomes trail the others'."""
-        if outcome.result is Result.HONOURED:
-            server.last.append(True)
-            server.seconds.append(outcome.seconds)
-            return
+        good = outcome.result is Result.HONOURED
         if outcome.result is Result.FULL:
             # Guards against a second refusal there: a full server has room when a job of the usual time ends.
             server.back_at = max(server.back_at, now + self._usual().seconds)
-        if outcome.result not in FAULTS:
+        if not good and outcome.result not in FAULTS:
             return
-        server.last.append(False)
-        if outcome.result is Result.TIMED_OUT:
+        server.last.append(good)
+        timed = good or outcome.result is Result.TIMED_OUT
+        if timed:
             server.seconds.append(outcome.seconds)
-        ready = self._ready()
-        others = [good for other in ready if other is not server for good in other.last]
+        self._ends.append(End(server, good, outcome.seconds if timed else 0.0))
+        if good:
+            return
+        others = [end.good for end in self._ends if end.server is not server]
         usual = sum(others) / len(others) if others else 1.0
-        aside = sum(1 for other in ready if other.back_at > now)
+        aside = sum(1 for other in self._ready if other.back_at > now)
         # Guards against setting the fleet aside in a trouble common to all.
-        if sum(server.last) / len(server.last) < usual - HEALTH_GAP and aside + 1 <= ASIDE_MOST * len(ready):
+        if sum(server.last) / len(server.last) < usual - HEALTH_GAP and aside < ASIDE_MOST * len(self._ready):
             server.back_at = now + ASIDE_SPAN + self._random.uniform(0, ASIDE_RANDOM)
 
     def _answered(self, server: Server, load: Load, now: float) -> None:
         server.answer = load
         server.answered_at = now
+        if server in self._pool:
+            self._pool.remove(server)
+        self._pool.append(server)
 
     def _probe_on(self) -> None:
         self._probe()
         self._after(PROBE_SPAN, self._probe_on)
 
     def _probe(self) -> None:
-        ready = self._ready()
         self._unprobed = 0
-        if ready:
-            self._host.probe(self._random.choice(ready).entry.server)
+        if self._ready:
+            self._host.probe(self._random.choice(self._ready).entry.server)
 
     def _enter(self, entry: ServerEntry) -> None:
         known = self._servers.get(entry.server)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -234,7 +234,7 @@
     swallow(host)
     host.serve(10, every=0.06)
     jobs = [host.take() for _ in range(6)]
-    assert host.core._silent(host.core._ready(), host.clock)
+    assert host.core._silent(host.clock)
     assert all(host.sent(job) != [0] for job in jobs)
 
 
