--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -90,6 +90,9 @@
     ask_within: float = 0.0
     tick: float = 0.005
     crossing_price: float = 0.0
+    connection_price: float = 0.0
+    connection_idle: float = 0.0
+    connection_jobs: int = 1
     cold_share: float = 1.0
     cold_time: float = 0.0
     tip_multiple: float = 3.0
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -13,10 +13,10 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from notchjunction.interface import (
     Effect,
@@ -37,11 +37,12 @@
 RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
 PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
+FAMILIAR = 12  # servers a node keeps connections to where they are priced; enough to find two that are free
+IDLE_MOST = 32  # idle connections remembered of a server; a node rarely has more jobs there at once
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
 POOL_MOST = 48  # newest answers that are looked at; bounds the work of a pick, however large the fleet
-POOL_TRIES = 12  # random servers looked at for two that fit, before the whole fleet is
 POOL_SHARE = 0.34  # of the fresh answers, the best, that make up the pool; random enough against herds
 PACE_NOISE = 1.5  # times the usual pace that a report may show by chance alone
 LAST_ALL = 64  # outcomes kept of all servers together; what is usual, in a second or a few of traffic
@@ -93,6 +94,7 @@
     server: Server
     at: float
     contract_time: float
+    linked: bool
     out: bool = True
     may_have_run: bool = True
 
@@ -126,6 +128,7 @@
     answer: Load | None = None
     answered_at: float = -math.inf
     back_at: float = -math.inf
+    idle: deque[float] = field(default_factory=lambda: deque(maxlen=IDLE_MOST))
     cold_next: float = -math.inf
 
     @property
@@ -171,11 +174,14 @@
         tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
         self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
         self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
-        front = not terms.depth
-        self._shares = [quota / terms.nodes * SHARE_SPAN if front else 0.0 for quota in terms.operator_quotas]
+        span = 0.0 if terms.depth else SHARE_SPAN  # shares are the first tier's matter
+        self._shares = [quota / terms.nodes * span for quota in terms.operator_quotas]
         self._zone = terms.zone
         self._near_first = terms.crossing_price > 0
         self._probes = terms.probes
+        self._thrifty = terms.connection_price > 0
+        self._link_span = terms.connection_idle
+        self._shared_links = terms.connection_jobs > 1
         self._recalls = terms.recalls
         self._copies = terms.second_copies
         self._max_dispatches = terms.max_dispatches
@@ -193,14 +199,16 @@
         self._held: dict[int, Held] = {}
         self._flying: dict[tuple[int, int], Dispatch] = {}
         self._queue: list[Held] = []
-        self._firsts: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._firsts: deque[tuple[float]] = deque()
+        self._retries: deque[tuple[float]] = deque()
         self._answers: deque[tuple[float, float]] = deque()
         self._recent: deque[Dispatch] = deque()
-        self._asked: list[deque[float]] = [deque() for _ in self._shares]
+        self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
+        self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
         self._lefts: list[deque[float]] = [deque(maxlen=32) for _ in self._profiles]
         self._unprobed = 0
+        self._odd_probe = False
         self._failures = 0
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
@@ -241,6 +249,7 @@
         dispatch.server.flights.remove(dispatch)
         if outcome.result is not Result.RECALLED and outcome.result is not Result.TIMED_OUT:
             dispatch.server.heard_at = now
+        self._noted_link(dispatch, outcome.result, now)
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
         self._judge(dispatch.server, outcome, now)
@@ -289,12 +298,10 @@
             delay = RENEW_LEAST * (1 + self._random.random()) * self._failures
             self._after(min(delay, self._renew_limit), self._host.follow)
             return
-        if news is not News.REMEMBERED:
-            self._failures = 0
-        named = {entry.server for entry in entries}
+        self._failures = 0
         if news is not News.CHANGES:
-            for index in [index for index in self._servers if index not in named]:
-                del self._servers[index]
+            named = {entry.server for entry in entries}
+            self._servers = {index: known for index, known in self._servers.items() if index in named}
         for entry in entries:
             self._enter(entry)
         # Kept between news: going through a large fleet for each job costs more than all its decisions.
@@ -392,14 +399,14 @@
     def _send_first(self, held: Held) -> None:
         if held in self._queue:
             self._queue.remove(held)
-        self._firsts.append(self._host.now())
+        self._firsts.append((self._host.now(),))
         self._send(held)
         self._unprobed += 1
         if self._probes and self._unprobed >= PROBE_EVERY:
             self._probe()
 
     def _send_again(self, held: Held) -> None:
-        self._retries.append(self._host.now())
+        self._retries.append((self._host.now(),))
         self._send(held)
 
     def _send(self, held: Held) -> None:
@@ -407,7 +414,10 @@
         server = held.choice
         assert server is not None
         held.choice = None
-        dispatch = Dispatch(server, now, self._profile(held.profile).contract_time)
+        linked = self._linked(server, now)
+        if linked and not self._shared_links:
+            server.idle.pop()
+        dispatch = Dispatch(server, now, self._profile(held.profile).contract_time, linked)
         self._recent.append(dispatch)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
@@ -457,10 +467,15 @@
                 and (not held.sent or self._may_run_on(held, server, now))
             )
 
-        fresh = [server for server in self._pool if now - server.answered_at <= FRESH_SPAN and fits(server)]
+        known = [server for server in self._familiar(now) if fits(server)]
+        pool = known or [server for server in self._pool if fits(server)]
+        fresh = [server for server in pool if now - server.answered_at <= FRESH_SPAN]
         choice = self._better(fresh, now)
         if choice is None:
-            return self._by_own_jobs(fits)
+            # Under two fresh answers: the better of two random ready servers by own jobs in flight.
+            found = known or [server for server in self._ready if fits(server)]
+            two = self._random.sample(found, min(2, len(found)))
+            return min(two, key=lambda server: server.out, default=None)
         if self._near_first and choice.entry.zone != self._zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
             near = self._better([server for server in fresh if server.entry.zone == self._zone], now)
@@ -476,14 +491,31 @@
         pool = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
         return min(self._random.sample(pool, 2))[2]
 
-    def _by_own_jobs(self, fits: Callable[[Server], bool]) -> Server | None:
-        """The better of two random ready servers by own jobs in flight."""
-        tried = self._random.sample(self._ready, min(POOL_TRIES, len(self._ready)))
-        found = [server for server in tried if fits(server)][:2]
-        if not found and len(tried) < len(self._ready):
-            found = [server for server in self._ready if fits(server)]
-            found = self._random.sample(found, min(2, len(found)))
-        return min(found, key=lambda server: server.out, default=None)
+    def _familiar(self, now: float) -> list[Server]:
+        """Servers with an open connection, where connections are priced or new ones fail; none elsewhere.
+
+        Guards against more connections than the servers accept, and against troubles in which only new
+        connections fail while the open ones serve on.
+        """
+        self._prune(self._links, now - RETRY_SPAN)
+        fail = sum(1 for _, made in self._links if not made) > LAST_FEW / 2
+        if not fail and not self._thrifty:
+            return []
+        linked = [server for server in self._ready if self._linked(server, now)]
+        return linked if fail or len(linked) >= FAMILIAR else []
+
+    def _linked(self, server: Server, now: float) -> bool:
+        if self._shared_links and server.flights:
+            return True
+        return bool(server.idle) and server.idle[-1] > now - self._link_span
+
+    def _noted_link(self, dispatch: Dispatch, result: Result, now: float) -> None:
+        if not dispatch.linked:
+            self._links.append((now, result is not Result.NO_CONNECTION))
+        if result in (Result.NO_CONNECTION, Result.RESET):
+            dispatch.server.idle.clear()
+        elif result is not Result.NEVER_SENT:
+            dispatch.server.idle.append(now)
 
     def _score(self, server: Server, now: float) -> float:
         """The answer's load, less as it ages, plus own sends still out, by the server's pace."""
@@ -567,11 +599,10 @@
     def _room(self) -> float:
         """Jobs out at most: what the last answers' rate clears within a part of the contract time."""
         now = self._host.now()
-        self._prune_answers(now)
+        self._prune(self._answers, now - RATE_SPAN)
         span = min(RATE_SPAN, max(now - self._began, 0.1))
         learned = sum(contract for _, contract in self._answers) / span * self._hold_share
-        floor = max(2.0, FLOOR_EACH * len(self._ready) / self._nodes)
-        return max(floor, learned)
+        return max(2.0, FLOOR_EACH * len(self._ready) / self._nodes, learned)
 
     def _pressing(self, now: float) -> int:
         """Jobs out and still young. Guards against swallowed jobs, out for seconds, using up the room."""
@@ -586,7 +617,7 @@
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready)))
 
     def _rate(self, now: float) -> float:
-        self._prune_answers(now)
+        self._prune(self._answers, now - RATE_SPAN)
         return len(self._answers) / RATE_SPAN
 
     def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
@@ -625,7 +656,10 @@
     def _probe(self) -> None:
         self._unprobed = 0
         if self._ready:
-            self._host.probe(self._random.choice(self._ready).entry.server)
+            self._odd_probe = not self._odd_probe
+            # Every other probe asks a server that is likely to be sent to; the rest keep the design's share.
+            asked = (self._familiar(self._host.now()) if self._odd_probe else []) or self._ready
+            self._host.probe(self._random.choice(asked).entry.server)
 
     def _enter(self, entry: ServerEntry) -> None:
         known = self._servers.get(entry.server)
@@ -636,8 +670,9 @@
             self._servers[entry.server] = known
             if self._is_cold(known, now):
                 known.cold_next = now + self._random.uniform(0, self._cold_gap(known, now))
-        elif entry.presence is Presence.GONE and entry.zone == 0 and entry.cell == 0:
-            known.entry = ServerEntry(entry.server, entry.presence, known.entry.started_at)
+        elif entry.presence is Presence.GONE:
+            # Guards against resending outside a gone server's group: this news may not say where it was.
+            known.entry = replace(known.entry, presence=entry.presence)
         else:
             known.entry = entry
 
@@ -648,7 +683,7 @@
         self._prune(asked, now - SHARE_SPAN)
         if len(asked) >= self._shares[operator]:
             return True
-        asked.append(now)
+        asked.append((now,))
         return False
 
     def _age(self, job: Job, profile: Profile) -> float:
@@ -679,13 +714,10 @@
         self._timers[self._token] = due
         self._host.set_timer(delay, self._token)
 
-    def _prune(self, moments: deque[float], since: float) -> None:
-        while moments and moments[0] < since:
-            moments.popleft()
-
-    def _prune_answers(self, now: float) -> None:
-        while self._answers and self._answers[0][0] < now - RATE_SPAN:
-            self._answers.popleft()
+    def _prune(self, kept: deque[Any], since: float) -> None:
+        """Drops what was noted before; each entry begins with its moment."""
+        while kept and kept[0][0] < since:
+            kept.popleft()
 
 
 UNKNOWN_PROFILE = Profile(contract_time=1.0, abandon_time=math.inf)
@@ -722,13 +754,6 @@
     Row(S.STREAMING, E.OVER, B._always, S.ENDED, B._leave),
     Row(S.STREAMING, E.WITHDRAWN, B._always, S.ENDED, B._leave),
 )
-
-
-def _by_state(rows: Iterable[Row]) -> dict[tuple[State, Input], list[Row]]:
-    found: dict[tuple[State, Input], list[Row]] = {}
-    for row in rows:
-        found.setdefault((row.state, row.input), []).append(row)
-    return found
-
-
-ROWS = _by_state(TABLE)
+ROWS: dict[tuple[State, Input], list[Row]] = {}
+for _row in TABLE:
+    ROWS.setdefault((_row.state, _row.input), []).append(_row)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -283,3 +283,35 @@
         picks.add(host.sent(job)[0])
         host.end(job)
     assert picks == {0, 1, 2, 3}
+
+
+def test_while_new_connections_fail_only_open_ones_are_used() -> None:
+    host = FakeHost(servers=30, connection_idle=5.0, max_dispatches=1)
+    host.serve(12)
+    open_ones = {row[2] for row in host.did if row[0] == "dispatch"}
+    for _ in range(40):
+        job = host.take()
+        host.end(job, Result.HONOURED if host.sent(job)[0] in open_ones else Result.NO_CONNECTION)
+    assert all(host.sent(host.take())[0] in open_ones for _ in range(4))
+
+
+def test_where_connections_are_priced_a_node_keeps_to_a_few_servers() -> None:
+    used = []
+    for price in (0.0, 0.04):
+        host = FakeHost(servers=60, connection_idle=60.0, connection_jobs=100, connection_price=price)
+        host.serve(300)
+        used.append(len({row[2] for row in host.did if row[0] == "dispatch"}))
+    assert used[1] <= 15 and used[0] > 40
+
+
+def test_word_of_a_servers_end_does_not_change_its_group() -> None:
+    host = FakeHost(servers=0, profiles=[profile(Effect.NUMBERED, Group.ZONE), PLAIN])
+    host.list_servers(0, 1, zone=0)
+    host.list_servers(2, zone=1)
+    for _ in range(20):
+        host.end(host.take(profile=1))
+    jobs = [host.take() for _ in range(4)]
+    job = next(job for job in jobs if host.sent(job) == [2])
+    host.list_servers(2, presence=Presence.GONE)
+    host.end(job, Result.RESET)
+    assert host.sent(job) == [2] and host.finals(job) == ["write_off"]
