First tier's room: at most what 2.5 calm middle times clear

The node remembers the middle time of stretches of answers; in the first tier room is at most the rate times 2.5 of the calmest.

--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -55,6 +55,9 @@
 HOLD_SHARE = 0.5  # of the contract time that jobs out may take to clear; the rest is slack for chance
 YOUNG_SHARE = 0.75  # of the contract time after which a dispatch counts as stuck and takes up no room
 WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
+CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
+CALM_MOST = 32  # stretches of answers remembered to find the calmest; a minute or more, longer than troubles
+STRETCH_LEAST = 16  # answers in a stretch; fewer make a middle by chance
 FLOOR_EACH = 6.0  # jobs a ready server gets from all nodes before anything is learned: a small machine's
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
@@ -131,10 +134,6 @@
     idle: deque[float] = field(default_factory=lambda: deque(maxlen=IDLE_MOST))
     cold_next: float = -math.inf
 
-    @property
-    def out(self) -> int:
-        return len(self.flights)
-
 
 class End(NamedTuple):
     """One of the last outcomes of all servers."""
@@ -145,8 +144,6 @@
 
 
 class Usual(NamedTuple):
-    """What is usual among ready servers just now."""
-
     seconds: float
     pace: float
 
@@ -173,6 +170,8 @@
         self._deepest = terms.depth is not None and terms.depth == terms.depths - 1
         tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
         self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
+        # The first tier alone: what a deeper one turns away has had work spent on it above.
+        self._calm_times = math.inf if terms.depth else CALM_TIMES
         self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
         span = 0.0 if terms.depth else SHARE_SPAN  # shares are the first tier's matter
         self._shares = [quota / terms.nodes * span for quota in terms.operator_quotas]
@@ -203,6 +202,9 @@
         self._retries: deque[tuple[float]] = deque()
         self._answers: deque[tuple[float, float]] = deque()
         self._recent: deque[Dispatch] = deque()
+        self._stretch: list[float] = []
+        self._stretch_ends = self._began = host.now()
+        self._calm: deque[float] = deque(maxlen=CALM_MOST)
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
@@ -212,7 +214,6 @@
         self._failures = 0
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
-        self._began = host.now()
         self._usual_until = -math.inf
         self._usual_now = Usual(1.0, 1.0)
         if terms.must_follow:
@@ -236,7 +237,9 @@
         )
         self._held[job.id] = held
         # Guards against a job left unanswered when nothing else happens before its abandon time.
-        self._after(max(job.time_left - self._guard, job.time_left / 2), lambda: self._last_call(job.id))
+        self._after(
+            max(job.time_left - self._guard, job.time_left / 2), lambda: self._tell(job.id, Input.LAST_CALL)
+        )
         self._step(held, Input.ARRIVED)
 
     def outcome(self, outcome: Outcome) -> None:
@@ -255,6 +258,10 @@
         self._judge(dispatch.server, outcome, now)
         if outcome.result is Result.HONOURED:
             self._answers.append((now, dispatch.contract_time))
+            self._stretch.append(outcome.seconds)
+            if len(self._stretch) >= STRETCH_LEAST and now >= self._stretch_ends:
+                self._calm.append(middle(self._stretch, 1.0))
+                self._stretch, self._stretch_ends = [], now + RATE_SPAN
         held = self._held.get(outcome.job)
         if held is not None:
             if outcome.result is Result.HONOURED and held.profile < len(self._spent):
@@ -267,23 +274,16 @@
         self._turn()
 
     def streaming(self, job: int, dispatch: int) -> None:
-        held = self._held.get(job)
-        if held is not None:
-            self._step(held, Input.BEGUN)
+        self._tell(job, Input.BEGUN)
 
     def withdrawn(self, job: int) -> None:
-        held = self._held.get(job)
-        if held is not None:
-            self._step(held, Input.WITHDRAWN)
-            self._turn()
+        self._tell(job, Input.WITHDRAWN)
 
     def probed(self, server: int, result: Result, load: Load | None) -> None:
         known = self._servers.get(server)
-        if known is None:
-            return
-        if result is Result.HONOURED:
+        if known is not None and result is Result.HONOURED:
             self._answered(known, load or Load(), self._host.now())
-        else:
+        elif known is not None:
             known.answered_at = -math.inf
 
     def timer(self, token: int) -> None:
@@ -327,10 +327,10 @@
             if head.state is State.WAITING:
                 return
 
-    def _last_call(self, job: int) -> None:
+    def _tell(self, job: int, event: Input) -> None:
         held = self._held.get(job)
         if held is not None:
-            self._step(held, Input.LAST_CALL)
+            self._step(held, event)
             self._turn()
 
     # Judgements: what the table asks.
@@ -384,9 +384,8 @@
 
         Guards against jobs lost in servers that take work and answer none. Acts at any tier, in the budget.
         """
-        now = self._host.now()
-        server = held.sent[-1].server
-        return held.sent[-1].out and server in self._silent(now) and self._may_retry(held)
+        last = held.sent[-1]
+        return last.out and last.server in self._silent(self._host.now()) and self._may_retry(held)
 
     # Effects: what the table does.
 
@@ -424,9 +423,8 @@
         server.flights.append(dispatch)
         if self._is_cold(server, now):
             server.cold_next = now + self._cold_gap(server, now) * self._random.uniform(0.75, 1.25)
-        end = held.abandon_end
-        if not self._profile(held.profile).late_share:
-            end = min(end, held.contract_end)
+        late = self._profile(held.profile).late_share
+        end = held.abandon_end if late else min(held.abandon_end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
         if self._copies:
             self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._step(held, Input.OVERDUE))
@@ -459,7 +457,7 @@
         def fits(server: Server) -> bool:
             return (
                 server.back_at <= now
-                and server.out < most
+                and len(server.flights) < most
                 and server.entry.presence is Presence.READY
                 and server not in silent
                 and not (server.cold_next > now and self._is_cold(server, now))
@@ -475,7 +473,7 @@
             # Under two fresh answers: the better of two random ready servers by own jobs in flight.
             found = known or [server for server in self._ready if fits(server)]
             two = self._random.sample(found, min(2, len(found)))
-            return min(two, key=lambda server: server.out, default=None)
+            return min(two, key=lambda server: len(server.flights), default=None)
         if self._near_first and choice.entry.zone != self._zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
             near = self._better([server for server in fresh if server.entry.zone == self._zone], now)
@@ -492,11 +490,8 @@
         return min(self._random.sample(pool, 2))[2]
 
     def _familiar(self, now: float) -> list[Server]:
-        """Servers with an open connection, where connections are priced or new ones fail; none elsewhere.
-
-        Guards against more connections than the servers accept, and against troubles in which only new
-        connections fail while the open ones serve on.
-        """
+        """Servers with an open connection, where connections are priced or new ones fail; none elsewhere."""
+        # Guards against more connections than servers accept, and new ones failing while open ones serve on.
         self._prune(self._links, now - RETRY_SPAN)
         fail = sum(1 for _, made in self._links if not made) > LAST_FEW / 2
         if not fail and not self._thrifty:
@@ -505,9 +500,8 @@
         return linked if fail or len(linked) >= FAMILIAR else []
 
     def _linked(self, server: Server, now: float) -> bool:
-        if self._shared_links and server.flights:
-            return True
-        return bool(server.idle) and server.idle[-1] > now - self._link_span
+        shared = self._shared_links and len(server.flights) > 0
+        return shared or (len(server.idle) > 0 and server.idle[-1] > now - self._link_span)
 
     def _noted_link(self, dispatch: Dispatch, result: Result, now: float) -> None:
         if not dispatch.linked:
@@ -523,7 +517,7 @@
         usual = self._usual()
         reported = answer.held if answer.held is not None else answer.waiting or 0.0
         weight = usual.seconds / (usual.seconds + now - server.answered_at)
-        held = weight * reported + server.out
+        held = weight * reported + len(server.flights)
         # Guards against herds: among idle servers a noisy pace would decide alone, so it counts half.
         return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2
 
@@ -590,8 +584,8 @@
         warm = sum(1 for other in self._ready if not self._is_cold(other, now)) or len(self._ready) or 1
         self._prune(self._firsts, now - RETRY_SPAN)
         each = len(self._firsts) / RETRY_SPAN / warm
-        warmed = max(0.0, now - server.entry.started_at) / self._cold_time
-        share = self._cold_share + (1.0 - self._cold_share) * min(1.0, warmed)
+        warmed = min(max(0.0, now - server.entry.started_at) / self._cold_time, 1.0)
+        share = self._cold_share + (1.0 - self._cold_share) * warmed
         return min(1.0 / max(each * share * self._tip_multiple * COLD_CARE, 1e-6), self._cold_time)
 
     # Room, health and the rest.
@@ -601,7 +595,9 @@
         now = self._host.now()
         self._prune(self._answers, now - RATE_SPAN)
         span = min(RATE_SPAN, max(now - self._began, 0.1))
-        learned = sum(contract for _, contract in self._answers) / span * self._hold_share
+        # Guards against servers that turn slow from holding too much, long before the contract time is full.
+        most = self._calm_times * min(self._calm, default=math.inf)
+        learned = sum(min(contract * self._hold_share, most) for _, contract in self._answers) / span
         return max(2.0, FLOOR_EACH * len(self._ready) / self._nodes, learned)
 
     def _pressing(self, now: float) -> int:
@@ -643,8 +639,7 @@
             server.back_at = now + ASIDE_SPAN + self._random.uniform(0, ASIDE_RANDOM)
 
     def _answered(self, server: Server, load: Load, now: float) -> None:
-        server.answer = load
-        server.answered_at = now
+        server.answer, server.answered_at = load, now
         if server in self._pool:
             self._pool.remove(server)
         self._pool.append(server)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -315,3 +315,13 @@
     host.list_servers(2, presence=Presence.GONE)
     host.end(job, Result.RESET)
     assert host.sent(job) == [2] and host.finals(job) == ["write_off"]
+
+
+def test_no_more_is_out_than_a_few_calm_times_clear() -> None:
+    host = FakeHost(servers=2, profiles=[replace(PLAIN, contract_time=10.0, abandon_time=20.0)])
+    for _ in range(100):
+        job = host.take(time_left=20.0)
+        host.advance(0.05)
+        host.end(job)
+    bunch = [host.take(time_left=20.0) for _ in range(100)]
+    assert 2 <= sum(1 for job in bunch if host.sent(job)) <= 12
