Usual time by server; a near server counts also with one answer

Cause: quick servers answer more jobs, so the middle time over jobs was theirs, and sound slower servers passed for silent.

--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -468,26 +468,25 @@
         known = [server for server in self._familiar(now) if fits(server)]
         pool = known or [server for server in self._pool if fits(server)]
         fresh = [server for server in pool if now - server.answered_at <= FRESH_SPAN]
-        choice = self._better(fresh, now)
-        if choice is None:
+        if len(fresh) < 2:
             # Under two fresh answers: the better of two random ready servers by own jobs in flight.
             found = known or [server for server in self._ready if fits(server)]
             two = self._random.sample(found, min(2, len(found)))
             return min(two, key=lambda server: len(server.flights), default=None)
+        choice = self._better(fresh, now)
         if self._near_first and choice.entry.zone != self._zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
-            near = self._better([server for server in fresh if server.entry.zone == self._zone], now)
-            if near is not None and self._score(near, now) <= NEAR_SLACK * self._score(choice, now):
-                return near
+            near = [server for server in fresh if server.entry.zone == self._zone]
+            best = self._better(near, now) if near else choice
+            if self._score(best, now) <= NEAR_SLACK * self._score(choice, now):
+                return best
         return choice
 
-    def _better(self, fresh: list[Server], now: float) -> Server | None:
-        """The better of two random entries of the probe pool; none under two fresh answers."""
-        if len(fresh) < 2:
-            return None
+    def _better(self, fresh: list[Server], now: float) -> Server:
+        """The better of two random entries of the probe pool."""
         scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
         pool = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
-        return min(self._random.sample(pool, 2))[2]
+        return min(self._random.sample(pool, min(2, len(pool))))[2]
 
     def _familiar(self, now: float) -> list[Server]:
         """Servers with an open connection, where connections are priced or new ones fail; none elsewhere."""
@@ -542,7 +541,9 @@
         now = self._host.now()
         if now >= self._usual_until:
             self._usual_until = now + USUAL_SPAN
-            seconds = middle((end.seconds for end in self._ends if end.seconds), 1.0)
+            # One time a server: quick servers answer more jobs and would pass for the usual.
+            latest = {end.server.entry.server: end.seconds for end in self._ends if end.seconds}
+            seconds = middle(latest.values(), 1.0)
             paces = (server.answer.pace for server in self._pool if server.answer and server.answer.pace)
             self._usual_now = Usual(max(seconds, 0.001), max(middle(paces, 1.0), 0.001))
         return self._usual_now
