Near servers count without fresh answers again

Cause: since the pick from the newest answers a near server without a fresh one was passed over, and jobs crossed halls.

--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -467,26 +467,27 @@
 
         known = [server for server in self._familiar(now) if fits(server)]
         pool = known or [server for server in self._pool if fits(server)]
-        fresh = [server for server in pool if now - server.answered_at <= FRESH_SPAN]
-        if len(fresh) < 2:
-            # Under two fresh answers: the better of two random ready servers by own jobs in flight.
-            found = known or [server for server in self._ready if fits(server)]
-            two = self._random.sample(found, min(2, len(found)))
-            return min(two, key=lambda server: len(server.flights), default=None)
-        choice = self._better(fresh, now)
-        if self._near_first and choice.entry.zone != self._zone:
+        ready = known or self._ready
+        choice = self._better(pool, (server for server in ready if fits(server)), now)
+        if choice is not None and self._near_first and choice.entry.zone != self._zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
-            near = [server for server in fresh if server.entry.zone == self._zone]
-            best = self._better(near, now) if near else choice
-            if self._score(best, now) <= NEAR_SLACK * self._score(choice, now):
-                return best
+            pool = [server for server in pool if server.entry.zone == self._zone]
+            found = (server for server in ready if server.entry.zone == self._zone and fits(server))
+            near = self._better(pool, found, now)
+            if near is not None and self._score(near, now) <= NEAR_SLACK * self._score(choice, now):
+                return near
         return choice
 
-    def _better(self, fresh: list[Server], now: float) -> Server:
-        """The better of two random entries of the probe pool."""
-        scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
-        pool = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
-        return min(self._random.sample(pool, min(2, len(pool))))[2]
+    def _better(self, pool: list[Server], ready: Iterable[Server], now: float) -> Server | None:
+        """The better of two random entries of the pool; under two fresh, of two ready ones by own jobs."""
+        fresh = [server for server in pool if now - server.answered_at <= FRESH_SPAN]
+        if len(fresh) >= 2:
+            scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
+            best = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
+            return min(self._random.sample(best, 2))[2]
+        found = list(ready)
+        two = self._random.sample(found, min(2, len(found)))
+        return min(two, key=lambda server: len(server.flights), default=None)
 
     def _familiar(self, now: float) -> list[Server]:
         """Servers with an open connection, where connections are priced or new ones fail; none elsewhere."""
@@ -503,7 +504,7 @@
         return shared or (len(server.idle) > 0 and server.idle[-1] > now - self._link_span)
 
     def _noted_link(self, dispatch: Dispatch, result: Result, now: float) -> None:
-        if not dispatch.linked:
+        if not dispatch.linked and result is not Result.NEVER_SENT:
             self._links.append((now, result is not Result.NO_CONNECTION))
         if result in (Result.NO_CONNECTION, Result.RESET):
             dispatch.server.idle.clear()
