--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -644,7 +644,9 @@
         server.answer, server.answered_at = load, now
         if server in self._pool:
             self._pool.remove(server)
-        self._pool.append(server)
+        # Guards against sends to a server the list has dropped: a late outcome may still bring its report.
+        if self._servers.get(server.entry.server) is server:
+            self._pool.append(server)
 
     def _probe_on(self) -> None:
         self._probe()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from notchjunction.interface import Effect, Group, News, Presence, Result
+from notchjunction.interface import Effect, Group, Load, News, Outcome, Presence, Result, ServerEntry
 from tests.fake_host import PLAIN, FakeHost, profile
 
 ONCE = Effect.AT_MOST_ONCE
@@ -369,3 +369,14 @@
     assert host.core._linked(host.core._servers[0], host.clock)
     host.end(jobs[2], Result.RESET)
     assert not host.core._linked(host.core._servers[0], host.clock)
+
+
+def test_a_late_report_brings_no_dropped_server_back() -> None:
+    host = FakeHost(servers=3)
+    for server in range(3):
+        host.answer(server, held=9.0 if server else 0.0)
+    job = host.take()
+    assert host.sent(job) == [0]
+    host.core.listed(News.WHOLE, [ServerEntry(server, Presence.READY) for server in (1, 2)])
+    host.core.outcome(Outcome(job, 0, 0, Result.HONOURED, 0.1, True, Load(held=0.0)))
+    assert all(host.sent(host.take()) != [0] for _ in range(6))
