--- /dev/null
+++ b/notchjunction/__main__.py
@@ -0,0 +1,33 @@
+"""Starts one node on sockets, by the environment that it is given."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import os
+import sys
+
+from notchjunction.net import logs, node_input
+from notchjunction.net.node import Node
+
+
+async def serve(told: node_input.NodeInput) -> None:
+    await Node(told).run()
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="notchjunction", description=__doc__)
+    parser.add_argument("--log-level", default="INFO", help="of the standard error log (default: INFO)")
+    logs.start(parser.parse_args().log_level.upper())
+    try:
+        told = node_input.read(os.environ)
+    except (OSError, KeyError, ValueError) as error:
+        logging.getLogger("notchjunction").error("no usable input", extra=logs.pairs(why=repr(error)))
+        return 2
+    asyncio.run(serve(told))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/notchjunction/decider.py
@@ -0,0 +1,316 @@
+"""The decisions behind a small facade in blocking style.
+
+`pick` waits for a job's next order, `report` and its siblings tell how something ended, `tick` runs the
+timers that are due.
+
+It owns the module's numbers for jobs, dispatches and servers and the one heap of timers. It knows no sockets
+and decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import math
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
+
+from notchjunction.interface import (
+    Decisions,
+    Effect,
+    Job,
+    Load,
+    News,
+    Outcome,
+    Presence,
+    Result,
+    ServerEntry,
+    Terms,
+)
+from notchjunction.rules import Balancer
+
+LAGS_KEPT = 256  # last delays of timers; some tens of seconds of ordinary traffic
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The words under which callers and the list name what the module numbers."""
+
+    profiles: Sequence[str] = ()
+    operators: Sequence[str] = ()
+    zones: Sequence[str] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A job as its caller states it; `effect` is what method and key say."""
+
+    profile: str
+    time_left: float
+    effect: Effect = Effect.AT_MOST_ONCE
+    operator: str = ""
+    repeat: bool = False
+    work_hint: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How a dispatch or a probe ended, and after how long."""
+
+    result: Result
+    seconds: float
+    load: Load | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A server in the list; a cell that is not given is shared with no other server."""
+
+    name: str
+    presence: Presence
+    started_at: float = 0.0
+    zone: str = ""
+    cell: int | None = None
+
+
+# Orders about a job.
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    dispatch: int
+    server: str
+    within: float
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    dispatch: int
+
+
+@dataclass(frozen=True, slots=True)
+class PassOn:
+    """That dispatch's answer is the final one."""
+
+    dispatch: int
+
+
+@dataclass(frozen=True, slots=True)
+class TurnBack:
+    come_back_in: float
+
+
+@dataclass(frozen=True, slots=True)
+class WriteOff:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The caller has gone; nothing is owed."""
+
+
+# Orders about no job.
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    pass
+
+
+Order = Send | Stop | PassOn | TurnBack | WriteOff | Leave
+Errand = Probe | Follow
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A job that was taken, until its final answer is ordered and its last dispatch reported."""
+
+    number: int
+    orders: asyncio.Queue[Order] = field(default_factory=asyncio.Queue)
+    dispatches: list[str] = field(default_factory=list)
+    out: set[int] = field(default_factory=set)
+    answered: bool = False
+
+
+class Decider:
+    """The facade. `clock` gives Unix time that never jumps, `wake` asks for a `tick` after a delay."""
+
+    def __init__(
+        self, terms: Terms, names: Names, clock: Callable[[], float], wake: Callable[[float], None]
+    ) -> None:
+        self._clock = clock
+        self._wake = wake
+        self._profiles = {name: index for index, name in enumerate(names.profiles)}
+        self._operators = {name: index for index, name in enumerate(names.operators)}
+        self._zones = {name: index for index, name in enumerate(names.zones)}
+        self._servers: dict[str, int] = {}
+        self._names: list[str] = []
+        self._tickets: dict[int, Ticket] = {}
+        self._taken = 0
+        self._errands: asyncio.Queue[Errand] = asyncio.Queue()
+        self._timers: list[tuple[float, int]] = []
+        self._awake_at = math.inf
+        self.lags: deque[float] = deque(maxlen=LAGS_KEPT)
+        # A job whose method and key contradict its profile is at-most-once: a copy of the profile says so.
+        self._effects = [profile.effect for profile in terms.profiles]
+        cautious = [replace(profile, effect=Effect.AT_MOST_ONCE) for profile in terms.profiles]
+        terms = replace(terms, profiles=[*terms.profiles, *cautious])
+        self._core: Decisions = Balancer(terms, _Desk(self))
+
+    # What the node calls.
+
+    def take(self, ask: Ask) -> Ticket:
+        self._taken += 1
+        ticket = Ticket(self._taken)
+        self._tickets[ticket.number] = ticket
+        self._core.take(
+            Job(
+                id=ticket.number,
+                profile=self._profile(ask),
+                operator=self._operators.get(ask.operator, 0),
+                time_left=ask.time_left,
+                repeat=ask.repeat,
+                work_hint=ask.work_hint,
+            )
+        )
+        return ticket
+
+    async def pick(self, ticket: Ticket) -> Order:
+        return await ticket.orders.get()
+
+    def report(self, ticket: Ticket, dispatch: int, ended: Ended) -> None:
+        ticket.out.discard(dispatch)
+        first = ended.result is Result.HONOURED and not ticket.answered
+        ticket.answered = ticket.answered or first
+        server = self._servers[ticket.dispatches[dispatch]]
+        self._core.outcome(
+            Outcome(ticket.number, dispatch, server, ended.result, ended.seconds, ticket.answered, ended.load)
+        )
+        if first:
+            ticket.orders.put_nowait(PassOn(dispatch))
+        self._release(ticket)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """The caller has gone, or the node itself failed the job."""
+        if not ticket.answered:
+            ticket.answered = True
+            self._core.withdrawn(ticket.number)
+            ticket.orders.put_nowait(Leave())
+            self._release(ticket)
+
+    async def errand(self) -> Errand:
+        return await self._errands.get()
+
+    def report_probe(self, server: str, ended: Ended) -> None:
+        self._core.probed(self._servers[server], ended.result, ended.load)
+
+    def report_list(self, news: News, listed: Sequence[Listed] = ()) -> None:
+        self._core.listed(news, [self._entry(server) for server in listed])
+
+    def tick(self) -> None:
+        now = self._clock()
+        self._awake_at = math.inf
+        try:
+            while self._timers and self._timers[0][0] <= now:
+                due, token = heapq.heappop(self._timers)
+                self.lags.append(now - due)
+                self._core.timer(token)
+        finally:
+            # Guards against a node that never wakes again after one failure.
+            self._ask_wake()
+
+    @property
+    def held(self) -> int:
+        return sum(1 for ticket in self._tickets.values() if not ticket.answered)
+
+    @property
+    def kept(self) -> int:
+        return len(self._tickets)
+
+    # What the module's actions become.
+
+    def _order(self, job: int, order: Order) -> None:
+        ticket = self._tickets[job]
+        ticket.orders.put_nowait(order)
+        if isinstance(order, TurnBack | WriteOff):
+            ticket.answered = True
+            self._release(ticket)
+
+    def _send(self, job: int, server: int, within: float) -> None:
+        ticket = self._tickets[job]
+        dispatch = len(ticket.dispatches)
+        ticket.dispatches.append(self._names[server])
+        ticket.out.add(dispatch)
+        self._order(job, Send(dispatch, self._names[server], within))
+
+    def _set_timer(self, delay: float, token: int) -> None:
+        heapq.heappush(self._timers, (self._clock() + delay, token))
+        self._ask_wake()
+
+    def _ask_wake(self) -> None:
+        if self._timers and self._timers[0][0] < self._awake_at:
+            self._awake_at = self._timers[0][0]
+            self._wake(max(0.0, self._awake_at - self._clock()))
+
+    # Numbers for names.
+
+    def _release(self, ticket: Ticket) -> None:
+        if ticket.answered and not ticket.out:
+            self._tickets.pop(ticket.number, None)
+
+    def _profile(self, ask: Ask) -> int:
+        index = self._profiles.get(ask.profile)
+        if index is None or index >= len(self._effects):
+            return 2 * len(self._effects)
+        return index if self._effects[index] is ask.effect else index + len(self._effects)
+
+    def _entry(self, listed: Listed) -> ServerEntry:
+        if listed.name not in self._servers:
+            self._servers[listed.name] = len(self._names)
+            self._names.append(listed.name)
+        number = self._servers[listed.name]
+        # Guards against repeats outside the group: servers of an unknown cell or zone share it with nobody.
+        zone = self._zones.setdefault(listed.zone, len(self._zones)) if listed.zone else -1 - number
+        cell = -1 - number if listed.cell is None else listed.cell
+        return ServerEntry(number, listed.presence, listed.started_at, zone, cell)
+
+
+class _Desk:
+    """The module's Host: its actions become orders."""
+
+    def __init__(self, decider: Decider) -> None:
+        self._decider = decider
+
+    def now(self) -> float:
+        return self._decider._clock()
+
+    def dispatch(self, job: int, server: int, within: float) -> None:
+        self._decider._send(job, server, within)
+
+    def recall(self, job: int, dispatch: int) -> None:
+        self._decider._order(job, Stop(dispatch))
+
+    def probe(self, server: int) -> None:
+        self._decider._errands.put_nowait(Probe(self._decider._names[server]))
+
+    def turn_back(self, job: int, come_back_in: float) -> None:
+        self._decider._order(job, TurnBack(come_back_in))
+
+    def write_off(self, job: int) -> None:
+        self._decider._order(job, WriteOff())
+
+    def set_timer(self, delay: float, token: int) -> None:
+        self._decider._set_timer(delay, token)
+
+    def follow(self) -> None:
+        self._decider._errands.put_nowait(Follow())
+
+    def remark(self, text: str) -> None:
+        pass
--- /dev/null
+++ b/notchjunction/net/callers.py
@@ -0,0 +1,200 @@
+"""The listener and one coroutine for each caller's connection."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from notchjunction.decider import Ask
+from notchjunction.http1.encoder import encode_answer
+from notchjunction.http1.messages import Answer, Malformed, Request
+from notchjunction.http1.parser import RequestReader
+from notchjunction.net import words
+from notchjunction.net.connections import BUFFER_MOST, PIECE, Address
+from notchjunction.net.counters import Counters
+from notchjunction.net.descriptors import Descriptors
+from notchjunction.net.jobs import Job, ask_of
+from notchjunction.net.logs import pairs
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024  # connections that wait to be accepted; a burst of callers, also after a restart
+HEAD_WITHIN = 10.0  # s from a request's first byte to its last; far over what a sound caller takes
+IDLE_MOST = 120.0  # s that a caller may stand idle; longer than pauses in traffic
+
+
+class Callers(TCPServer):
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        take: Callable[[Ask, Request], Job],
+        ready: Callable[[], bool],
+        spare_one: Callable[[], bool],
+        descriptors: Descriptors,
+        counters: Counters,
+    ) -> None:
+        super().__init__(max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+        self.clock = clock
+        self.take = take
+        self.ready = ready
+        self.counters = counters
+        self._spare_one = spare_one
+        self._descriptors = descriptors
+        self._callers: dict[int, Caller] = {}
+        self.draining = False
+        counters.gauge("callers_connected", lambda: len(self._callers))
+
+    def open(self, address: Address) -> None:
+        self.listen(address[1], address[0], backlog=BACKLOG, reuse_port=False)
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        full = self._descriptors.full() and not self._spare_one()
+        self._descriptors.take()
+        self.counters.add("callers_opened")
+        if full:
+            self.counters.add("callers_refused")
+            log.warning("limit reached", extra=pairs(limit="descriptors", held=self._descriptors.held))
+        caller = Caller(self, stream, full)
+        self._callers[id(caller)] = caller
+        try:
+            await caller.converse()
+        except StreamClosedError:
+            pass
+        except Exception:
+            self.counters.add("failures")
+            log.exception("caller failed in the node")
+        finally:
+            del self._callers[id(caller)]
+            stream.close()
+            self._descriptors.give_back()
+            self.counters.add("callers_closed")
+
+    def drain(self) -> None:
+        """Answers say from now on that the connection closes."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        for caller in list(self._callers.values()):
+            caller.close_if_idle()
+
+    @property
+    def connected(self) -> int:
+        return len(self._callers)
+
+
+class Caller:
+    """One connection; requests on it are served one after another."""
+
+    def __init__(self, callers: Callers, stream: IOStream, full: bool) -> None:
+        self._callers = callers
+        self._stream = stream
+        self._full = full
+        self._requests = RequestReader()
+        self._reading: asyncio.Future[bytes] | None = None
+        self._first_at = 0.0
+        self._busy = False
+
+    async def converse(self) -> None:
+        self._stream.set_nodelay(True)
+        keep = True
+        while keep:
+            try:
+                request = await self._request()
+            except Malformed as error:
+                await self._refuse(error.status)
+                return
+            if request is None:
+                return
+            self._busy = True
+            keep = request.keep and not self._full
+            answer = await self._answer(request)
+            if answer is None:
+                return
+            keep = keep and not self._callers.draining
+            await self._stream.write(encode_answer(Answer(answer.status, answer.headers, answer.body, keep)))
+            self._busy = False
+
+    def close_if_idle(self) -> None:
+        """Guards against closing over a request that has come and is not yet read."""
+        if self._busy or self._requests.begun or (self._reading is not None and self._reading.done()):
+            return
+        try:
+            self._stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            self._stream.close()
+        except OSError:
+            pass
+
+    async def _request(self) -> Request | None:
+        """The next whole request; None when the caller has stood idle for too long."""
+        while (request := self._requests.next()) is None:
+            begun = self._requests.begun
+            wait = self._first_at + HEAD_WITHIN - self._callers.clock() if begun else IDLE_MOST
+            reading = self._read()
+            await asyncio.wait({reading}, timeout=max(0.0, wait))
+            if reading.done():
+                self._feed()
+            elif begun:
+                raise Malformed(408, "request too slow")
+            else:
+                return None
+        return request
+
+    async def _answer(self, request: Request) -> Answer | None:
+        if request.path == words.READY and request.method == "GET":
+            return Answer(200 if self._callers.ready() else 503)
+        if request.path != words.JOBS and not request.path.startswith(words.JOBS + "/"):
+            return self._bad(404)
+        if request.method not in ("GET", "POST"):
+            return self._bad(405)
+        ask = ask_of(request, self._callers.clock() - self._first_at)
+        if ask is None or not request.headers.get(words.JOB_ID):
+            return self._bad(400)
+        self._callers.counters.add("taken")
+        if self._full or not self._callers.ready():
+            self._callers.counters.add("answered_turned_back")
+            return Answer(503)
+        return await self._job(self._callers.take(ask, request))
+
+    async def _job(self, job: Job) -> Answer | None:
+        """Waits for the job's answer, and reads on so that a caller who goes is noticed."""
+        work = asyncio.create_task(job.answer())
+        reading = self._read()
+        waiting: set[asyncio.Future[Any]] = {work, reading}
+        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        if reading.done() and not work.done():
+            try:
+                self._feed()
+            except StreamClosedError:
+                job.withdraw()
+        answer = await work
+        if answer is None:
+            self._callers.counters.add("withdrawn")
+        return answer
+
+    def _read(self) -> asyncio.Future[bytes]:
+        if self._reading is None:
+            self._reading = asyncio.ensure_future(self._stream.read_bytes(PIECE, partial=True))
+        return self._reading
+
+    def _feed(self) -> None:
+        assert self._reading is not None
+        reading, self._reading = self._reading, None
+        piece = reading.result()
+        if not self._requests.begun:
+            self._first_at = self._callers.clock()
+        self._requests.feed(piece)
+
+    def _bad(self, status: int) -> Answer:
+        self._callers.counters.add("bad_requests")
+        return Answer(status)
+
+    async def _refuse(self, status: int) -> None:
+        answer = self._bad(status)
+        await self._stream.write(encode_answer(Answer(answer.status, keep=False)))
--- /dev/null
+++ b/notchjunction/net/connections.py
@@ -0,0 +1,92 @@
+"""One connection that this node opened, to a server or to discovery, and one exchange at a time on it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from notchjunction.http1.encoder import encode_request
+from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Request
+from notchjunction.http1.parser import AnswerReader
+
+Address = tuple[str, int]
+PIECE = 64 * 1024  # bytes read at once
+BUFFER_MOST = 2 * (BODY_MOST + HEAD_MOST)  # bytes kept of either direction; a message and some of the next
+
+
+class NotSent(Exception):
+    """The request was not written whole: it never ran."""
+
+
+class Cut(Exception):
+    """The connection ended after the request was written and before its answer was whole."""
+
+
+def address_of(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Connection:
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        self._stream = IOStream(sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+        self._reading: asyncio.Future[bytes] | None = None
+        self.idle_since = 0.0
+
+    async def open(self) -> None:
+        try:
+            await self._stream.connect(self.address)
+        except (OSError, StreamClosedError) as error:
+            raise NotSent(str(error)) from error
+        self._stream.set_nodelay(True)
+
+    async def exchange(self, request: Request, answers: AnswerReader) -> Answer:
+        """Writes the request in one piece and waits for its whole answer."""
+        try:
+            await self._stream.write(encode_request(request))
+        except StreamClosedError as error:
+            raise NotSent(str(error)) from error
+        while True:
+            try:
+                piece = await self._read()
+            except StreamClosedError as error:
+                answer = answers.end() if error.real_error is None else None
+                if answer is None:
+                    raise Cut(str(error)) from error
+                return answer
+            answers.feed(piece)
+            answer = answers.next()
+            if answer is not None:
+                return answer
+
+    def rest(self, now: float) -> None:
+        """Stands idle from now on; a read goes on, so that an end is noticed."""
+        self.idle_since = now
+        self._reading = asyncio.ensure_future(self._stream.read_bytes(PIECE, partial=True))
+
+    def fit(self) -> bool:
+        """Whether a request may be written: open, and nothing unread. Guards against resets at reuse."""
+        if self._stream.closed() or self._reading is None or self._reading.done():
+            return False
+        try:
+            self._stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        self._stream.close()
+        if self._reading is not None and self._reading.done() and not self._reading.cancelled():
+            self._reading.exception()  # seen: an idle connection's end is no failure
+
+    async def _read(self) -> bytes:
+        reading = self._reading if self._reading is not None else self._stream.read_bytes(PIECE, partial=True)
+        self._reading = None
+        return await reading
--- /dev/null
+++ b/notchjunction/net/discovery.py
@@ -0,0 +1,110 @@
+"""Asks discovery for the list and follows it from the last version on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from notchjunction.decider import Listed
+from notchjunction.http1.messages import Malformed, Request
+from notchjunction.http1.parser import AnswerReader
+from notchjunction.interface import Presence
+from notchjunction.net import words
+from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of
+
+WAIT_SHARE = 0.6  # of the time within which the list must be asked for; what is left covers a slow call
+WAIT_MOST = 20.0  # s that a call waits where no such time is stated
+SLACK = 1.5  # s over its wait that a call may take
+
+
+class Unusable(Exception):
+    """The call failed, or its answer is no list."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    version: int
+    whole: bool
+    servers: tuple[Listed, ...]
+    addresses: Mapping[str, Address]
+
+
+def read_list(value: Any) -> ServerList:
+    try:
+        rows = value["endpoints"]
+        return ServerList(
+            version=int(value["index"]),
+            whole=bool(value["snapshot"]),
+            servers=tuple(_listed(row) for row in rows),
+            addresses={str(row["name"]): address_of(row["address"]) for row in rows if row.get("address")},
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Unusable(f"malformed list: {error!r}") from error
+
+
+def _listed(row: Mapping[str, Any]) -> Listed:
+    return Listed(
+        name=str(row["name"]),
+        # Guards against sending to a server in a state this node does not know.
+        presence=words.PRESENCES.get(row["status"], Presence.DRAINING),
+        started_at=float(row.get("since_ms") or 0) / 1000,
+        zone=str(row.get("zone") or ""),
+        cell=None if row.get("group") is None else int(row["group"]),
+    )
+
+
+class Discovery:
+    def __init__(self, address: Address, ask_within: float) -> None:
+        self._address = address
+        self._wait = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
+        self._connection: Connection | None = None
+        self._version: int | None = None
+
+    def remember(self, version: int) -> None:
+        self._version = version
+
+    async def news(self) -> ServerList:
+        """The next news; waits for it, for a bounded time."""
+        target = words.LIST
+        wait = 0.0
+        if self._version is not None:
+            wait = self._wait
+            target += f"?after={self._version}&wait_ms={int(wait * 1000)}"
+        try:
+            async with asyncio.timeout(wait + SLACK):
+                found = read_list(await self._call(target))
+        except (NotSent, Cut, Malformed, TimeoutError) as error:
+            self.close()
+            raise Unusable(str(error) or type(error).__name__) from error
+        except BaseException:
+            self.close()
+            raise
+        self._version = found.version
+        return found
+
+    def close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _call(self, target: str) -> Any:
+        connection = self._connection
+        if connection is None or not connection.fit():
+            self.close()
+            connection = self._connection = Connection(self._address)
+            await connection.open()
+        request = Request("GET", target, {"host": f"{self._address[0]}:{self._address[1]}"})
+        answer = await connection.exchange(request, AnswerReader())
+        if answer.keep:
+            connection.rest(0.0)
+        else:
+            self.close()
+        if answer.status != 200:
+            raise Unusable(f"status {answer.status}")
+        try:
+            return json.loads(answer.body)
+        except ValueError as error:
+            raise Unusable("no JSON") from error
--- /dev/null
+++ b/notchjunction/net/jobs.py
@@ -0,0 +1,142 @@
+"""A job: one coroutine that takes its orders until it has its final answer, and owns its dispatches."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from notchjunction.decider import (
+    Ask,
+    Decider,
+    Ended,
+    Leave,
+    PassOn,
+    Send,
+    Stop,
+    TurnBack,
+    WriteOff,
+)
+from notchjunction.http1.encoder import end_to_end
+from notchjunction.http1.messages import Answer, Request
+from notchjunction.interface import Result
+from notchjunction.net import words
+from notchjunction.net.counters import Counters
+from notchjunction.net.servers import Exchanged, Servers
+
+log = logging.getLogger(__name__)
+
+WRITTEN_OFF = Answer(502)
+OWN_FAILURE = Answer(500)
+
+
+def turned_back(come_back_in: float) -> Answer:
+    return Answer(503, {"retry-after": f"{come_back_in:.3f}"} if come_back_in > 0 else {})
+
+
+class Job:
+    def __init__(
+        self, decider: Decider, servers: Servers, counters: Counters, ask: Ask, request: Request
+    ) -> None:
+        self._decider = decider
+        self._servers = servers
+        self._counters = counters
+        self._request = request
+        self._tasks: dict[int, asyncio.Task[Exchanged]] = {}
+        self._answers: dict[int, Answer] = {}
+        self._broken = False
+        self._ticket = decider.take(ask)
+
+    async def answer(self) -> Answer | None:
+        """The final answer; None once the caller has gone."""
+        try:
+            while True:
+                match await self._decider.pick(self._ticket):
+                    case Send() as order:
+                        self._send(order)
+                    case Stop(dispatch):
+                        self._stop(dispatch)
+                    case PassOn(dispatch):
+                        self._counters.add("answered_honoured")
+                        honoured = self._answers[dispatch]
+                        return Answer(200, end_to_end(honoured.headers), honoured.body)
+                    case TurnBack(come_back_in):
+                        self._counters.add("answered_turned_back")
+                        return turned_back(come_back_in)
+                    case WriteOff():
+                        self._counters.add("answered_written_off")
+                        return WRITTEN_OFF
+                    case Leave():
+                        return self._own_failure() if self._broken else None
+        except Exception:
+            self._fail()
+            for dispatch in list(self._tasks):
+                self._stop(dispatch)
+            return self._own_failure()
+
+    def withdraw(self) -> None:
+        self._decider.withdraw(self._ticket)
+
+    def _send(self, order: Send) -> None:
+        self._counters.add("dispatches_first" if order.dispatch == 0 else "dispatches_again")
+        work = self._servers.dispatch(order.server, self._request, order.within)
+        task = asyncio.create_task(work)
+        self._tasks[order.dispatch] = task
+        # Told here and not inside the task: one that is stopped before its first step runs no code.
+        task.add_done_callback(lambda _: self._ended(order.dispatch, task))
+
+    def _stop(self, dispatch: int) -> None:
+        if dispatch in self._tasks:
+            self._tasks[dispatch].cancel()
+
+    def _ended(self, dispatch: int, task: asyncio.Task[Exchanged]) -> None:
+        ended = Ended(Result.UNKNOWN, 0.0)
+        del self._tasks[dispatch]
+        if task.cancelled():
+            ended = Ended(Result.RECALLED, 0.0)
+        elif (error := task.exception()) is not None:
+            self._counters.add("failures")
+            log.error("dispatch failed in the node", exc_info=error)
+        else:
+            exchanged = task.result()
+            ended = exchanged.ended
+            if exchanged.answer is not None:
+                self._answers[dispatch] = exchanged.answer
+        self._counters.add(f"dispatches_{ended.result.value.replace(' ', '_')}")
+        try:
+            self._decider.report(self._ticket, dispatch, ended)
+        except Exception:
+            self._fail()
+
+    def _fail(self) -> None:
+        """The node's own failure: logged, counted, and the job is answered all the same."""
+        log.exception("job failed in the node")
+        self._counters.add("failures")
+        self._broken = True
+        self._decider.withdraw(self._ticket)
+
+    def _own_failure(self) -> Answer:
+        self._counters.add("answered_own_failure")
+        return OWN_FAILURE
+
+
+def ask_of(request: Request, waited: float) -> Ask | None:
+    """The job that a request states; None where the time it may take is missing or absurd."""
+    headers = request.headers
+    left = headers.get(words.TIME_LEFT, "")
+    if not (left.isascii() and left.isdigit()) or len(left) > TIME_LEFT_DIGITS:
+        return None
+    try:
+        hint: float | None = float(headers[words.WORK_HINT]) / 1000
+    except (KeyError, ValueError):
+        hint = None
+    return Ask(
+        profile=headers.get(words.PROFILE, ""),
+        time_left=int(left) / 1000 - waited,
+        effect=words.effect(request.method, words.NUMBER in headers),
+        operator=headers.get(words.OPERATOR, ""),
+        repeat=headers.get(words.REPEAT) == "1",
+        work_hint=hint,
+    )
+
+
+TIME_LEFT_DIGITS = 8  # digits of milliseconds: over a day is no time that a caller waits
--- /dev/null
+++ b/notchjunction/net/node.py
@@ -0,0 +1,179 @@
+"""One node: wires callers, decisions, servers and discovery together; starts, drains and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from notchjunction.decider import Ask, Decider, Follow, Probe
+from notchjunction.http1.messages import Request
+from notchjunction.interface import News, Presence
+from notchjunction.net.callers import Callers
+from notchjunction.net.connections import Address
+from notchjunction.net.counters import Counters
+from notchjunction.net.descriptors import Descriptors
+from notchjunction.net.discovery import Discovery, ServerList, Unusable
+from notchjunction.net.jobs import Job
+from notchjunction.net.logs import pairs
+from notchjunction.net.node_input import NodeInput
+from notchjunction.net.servers import Servers
+
+log = logging.getLogger(__name__)
+
+SWEEP_SPAN = 1.0  # s between looks at idle connections; short against the time they may stand idle
+LISTEN_ON = 0.6  # s that new callers are let in after SIGTERM; they go on coming for 0.4 s
+LOOK_SPAN = 0.05  # s between looks whether a draining node has answered all
+
+
+class Node:
+    def __init__(self, told: NodeInput) -> None:
+        self._told = told
+        self._offset = time.time() - time.monotonic()
+        self._loop = asyncio.get_running_loop()
+        self._counters = counters = Counters()
+        self._descriptors = descriptors = Descriptors(told.sockets)
+        self._discovery = Discovery(told.discovery, told.terms.ask_within)
+        self._servers = Servers(
+            self.now, told.connect_within, told.idle_most, told.load_path, descriptors, counters
+        )
+        self._callers = Callers(
+            self.now, self._take, lambda: self._ready, self._servers.close_oldest, descriptors, counters
+        )
+        self._addresses: dict[str, Address] = {}
+        self._presences: dict[str, Presence] = {}
+        self._ready = False
+        self._list_fails = False
+        self._stopping = asyncio.Event()
+        self._wake_call: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._decider = Decider(told.terms, told.names, self.now, self._wake)
+        counters.gauge("held", lambda: self._decider.held)
+        counters.gauge("jobs_kept", lambda: self._decider.kept)
+        counters.gauge("descriptors_held", lambda: descriptors.held)
+        counters.gauge("loop_lag_most", lambda: max(self._decider.lags, default=0.0))
+
+    def now(self) -> float:
+        """Unix time that never jumps."""
+        return time.monotonic() + self._offset
+
+    async def run(self) -> None:
+        told = self._told
+        for number, handler in ((signal.SIGTERM, self._stopping.set), (signal.SIGUSR1, self._print_counters)):
+            self._loop.add_signal_handler(number, handler)
+        if told.known is not None:
+            self._discovery.remember(told.known.version)
+            self._hear(told.known, News.REMEMBERED)
+        self._callers.open(told.listen)
+        host, port = told.listen
+        log.info("start", extra=pairs(node=told.name, listen=f"{host}:{port}", depth=told.terms.depth))
+        self._start(self._run_errands())
+        self._start(self._sweep())
+        await self._stopping.wait()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        log.info("drain", extra=pairs(held=self._decider.held, callers=self._callers.connected))
+        self._callers.drain()
+        await asyncio.sleep(LISTEN_ON)
+        self._callers.stop()
+        while self._callers.connected:
+            self._callers.close_idle()
+            await asyncio.sleep(LOOK_SPAN)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._discovery.close()
+        self._servers.close()
+        self._print_counters()
+        log.info("exit", extra=pairs(held=self._decider.held))
+
+    def _take(self, ask: Ask, request: Request) -> Job:
+        return Job(self._decider, self._servers, self._counters, ask, request)
+
+    # Timers.
+
+    def _wake(self, delay: float) -> None:
+        if self._wake_call is not None:
+            self._wake_call.cancel()
+        self._wake_call = self._loop.call_later(delay, self._tick)
+
+    def _tick(self) -> None:
+        try:
+            self._decider.tick()
+        except Exception:
+            self._counters.add("failures")
+            log.exception("timer failed in the node")
+
+    # Errands.
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._counters.add("failures")
+            log.error("errand failed in the node", exc_info=error)
+
+    async def _run_errands(self) -> None:
+        while True:
+            match await self._decider.errand():
+                case Probe(server):
+                    self._start(self._probe(server))
+                case Follow():
+                    self._start(self._follow())
+
+    async def _probe(self, server: str) -> None:
+        ended = await self._servers.probe(server)
+        self._counters.add("probes")
+        self._counters.add(f"probes_{ended.result.value.replace(' ', '_')}")
+        self._decider.report_probe(server, ended)
+
+    async def _follow(self) -> None:
+        """Calls discovery again and again, each call from the last version on, until one fails."""
+        while True:
+            try:
+                news = await self._discovery.news()
+            except Unusable as error:
+                self._counters.add("list_calls_failed")
+                if not self._list_fails:
+                    log.warning("list fails", extra=pairs(why=error))
+                self._list_fails = True
+                self._decider.report_list(News.FAILED)
+                return
+            self._counters.add("list_calls")
+            if self._list_fails:
+                log.info("list back", extra=pairs(version=news.version))
+            self._list_fails = False
+            self._hear(news, News.WHOLE if news.whole else News.CHANGES)
+
+    def _hear(self, news: ServerList, kind: News) -> None:
+        if kind is not News.CHANGES:
+            self._addresses.clear()
+            self._presences.clear()
+        self._addresses.update(news.addresses)
+        self._presences.update({server.name: server.presence for server in news.servers})
+        ready = {
+            name: self._addresses[name]
+            for name, presence in self._presences.items()
+            if presence is Presence.READY and name in self._addresses
+        }
+        self._servers.point(ready)
+        self._decider.report_list(kind, news.servers)
+        if not self._ready:
+            self._ready = True
+            log.info("ready", extra=pairs(servers=len(ready), version=news.version))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SPAN)
+            self._servers.sweep()
+
+    def _print_counters(self) -> None:
+        log.info("counters", extra=pairs(**self._counters.read()))
--- /dev/null
+++ b/notchjunction/net/servers.py
@@ -0,0 +1,187 @@
+"""The connections to servers, kept by server and address; one dispatch or one probe on them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from notchjunction.decider import Ended
+from notchjunction.http1.encoder import end_to_end
+from notchjunction.http1.messages import Answer, Malformed, Request
+from notchjunction.http1.parser import AnswerReader
+from notchjunction.interface import Load, Result
+from notchjunction.net import words
+from notchjunction.net.connections import Address, Connection, Cut, NotSent
+from notchjunction.net.counters import Counters
+from notchjunction.net.descriptors import Descriptors
+from notchjunction.terms import load
+
+IDLE_SHARE = (
+    0.75  # of the servers' idle time; then a connection is retired, so that no request crosses its end
+)
+PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
+
+
+@dataclass(frozen=True, slots=True)
+class Exchanged:
+    ended: Ended
+    answer: Answer | None = None
+
+
+def read_load(text: str | bytes) -> Load | None:
+    try:
+        report = json.loads(text)
+    except ValueError:
+        return None
+    return load(report) if isinstance(report, Mapping) else None
+
+
+def read_result(answer: Answer) -> Result:
+    """The protocol's table; a status that it does not name is an unknown outcome."""
+    if answer.status == 200:
+        return Result.HONOURED
+    if answer.status in (503, 504):
+        return Result.FULL if answer.headers.get(words.DECLINED) == "1" else Result.ERROR
+    return Result.ERROR if answer.status == 500 else Result.UNKNOWN
+
+
+class Servers:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        connect_within: float,
+        idle_most: float,
+        load_path: str,
+        descriptors: Descriptors,
+        counters: Counters,
+    ) -> None:
+        self._clock = clock
+        self._connect_within = connect_within
+        self._idle_most = idle_most * IDLE_SHARE
+        self._load_path = load_path
+        self._descriptors = descriptors
+        self._counters = counters
+        self._addresses: dict[str, Address] = {}
+        self._idle: dict[str, deque[Connection]] = {}
+        counters.gauge("connections_idle", lambda: sum(len(kept) for kept in self._idle.values()))
+        counters.gauge("servers_known", lambda: len(self._addresses))
+
+    def point(self, ready: Mapping[str, Address]) -> None:
+        """The servers that may get new requests, and where; idle connections elsewhere are closed."""
+        self._addresses = dict(ready)
+        for server, kept in list(self._idle.items()):
+            for connection in list(kept):
+                if self._addresses.get(server) != connection.address:
+                    kept.remove(connection)
+                    self._close(connection)
+            if not kept:
+                del self._idle[server]
+
+    async def dispatch(self, server: str, request: Request, within: float) -> Exchanged:
+        headers = end_to_end(request.headers)
+        headers[words.TIME_LEFT] = str(max(1, int(within * 1000)))
+        onward = Request(request.method, request.target, headers, request.body)
+        return await self._exchange(server, onward, within)
+
+    async def probe(self, server: str) -> Ended:
+        request = Request("GET", self._load_path, {"host": "probe"})
+        exchanged = await self._exchange(server, request, PROBE_WITHIN)
+        answer = exchanged.answer
+        if exchanged.ended.result is Result.HONOURED and answer is not None and self._load_path == words.LOAD:
+            return Ended(Result.HONOURED, exchanged.ended.seconds, read_load(answer.body))
+        return exchanged.ended
+
+    def sweep(self) -> None:
+        """Retires connections that have stood idle, or were closed by their server."""
+        oldest = self._clock() - self._idle_most
+        for server, kept in list(self._idle.items()):
+            for connection in list(kept):
+                if connection.idle_since <= oldest or not connection.fit():
+                    kept.remove(connection)
+                    self._close(connection)
+            if not kept:
+                del self._idle[server]
+
+    def close_oldest(self) -> bool:
+        """Gives up one idle connection, where descriptors are short."""
+        rows = [(kept[0].idle_since, server) for server, kept in self._idle.items() if kept]
+        if not rows:
+            return False
+        self._close(self._idle[min(rows)[1]].popleft())
+        return True
+
+    def close(self) -> None:
+        self.point({})
+
+    async def _exchange(self, server: str, request: Request, within: float) -> Exchanged:
+        began = self._clock()
+        connection: Connection | None = None
+        written = False
+        answer: Answer | None = None
+        try:
+            async with asyncio.timeout(within):
+                connection = await self._connected(server)
+                written = True
+                answer = await connection.exchange(request, AnswerReader())
+            result = read_result(answer)
+        except NotSent:
+            result = Result.NO_CONNECTION
+        except Cut:
+            result = Result.RESET
+        except Malformed:
+            result = Result.UNKNOWN
+        except TimeoutError:
+            result = Result.TIMED_OUT if written else Result.NO_CONNECTION
+        finally:
+            if connection is not None:
+                self._give_back(server, connection, keep=answer is not None and answer.keep)
+        report = answer.headers.get(words.SERVER_LOAD) if answer is not None else None
+        ended = Ended(result, self._clock() - began, read_load(report) if report else None)
+        return Exchanged(ended, answer)
+
+    async def _connected(self, server: str) -> Connection:
+        """The newest idle connection that is fit, else a new one to a server that is still ready."""
+        address = self._addresses.get(server)
+        if address is None:
+            raise NotSent("no longer in the list")
+        kept = self._idle.get(server, deque())
+        while kept:
+            connection = kept.pop()
+            if connection.fit():
+                return connection
+            self._counters.add("connections_found_closed")
+            self._close(connection)
+        if self._descriptors.full() and not self.close_oldest():
+            self._counters.add("descriptors_short")
+            raise NotSent("no descriptor left")
+        connection = Connection(address)
+        self._descriptors.take()
+        self._counters.add("connections_opened")
+        try:
+            async with asyncio.timeout(self._connect_within):
+                await connection.open()
+            # Guards against a request to a server that the list has dropped while the connection came up.
+            if self._addresses.get(server) != address:
+                raise NotSent("no longer in the list")
+        except TimeoutError as error:
+            self._close(connection)
+            raise NotSent("connecting took too long") from error
+        except BaseException:
+            self._close(connection)
+            raise
+        return connection
+
+    def _give_back(self, server: str, connection: Connection, keep: bool) -> None:
+        if keep and self._addresses.get(server) == connection.address:
+            connection.rest(self._clock())
+            self._idle.setdefault(server, deque()).append(connection)
+        else:
+            self._close(connection)
+
+    def _close(self, connection: Connection) -> None:
+        connection.close()
+        self._descriptors.give_back()
+        self._counters.add("connections_closed")
--- a/notchjunction/simhost.py
+++ b/notchjunction/simhost.py
@@ -7,6 +7,7 @@
 import sys
 import traceback
 
+from notchjunction import terms
 from notchjunction.interface import Decisions, Job, News, Outcome, Presence, Result, ServerEntry
 from notchjunction.rules import Balancer
 from notchjunction.simwire import words
@@ -27,7 +28,7 @@
         self._indices: dict[str, int] = {}
         paths = provision.fields
         self._load_fields = paths.get("report.fields", "").split(",")
-        self._core: Decisions = Balancer(words.terms(provision.whole("init_seed"), paths), self)
+        self._core: Decisions = Balancer(terms.terms(provision.whole("init_seed"), paths), self)
 
     def now(self) -> float:
         return self._clock
