--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -170,16 +170,19 @@
         self._taken += 1
         ticket = Ticket(self._taken)
         self._tickets[ticket.number] = ticket
-        self._core.take(
-            Job(
-                id=ticket.number,
-                profile=self._profile(ask),
-                operator=self._operators.get(ask.operator, 0),
-                time_left=ask.time_left,
-                repeat=ask.repeat,
-                work_hint=ask.work_hint,
-            )
+        job = Job(
+            id=ticket.number,
+            profile=self._profile(ask),
+            operator=self._operators.get(ask.operator, 0),
+            time_left=ask.time_left,
+            repeat=ask.repeat,
+            work_hint=ask.work_hint,
         )
+        try:
+            self._core.take(job)
+        except Exception:
+            self.withdraw(ticket)
+            raise
         return ticket
 
     async def pick(self, ticket: Ticket) -> Order:
@@ -201,9 +204,11 @@
         """The caller has gone, or the node itself failed the job."""
         if not ticket.answered:
             ticket.answered = True
-            self._core.withdrawn(ticket.number)
-            ticket.orders.put_nowait(Leave())
-            self._release(ticket)
+            try:
+                self._core.withdrawn(ticket.number)
+            finally:
+                ticket.orders.put_nowait(Leave())
+                self._release(ticket)
 
     async def errand(self) -> Errand:
         return await self._errands.get()
--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -161,6 +161,13 @@
         super().__init__()
         self._framed = False
 
+    def awaits_go_ahead(self) -> bool:
+        """Once for a request whose caller holds the body back until told to go on (RFC 9110, 10.1.1)."""
+        awaited = self._framed and self._headers.get("expect", "").lower() == "100-continue"
+        if awaited:
+            self._headers.pop("expect")
+        return awaited
+
     def next(self) -> Request | None:
         """The next whole request; None while it is not whole."""
         if not self._head_read():
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -16,7 +16,7 @@
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import RequestReader
 from notchjunction.net import words
-from notchjunction.net.connections import BUFFER_MOST, PIECE, Address
+from notchjunction.net.connections import BUFFER_MOST, PIECE, Address, read_piece
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.jobs import Job, ask_of
@@ -26,9 +26,13 @@
 
 BACKLOG = 1024  # connections that wait to be accepted; a burst of callers, also after a restart
 HEAD_WITHIN = 10.0  # s from a request's first byte to its last; far over what a sound caller takes
+REFUSED_WITHIN = 1.0  # s that a caller over the limit has for the one request that is refused
 IDLE_MOST = 120.0  # s that a caller may stand idle; longer than pauses in traffic
 
 
+GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
 class Callers(TCPServer):
     def __init__(
         self,
@@ -55,6 +59,11 @@
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         full = self._descriptors.full() and not self._spare_one()
+        if full and self._descriptors.spent():
+            # Guards against running out altogether: then not even the list could be asked for.
+            self.counters.add("callers_dropped")
+            stream.close()
+            return
         self._descriptors.take()
         self.counters.add("callers_opened")
         if full:
@@ -83,6 +92,13 @@
         for caller in list(self._callers.values()):
             caller.close_if_idle()
 
+    def own_failure(self) -> Answer:
+        """The module failed at a job before it began."""
+        log.exception("job failed in the node")
+        self.counters.add("failures")
+        self.counters.add("answered_own_failure")
+        return Answer(500)
+
     @property
     def connected(self) -> int:
         return len(self._callers)
@@ -95,6 +111,7 @@
         self._callers = callers
         self._stream = stream
         self._full = full
+        self._idle_most = REFUSED_WITHIN if full else IDLE_MOST
         self._requests = RequestReader()
         self._reading: asyncio.Future[bytes] | None = None
         self._first_at = 0.0
@@ -135,8 +152,10 @@
         """The next whole request; None when the caller has stood idle for too long."""
         while (request := self._requests.next()) is None:
             begun = self._requests.begun
-            wait = self._first_at + HEAD_WITHIN - self._callers.clock() if begun else IDLE_MOST
+            wait = self._first_at + HEAD_WITHIN - self._callers.clock() if begun else self._idle_most
             reading = self._read()
+            if self._requests.awaits_go_ahead():
+                await self._stream.write(GO_AHEAD)
             await asyncio.wait({reading}, timeout=max(0.0, wait))
             if reading.done():
                 self._feed()
@@ -148,7 +167,7 @@
 
     async def _answer(self, request: Request) -> Answer | None:
         if request.path == words.READY and request.method == "GET":
-            return Answer(200 if self._callers.ready() else 503)
+            return Answer(200 if self._callers.ready() and not self._callers.draining else 503)
         if request.path != words.JOBS and not request.path.startswith(words.JOBS + "/"):
             return self._bad(404)
         if request.method not in ("GET", "POST"):
@@ -157,10 +176,14 @@
         if ask is None or not request.headers.get(words.JOB_ID):
             return self._bad(400)
         self._callers.counters.add("taken")
-        if self._full or not self._callers.ready():
+        if self._full:
             self._callers.counters.add("answered_turned_back")
             return Answer(503)
-        return await self._job(self._callers.take(ask, request))
+        try:
+            job = self._callers.take(ask, request)
+        except Exception:
+            return self._callers.own_failure()
+        return await self._job(job)
 
     async def _job(self, job: Job) -> Answer | None:
         """Waits for the job's answer, and reads on so that a caller who goes is noticed."""
@@ -180,7 +203,7 @@
 
     def _read(self) -> asyncio.Future[bytes]:
         if self._reading is None:
-            self._reading = asyncio.ensure_future(self._stream.read_bytes(PIECE, partial=True))
+            self._reading = read_piece(self._stream)
         return self._reading
 
     def _feed(self) -> None:
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -16,6 +16,18 @@
 BUFFER_MOST = 2 * (BODY_MOST + HEAD_MOST)  # bytes kept of either direction; a message and some of the next
 
 
+def read_piece(stream: IOStream) -> asyncio.Future[bytes]:
+    """A read that goes on; it also notices the end of the connection, and never fails at once."""
+    try:
+        return asyncio.ensure_future(stream.read_bytes(PIECE, partial=True))
+    except StreamClosedError as error:
+        # Guards against a peer whose last bytes and end come together: the stream is closed before this read.
+        ended: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        ended.set_exception(error)
+        ended.exception()  # seen: an end is no failure by itself
+        return ended
+
+
 class NotSent(Exception):
     """The request was not written whole: it never ran."""
 
@@ -67,7 +79,7 @@
     def rest(self, now: float) -> None:
         """Stands idle from now on; a read goes on, so that an end is noticed."""
         self.idle_since = now
-        self._reading = asyncio.ensure_future(self._stream.read_bytes(PIECE, partial=True))
+        self._reading = read_piece(self._stream)
 
     def fit(self) -> bool:
         """Whether a request may be written: open, and nothing unread. Guards against resets at reuse."""
@@ -87,6 +99,5 @@
             self._reading.exception()  # seen: an idle connection's end is no failure
 
     async def _read(self) -> bytes:
-        reading = self._reading if self._reading is not None else self._stream.read_bytes(PIECE, partial=True)
-        self._reading = None
-        return await reading
+        reading, self._reading = self._reading, None
+        return await (reading if reading is not None else read_piece(self._stream))
--- a/notchjunction/net/descriptors.py
+++ b/notchjunction/net/descriptors.py
@@ -8,12 +8,17 @@
 
 class Descriptors:
     def __init__(self, limit: int) -> None:
-        self._most = max(8, int(limit * (1 - MARGIN)) - OWN)
+        self._margin = int(limit * MARGIN)
+        self._most = max(8, limit - self._margin - OWN)
         self.held = 0
 
     def full(self) -> bool:
         return self.held >= self._most
 
+    def spent(self) -> bool:
+        """Whether half the margin is used too."""
+        return self.held >= self._most + self._margin // 2
+
     def take(self) -> None:
         self.held += 1
 
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -15,7 +15,7 @@
 from notchjunction.net import words
 from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of
 
-WAIT_SHARE = 0.6  # of the time within which the list must be asked for; what is left covers a slow call
+WAIT_SHARE = 0.75  # of the time within which the list must be asked for; the rest covers a slow call
 WAIT_MOST = 20.0  # s that a call waits where no such time is stated
 SLACK = 1.5  # s over its wait that a call may take
 
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -62,14 +62,19 @@
 
     async def run(self) -> None:
         told = self._told
-        for number, handler in ((signal.SIGTERM, self._stopping.set), (signal.SIGUSR1, self._print_counters)):
+        handlers = {
+            signal.SIGTERM: self._stopping.set,
+            signal.SIGINT: self._stopping.set,
+            signal.SIGUSR1: self._print_counters,
+        }
+        for number, handler in handlers.items():
             self._loop.add_signal_handler(number, handler)
+        host, port = told.listen
+        log.info("start", extra=pairs(node=told.name, listen=f"{host}:{port}", depth=told.terms.depth))
+        self._callers.open(told.listen)
         if told.known is not None:
             self._discovery.remember(told.known.version)
             self._hear(told.known, News.REMEMBERED)
-        self._callers.open(told.listen)
-        host, port = told.listen
-        log.info("start", extra=pairs(node=told.name, listen=f"{host}:{port}", depth=told.terms.depth))
         self._start(self._run_errands())
         self._start(self._sweep())
         await self._stopping.wait()
@@ -159,6 +164,10 @@
             self._presences.clear()
         self._addresses.update(news.addresses)
         self._presences.update({server.name: server.presence for server in news.servers})
+        for server in news.servers:
+            if server.presence is Presence.GONE:
+                self._addresses.pop(server.name, None)
+                del self._presences[server.name]
         ready = {
             name: self._addresses[name]
             for name, presence in self._presences.items()
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -15,7 +15,7 @@
 from notchjunction.net.connections import Address, address_of
 from notchjunction.net.discovery import ServerList, read_list
 
-LOOP_TICK = 0.005  # s by which an event loop on a shared core is late as a rule
+LOOP_TICK = 0.01  # s by which timers of a loop on a shared core come late; 12 ms was the most seen
 SOCKETS = 1024  # descriptors where no limit is told
 CONNECT_WITHIN = 250.0  # ms where no connect time-out is told
 IDLE = 5000.0  # ms that servers keep an idle connection, where that is not told
