--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -124,8 +124,16 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class SetAside:
+    """To be told to whoever is on call; nothing is to be done."""
+
+    server: str
+    seconds: float
+
+
 Order = Send | Stop | PassOn | TurnBack | WriteOff | Leave
-Errand = Probe | Follow
+Errand = Probe | Follow | SetAside
 
 
 @dataclass(slots=True, eq=False)
@@ -317,5 +325,5 @@
     def follow(self) -> None:
         self._decider._errands.put_nowait(Follow())
 
-    def remark(self, text: str) -> None:
-        pass
+    def set_aside(self, server: int, seconds: float) -> None:
+        self._decider._errands.put_nowait(SetAside(self._decider._names[server], seconds))
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -41,6 +41,11 @@
     return host.strip("[]"), int(port)
 
 
+def _cause(error: Exception) -> str:
+    """What the operating system said, where the stream tells it."""
+    return str(getattr(error, "real_error", None) or error)
+
+
 class Connection:
     def __init__(self, address: Address) -> None:
         self.address = address
@@ -54,7 +59,7 @@
         try:
             await self._stream.connect(self.address)
         except (OSError, StreamClosedError) as error:
-            raise NotSent(str(error)) from error
+            raise NotSent(_cause(error)) from error
         self._stream.set_nodelay(True)
 
     async def exchange(self, request: Request, answers: AnswerReader) -> Answer:
@@ -62,14 +67,14 @@
         try:
             await self._stream.write(encode_request(request))
         except StreamClosedError as error:
-            raise NotSent(str(error)) from error
+            raise NotSent(_cause(error)) from error
         while True:
             try:
                 piece = await self._read()
             except StreamClosedError as error:
                 answer = answers.end() if error.real_error is None else None
                 if answer is None:
-                    raise Cut(str(error)) from error
+                    raise Cut(_cause(error)) from error
                 return answer
             answers.feed(piece)
             answer = answers.next()
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -9,7 +9,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from notchjunction.decider import Ask, Decider, Follow, Probe
+from notchjunction.decider import Ask, Decider, Follow, Probe, SetAside
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
 from notchjunction.net.callers import Callers
@@ -139,6 +139,9 @@
                     self._start(self._probe(server))
                 case Follow():
                     self._start(self._follow())
+                case SetAside(server, seconds):
+                    self.counters.add("servers_set_aside")
+                    log.warning("server set aside", extra=pairs(server=server, seconds=round(seconds, 1)))
 
     async def _probe(self, server: str) -> None:
         ended = await self._servers.probe(server)
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -544,9 +544,8 @@
             self._usual_until = now + USUAL_SPAN
             # One time a server: quick servers answer more jobs and would pass for the usual.
             latest = {end.server.entry.server: end.seconds for end in self._ends if end.seconds}
-            seconds = middle(latest.values(), 1.0)
             paces = (server.answer.pace for server in self._pool if server.answer and server.answer.pace)
-            self._usual_now = Usual(max(seconds, 0.001), max(middle(paces, 1.0), 0.001))
+            self._usual_now = Usual(max(middle(latest.values(), 1.0), 0.001), max(middle(paces, 1.0), 0.001))
         return self._usual_now
 
     # The four rules.
@@ -639,6 +638,7 @@
         # Guards against setting the fleet aside in a trouble common to all.
         if sum(server.last) / len(server.last) < usual - HEALTH_GAP and aside < ASIDE_MOST * len(self._ready):
             server.back_at = now + ASIDE_SPAN + self._random.uniform(0, ASIDE_RANDOM)
+            self._host.set_aside(server.entry.server, server.back_at - now)
 
     def _answered(self, server: Server, load: Load, now: float) -> None:
         server.answer, server.answered_at = load, now
--- a/notchjunction/simhost.py
+++ b/notchjunction/simhost.py
@@ -58,8 +58,8 @@
     def follow(self) -> None:
         self.rows.append(act("FOLLOW", enable=1))
 
-    def remark(self, text: str) -> None:
-        self.rows.append(act("REMARK", text=text))
+    def set_aside(self, server: int, seconds: float) -> None:
+        self.rows.append(act("REMARK", text=f"set aside {self._servers[server]} for {seconds:.1f} s"))
 
     def _server(self, name: str) -> int:
         if name not in self._indices:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -74,8 +74,8 @@
     def follow(self) -> None:
         self.did.append(("follow",))
 
-    def remark(self, text: str) -> None:
-        self.did.append(("remark", text))
+    def set_aside(self, server: int, seconds: float) -> None:
+        self.did.append(("set_aside", server, seconds))
 
     # What a story needs.
 
