--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -26,6 +26,7 @@
 
 BACKLOG = 1024  # connections that wait to be accepted; a burst of callers, also after a restart
 HEAD_WITHIN = 10.0  # s from a request's first byte to its last; far over what a sound caller takes
+WRITTEN_WITHIN = 10.0  # s that a caller may take to read its answer; then it counts as gone
 REFUSED_WITHIN = 1.0  # s that a caller over the limit has for the one request that is refused
 IDLE_MOST = 120.0  # s that a caller may stand idle; longer than pauses in traffic
 
@@ -134,7 +135,7 @@
             if answer is None:
                 return
             keep = keep and not self._callers.draining
-            await self._stream.write(encode_answer(Answer(answer.status, answer.headers, answer.body, keep)))
+            await self._write(Answer(answer.status, answer.headers, answer.body, keep))
             self._busy = False
 
     def close_if_idle(self) -> None:
@@ -220,4 +221,12 @@
 
     async def _refuse(self, status: int) -> None:
         answer = self._bad(status)
-        await self._stream.write(encode_answer(Answer(answer.status, keep=False)))
+        await self._write(Answer(answer.status, keep=False))
+
+    async def _write(self, answer: Answer) -> None:
+        try:
+            async with asyncio.timeout(WRITTEN_WITHIN):
+                await self._stream.write(encode_answer(answer))
+        except TimeoutError as error:
+            # Guards against a caller that reads nothing: a drain would wait for it.
+            raise StreamClosedError from error
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -25,6 +25,8 @@
 
 log = logging.getLogger(__name__)
 
+TIME_LEFT_DIGITS = 8  # digits of milliseconds: over a day is no time that a caller waits
+LOST_AFTER = 0.03  # s past the abandon time; a job unanswered by then was lost by a failure of the node's own
 WRITTEN_OFF = Answer(502)
 OWN_FAILURE = Answer(500)
 
@@ -44,35 +46,40 @@
         self._tasks: dict[int, asyncio.Task[Exchanged]] = {}
         self._answers: dict[int, Answer] = {}
         self._broken = False
+        self._answer_within = max(0.0, ask.time_left) + LOST_AFTER
         self._ticket = decider.take(ask)
 
     async def answer(self) -> Answer | None:
         """The final answer; None once the caller has gone."""
         try:
-            while True:
-                match await self._decider.pick(self._ticket):
-                    case Send() as order:
-                        self._send(order)
-                    case Stop(dispatch):
-                        self._stop(dispatch)
-                    case PassOn(dispatch):
-                        self._counters.add("answered_honoured")
-                        honoured = self._answers[dispatch]
-                        return Answer(200, end_to_end(honoured.headers), honoured.body)
-                    case TurnBack(come_back_in):
-                        self._counters.add("answered_turned_back")
-                        return turned_back(come_back_in)
-                    case WriteOff():
-                        self._counters.add("answered_written_off")
-                        return WRITTEN_OFF
-                    case Leave():
-                        return self._own_failure() if self._broken else None
+            async with asyncio.timeout(self._answer_within):
+                return await self._follow_orders()
         except Exception:
             self._fail()
             for dispatch in list(self._tasks):
                 self._stop(dispatch)
             return self._own_failure()
 
+    async def _follow_orders(self) -> Answer | None:
+        while True:
+            match await self._decider.pick(self._ticket):
+                case Send() as order:
+                    self._send(order)
+                case Stop(dispatch):
+                    self._stop(dispatch)
+                case PassOn(dispatch):
+                    self._counters.add("answered_honoured")
+                    honoured = self._answers[dispatch]
+                    return Answer(200, end_to_end(honoured.headers), honoured.body)
+                case TurnBack(come_back_in):
+                    self._counters.add("answered_turned_back")
+                    return turned_back(come_back_in)
+                case WriteOff():
+                    self._counters.add("answered_written_off")
+                    return WRITTEN_OFF
+                case Leave():
+                    return self._own_failure() if self._broken else None
+
     def withdraw(self) -> None:
         self._decider.withdraw(self._ticket)
 
@@ -137,6 +144,3 @@
         repeat=headers.get(words.REPEAT) == "1",
         work_hint=hint,
     )
-
-
-TIME_LEFT_DIGITS = 8  # digits of milliseconds: over a day is no time that a caller waits
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -154,18 +154,25 @@
         while True:
             try:
                 news = await self._discovery.news()
-            except Unusable as error:
-                self.counters.add("list_calls_failed")
-                if not self._list_fails:
-                    log.warning("list fails", extra=pairs(why=error))
-                self._list_fails = True
+                self._hear(news, News.WHOLE if news.whole else News.CHANGES)
+            except Exception as error:
+                self._list_failed(error)
                 self._decider.report_list(News.FAILED)
                 return
             self.counters.add("list_calls")
             if self._list_fails:
                 log.info("list back", extra=pairs(version=news.version))
             self._list_fails = False
-            self._hear(news, News.WHOLE if news.whole else News.CHANGES)
+
+    def _list_failed(self, error: Exception) -> None:
+        self.counters.add("list_calls_failed")
+        if not self._list_fails:
+            log.warning("list fails", extra=pairs(why=error))
+        self._list_fails = True
+        if not isinstance(error, Unusable):
+            # Guards against a node that never asks for the list again after one failure of its own.
+            self.counters.add("failures")
+            log.error("list news failed in the node", exc_info=error)
 
     def _hear(self, news: ServerList, kind: News) -> None:
         if kind is not News.CHANGES:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 import sys
 from collections.abc import Coroutine
 from typing import Any
@@ -303,32 +304,67 @@
     run(story())
 
 
-def test_a_failure_of_the_node_itself_is_answered_and_counted(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def broken(*_: object) -> None:
-        raise RuntimeError("own")
+def broken(*_: object) -> None:
+    raise RuntimeError("own")
 
+
+async def broken_later(*_: object) -> None:
+    broken()
+
+
+async def hanging(*_: object) -> None:
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    ("part", "failing"), [("pick", broken_later), ("pick", hanging), ("report", broken), ("take", broken)]
+)
+def test_a_failure_of_the_node_itself_is_answered_and_counted(
+    part: str, failing: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def story() -> None:
         async with Peer() as peer, running(peer) as (node, address):
             client = await Client().open(address)
             with monkeypatch.context() as patch:
-                patch.setattr(node._decider, "pick", broken)
-                client.ask()
-                assert (await client.answer()).status == 500
-            with monkeypatch.context() as patch:
-                patch.setattr(node._decider, "report", broken_at_once)
-                client.ask()
-                assert (await client.answer()).status == 500
-            with monkeypatch.context() as patch:
-                patch.setattr(node._decider, "take", broken_at_once)
-                client.ask()
+                patch.setattr(node._decider, part, failing)
+                client.ask(left="100")
                 assert (await client.answer()).status == 500
             client.ask()
             assert (await client.answer()).status == 200
             figures = node.counters.read()
-            assert figures["failures"] >= 3 and figures["answered_own_failure"] == 3 and figures["held"] == 0
+            assert figures["failures"] >= 1 and figures["answered_own_failure"] == 1 and figures["held"] == 0
 
-    def broken_at_once(*_: object) -> None:
-        raise RuntimeError("own")
+    run(story())
+
+
+def test_news_that_fails_in_the_node_is_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            teller = Peer(lambda request: news(2, rows(peer)) if "after=1" in request.target else SILENT)
+            async with teller, running(peer, discovery=teller) as (node, _):
+                with monkeypatch.context() as patch:
+                    patch.setattr(node._servers, "point", None)
+                    while not node.counters.read().get("list_calls_failed"):
+                        await asyncio.sleep(0.001)
+                seen = len(teller.requests)
+                while len(teller.requests) == seen:
+                    await asyncio.sleep(0.001)
+
+    run(story())
+
+
+def test_a_caller_that_reads_nothing_counts_as_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(callers, "WRITTEN_WITHIN", 0.0)
+
+    async def story() -> None:
+        body = b"x" * 60000
+        async with Peer((answer(b"200 OK", body), "keep")) as peer, running(peer) as (node, address):
+            client = await Client().open(address)
+            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            while not node.counters.read().get("callers_closed"):
+                client.ask()
+                await asyncio.sleep(0.001)
 
     run(story())
 
