--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -32,6 +32,10 @@
     """The request was not written whole: it never ran."""
 
 
+class NoDescriptor(NotSent):
+    """This node had no descriptor left: no fault of the other side."""
+
+
 class Cut(Exception):
     """The connection ended after the request was written and before its answer was whole."""
 
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -14,7 +14,7 @@
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Load, Result
 from notchjunction.net import words
-from notchjunction.net.connections import Address, Connection, Cut, NotSent
+from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.terms import load
@@ -127,6 +127,8 @@
                 written = True
                 answer = await connection.exchange(request, AnswerReader())
             result = read_result(answer)
+        except NoDescriptor:
+            result = Result.NEVER_SENT
         except NotSent:
             result = Result.NO_CONNECTION
         except Cut:
@@ -156,7 +158,7 @@
             self._close(connection)
         if self._descriptors.full() and not self.close_oldest():
             self._counters.add("descriptors_short")
-            raise NotSent("no descriptor left")
+            raise NoDescriptor
         connection = Connection(address)
         self._descriptors.take()
         self._counters.add("connections_opened")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,9 +12,11 @@
 import pytest
 
 from notchjunction.http1.messages import Request
+from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence, Result
 from notchjunction.net import callers, discovery, node_input
 from notchjunction.net import node as node_module
+from notchjunction.net.connections import Connection, NotSent
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.discovery import Discovery, Unusable, read_list
@@ -32,7 +34,11 @@
 
 
 def run(story: Coroutine[Any, Any, None]) -> None:
-    asyncio.run(story)
+    asyncio.run(asyncio.wait_for(story, 20))  # s, far over what any story takes
+
+
+async def hanging(*_: object) -> None:
+    await asyncio.Event().wait()
 
 
 class Dispatches:
@@ -98,6 +104,33 @@
     run(story())
 
 
+def test_a_request_that_was_not_written_whole_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            connection = Connection(peer.address)
+            await connection.open()
+            connection.close()
+            with pytest.raises(NotSent):
+                await connection.exchange(JOB, AnswerReader())
+            sent = Dispatches(peer)
+            monkeypatch.setattr(Connection, "open", hanging)
+            assert (await sent.send(0.05)).ended.result is Result.NO_CONNECTION
+            assert peer.requests == [] and sent.descriptors.held == 0
+
+    run(story())
+
+
+def test_without_a_descriptor_nothing_is_sent_and_no_server_is_blamed() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            sent = Dispatches(peer, sockets=16)
+            for _ in range(8):
+                sent.descriptors.take()
+            assert (await sent.send()).ended.result is Result.NEVER_SENT and peer.requests == []
+
+    run(story())
+
+
 def test_a_request_goes_on_unchanged_but_for_its_connection_and_its_time() -> None:
     async def story() -> None:
         async with Peer() as peer:
@@ -166,6 +199,19 @@
     run(story())
 
 
+def test_a_server_dropped_while_it_works_keeps_no_connection() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer:
+            sent = Dispatches(peer)
+            task = asyncio.create_task(sent.send())
+            await peer.asked.wait()
+            sent.servers.point({})
+            peer.go_on.set()
+            assert (await task).ended.result is Result.HONOURED and sent.descriptors.held == 0
+
+    run(story())
+
+
 def test_a_new_address_under_an_old_name_gets_new_connections() -> None:
     async def story() -> None:
         async with Peer() as old, Peer() as new:
@@ -312,10 +358,6 @@
     broken()
 
 
-async def hanging(*_: object) -> None:
-    await asyncio.Event().wait()
-
-
 @pytest.mark.parametrize(
     ("part", "failing"), [("pick", broken_later), ("pick", hanging), ("report", broken), ("take", broken)]
 )
@@ -459,14 +501,15 @@
     run(story())
 
 
-def test_news_is_followed_from_the_last_version_and_a_drained_server_gets_nothing_new() -> None:
+@pytest.mark.parametrize("whole", [True, False])
+def test_news_is_followed_and_a_server_drained_or_not_named_gets_nothing_new(whole: bool) -> None:
     async def story() -> None:
         told: list[Reply] = []
         teller = Peer(lambda _: told.pop(0) if told else SILENT)
         async with Peer() as first, Peer() as second, teller:
-            leaving = [*rows(first, status="leaving")]
-            told.append(news(7, leaving, whole=False))
-            async with running(first, second, discovery=teller) as (_, address):
+            entries = rows(first, second)[1:] if whole else rows(first, status="leaving")
+            told.append(news(7, entries, whole))
+            async with running(first, second, discovery=teller) as (node, address):
                 while len(teller.requests) < 2:
                     await asyncio.sleep(0.001)
                 client = await Client().open(address)
@@ -474,6 +517,7 @@
                     client.ask()
                     assert (await client.answer()).status == 200
                 assert (len(first.requests), len(second.requests)) == (0, 6)
+                assert node.counters.read()["servers_known"] == 1
             versions = [request.target.split("after=")[1].split("&")[0] for request in teller.requests]
             assert versions[:2] == ["1", "7"] and teller.connections == 1
 
@@ -484,7 +528,7 @@
     "reply",
     [
         (b"", "close"),
-        (answer(b"503 Busy"), "keep"),
+        (answer(b"503 Busy", b'{"index":9,"snapshot":true,"endpoints":[]}'), "keep"),
         (answer(b"200 OK", b"{"), "keep"),
         (answer(b"200 OK", b'{"index":1}'), "keep"),
         SILENT,
@@ -540,7 +584,12 @@
             late.ask()
             found = await late.answer()
             assert (found.status, found.keep) == (503, False) and len(peer.requests) == 1
-            assert node.counters.read()["connections_idle"] == 0
+            figures = node.counters.read()
+            assert (figures["connections_idle"], figures["dispatches_first"]) == (0, 1)
+            for _ in range(3):
+                last = await Client().open(address)
+            assert await last.closed()
+            assert node.counters.read()["callers_dropped"] >= 1  # well past the limit: not even a refusal
 
     run(story())
 
