Plain ends for unusable input, a taken address and early signals; the program's own story

An unreadable remembered list ended the start with a trace: it is now none, and discovery is waited for. A file that is no JSON object and an address that is taken end with one plain line (exit 2 and 1). SIGUSR1 before the loop runs is passed over. The limit's line is written once and not for each caller. A story runs the program itself: start, a job, counters, SIGTERM twice, exit 0.

--- a/notchjunction/__main__.py
+++ b/notchjunction/__main__.py
@@ -6,11 +6,14 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 
 from notchjunction.net import logs, node_input
 from notchjunction.net.node import Node
 
+log = logging.getLogger("notchjunction")
+
 
 async def serve(told: node_input.NodeInput) -> None:
     await Node(told).run()
@@ -20,12 +23,18 @@
     parser = argparse.ArgumentParser(prog="notchjunction", description=__doc__)
     parser.add_argument("--log-level", default="INFO", help="of the standard error log (default: INFO)")
     logs.start(parser.parse_args().log_level.upper())
+    # Guards against being ended by a request for counters that comes before the node can answer it.
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
     try:
         told = node_input.read(os.environ)
-    except (OSError, KeyError, ValueError) as error:
-        logging.getLogger("notchjunction").error("no usable input", extra=logs.pairs(why=repr(error)))
+    except (OSError, KeyError, ValueError, TypeError, AttributeError) as error:
+        log.error("no usable input", extra=logs.pairs(why=repr(error)))
         return 2
-    asyncio.run(serve(told))
+    try:
+        asyncio.run(serve(told))
+    except OSError as error:
+        log.error("cannot listen", extra=logs.pairs(why=error))
+        return 1
     return 0
 
 
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -52,6 +52,7 @@
         self._spare_one = spare_one
         self._descriptors = descriptors
         self._callers: dict[int, Caller] = {}
+        self._limited = False
         self.draining = False
         counters.gauge("callers_connected", lambda: len(self._callers))
 
@@ -69,7 +70,9 @@
         self.counters.add("callers_opened")
         if full:
             self.counters.add("callers_refused")
+        if full and not self._limited:
             log.warning("limit reached", extra=pairs(limit="descriptors", held=self._descriptors.held))
+        self._limited = full
         caller = Caller(self, stream, full)
         self._callers[id(caller)] = caller
         try:
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -13,7 +13,7 @@
 from notchjunction.interface import Terms
 from notchjunction.net import words
 from notchjunction.net.connections import Address, address_of
-from notchjunction.net.discovery import ServerList, read_list
+from notchjunction.net.discovery import ServerList, Unusable, read_list
 
 LOOP_TICK = 0.01  # s by which timers of a loop on a shared core come late; 12 ms was the most seen
 SOCKETS = 1024  # descriptors where no limit is told
@@ -39,8 +39,9 @@
     told: dict[str, Any] = {}
     if environment.get("GW_CONFIG"):
         told = json.loads(Path(environment["GW_CONFIG"]).read_text(encoding="utf-8"))
+        if not isinstance(told, dict):
+            raise ValueError("no JSON object in the file")
     paths = terms.flatten(told.get("settings", {}))
-    known = told.get("known")
     found = terms.terms(int(str(told.get("seed", "0")), 16), paths)
     return NodeInput(
         name=environment.get("GW_NAME") or told["name"],
@@ -53,9 +54,18 @@
             operators=terms.named(paths, "tenants"),
             zones=terms.words(paths, "localities"),
         ),
-        known=read_list(known) if known and known.get("endpoints") else None,
+        known=_known(told.get("known")),
         sockets=int(told.get("limits", {}).get("sockets", SOCKETS)),
         connect_within=terms.number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
         idle_most=terms.number(paths, "limits.conn_idle", IDLE) / 1000,
         load_path=words.LOAD if terms.words(paths, "report.fields") else words.HEALTH,
     )
+
+
+def _known(told: Any) -> ServerList | None:
+    """The remembered list; one that is empty or unreadable is none, and discovery is waited for."""
+    try:
+        known = read_list(told)
+    except Unusable:
+        return None
+    return known if known.servers else None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
+import signal
 import socket
+import subprocess
 import sys
 from collections.abc import Coroutine
 from typing import Any
@@ -24,6 +27,7 @@
 from notchjunction.net.servers import Exchanged, Servers
 from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, news, rows, running
 
+PROGRAM = [sys.executable, "-m", "notchjunction"]
 JOB = Request("POST", "/api", {"req-id": "1", "connection": "keep-alive", "host": "app"}, b"body")
 
 
@@ -631,6 +635,55 @@
     assert (told.sockets, told.connect_within, told.load_path) == (64, 0.075, "/status/load")
 
 
+@pytest.mark.parametrize(
+    "known", [None, 3, [], {"index": 1}, {"index": 1, "snapshot": True, "endpoints": []}]
+)
+def test_an_unusable_remembered_list_is_none(known: object, tmp_path: Any) -> None:
+    file = tmp_path / "told.json"
+    told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "known": known}
+    file.write_text(json.dumps(told))
+    assert node_input.read({"GW_CONFIG": str(file)}).known is None
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"name":"n","listen":"x","discovery":"y"}'])
+def test_unusable_input_ends_the_program_with_one_plain_line(text: str, tmp_path: Any) -> None:
+    file = tmp_path / "told.json"
+    file.write_text(text)
+    ended = subprocess.run(PROGRAM, env={"GW_CONFIG": str(file)}, capture_output=True, text=True, timeout=20)
+    assert (
+        ended.returncode == 2 and ended.stderr.count("\n") == 1 and 'event="no usable input"' in ended.stderr
+    )
+
+
+def test_the_program_starts_by_its_environment_and_ends_with_0_at_sigterm(tmp_path: Any) -> None:
+    async def story() -> None:
+        async with Peer() as peer, Peer(SILENT) as teller:
+            with socket.socket() as free:
+                free.bind(("127.0.0.1", 0))
+                listen = f"127.0.0.1:{free.getsockname()[1]}"
+            known = {"index": 1, "snapshot": True, "endpoints": rows(peer)}
+            file = tmp_path / "told.json"
+            file.write_text(json.dumps({"name": "n", "discovery": teller.at, "seed": "f", "known": known}))
+            program = await asyncio.create_subprocess_exec(
+                *PROGRAM,
+                env={"GW_CONFIG": str(file), "GW_LISTEN": listen},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            assert program.stderr is not None
+            while b"event=ready" not in await program.stderr.readline():
+                pass
+            client = await Client().open(("127.0.0.1", int(listen.rpartition(":")[2])))
+            client.ask()
+            assert (await client.answer()).status == 200
+            for number in (signal.SIGUSR1, signal.SIGTERM, signal.SIGTERM):
+                program.send_signal(number)
+            said = (await program.stderr.read()).decode()
+            assert await program.wait() == 0 and await client.closed()
+            assert "answered_honoured=1" in said and said.splitlines()[-1].endswith("event=exit held=0")
+
+    run(story())
+
+
 def test_a_log_line_is_pairs_and_quotes_what_needs_it() -> None:
     record = logging.LogRecord("n", logging.INFO, "", 0, "list fails", (), None)
     record.__dict__.update(pairs(why='a "b"\nc', count=3, share=0.25))
