A kept connection past its time is not used again, swept or not

No such request was lost there (0 written to closed ones): the look for an end just before writing caught all. The age is now looked at at each use.

--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -96,10 +96,9 @@
 
     def sweep(self) -> None:
         """Retires connections that have stood idle, or were closed by their server."""
-        oldest = self._clock() - self._idle_most
         for server, kept in list(self._idle.items()):
             for connection in list(kept):
-                if connection.idle_since <= oldest or not connection.fit():
+                if not self._fit(connection):
                     kept.remove(connection)
                     self._close(connection)
             if not kept:
@@ -152,9 +151,9 @@
         kept = self._idle.get(server, deque())
         while kept:
             connection = kept.pop()
-            if connection.fit():
+            if self._fit(connection):
                 return connection
-            self._counters.add("connections_found_closed")
+            self._counters.add("connections_found_unfit")
             self._close(connection)
         if self._descriptors.full() and not self.close_oldest():
             self._counters.add("descriptors_short")
@@ -176,6 +175,10 @@
             raise
         return connection
 
+    def _fit(self, connection: Connection) -> bool:
+        """Guards against a request that crosses the end of a connection its server is about to close."""
+        return connection.idle_since > self._clock() - self._idle_most and connection.fit()
+
     def _give_back(self, server: str, connection: Connection, keep: bool) -> None:
         if keep and self._addresses.get(server) == connection.address:
             connection.rest(self._clock())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -151,14 +151,16 @@
     run(story())
 
 
+@pytest.mark.parametrize("swept", [True, False])
 @pytest.mark.parametrize(("idle", "connections"), [(1.0, 1), (3.5, 2)])
-def test_a_connection_is_used_again_until_it_is_retired(idle: float, connections: int) -> None:
+def test_a_connection_is_used_again_until_it_is_retired(idle: float, connections: int, swept: bool) -> None:
     async def story() -> None:
         async with Peer() as peer:
             sent = Dispatches(peer)
             await sent.send()
             sent.clock += idle
-            sent.servers.sweep()
+            if swept:
+                sent.servers.sweep()
             await sent.send()
             assert peer.connections == connections and sent.descriptors.held == 1
 
