--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -21,8 +21,9 @@
 class Reader:
     """What both kinds of message share: the head's lines, the length rules and the body."""
 
-    def __init__(self) -> None:
+    def __init__(self, body_most: int = BODY_MOST) -> None:
         self._bytes = bytearray()
+        self._body_most = body_most
         self._searched = 0
         self._start: tuple[str, str, str] | None = None
         self._headers: dict[str, str] = {}
@@ -88,7 +89,7 @@
         elif length is not None:
             if not (length.isascii() and length.isdigit()):
                 raise Malformed(400, "malformed length")
-            if len(length) > 9 or int(length) > BODY_MOST:
+            if len(length) > 9 or int(length) > self._body_most:
                 raise Malformed(413, "body too large")
             self._framing = Framing.LENGTH
             self._wanted = int(length)
@@ -108,7 +109,7 @@
         return False
 
     def _add(self, count: int) -> None:
-        if len(self._body) + count > BODY_MOST:
+        if len(self._body) + count > self._body_most:
             raise Malformed(413, "body too large")
         self._body += self._bytes[:count]
         del self._bytes[:count]
@@ -141,7 +142,7 @@
                 self._chunk_left = int(size, 16)
                 self._in_trailer = self._chunk_left == 0
             else:
-                if len(self._body) + self._chunk_left > BODY_MOST:
+                if len(self._body) + self._chunk_left > self._body_most:
                     raise Malformed(413, "body too large")
                 if len(self._bytes) < self._chunk_left + 2:
                     return False
@@ -189,8 +190,8 @@
 
 
 class AnswerReader(Reader):
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, body_most: int = BODY_MOST) -> None:
+        super().__init__(body_most)
         self._framed = False
 
     def next(self) -> Answer | None:
--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -1,4 +1,4 @@
-"""Types that the decision module shares with whatever hosts it: a bench adapter now, a real node later.
+"""Types that the decision module shares with whatever hosts it: the node, or the bench's adapter.
 
 Times are seconds, ids are small whole numbers given out by the host. Nothing here decides.
 """
@@ -96,7 +96,6 @@
     cold_share: float = 1.0
     cold_time: float = 0.0
     tip_multiple: float = 3.0
-    tip_span: float = 1.0
 
 
 @dataclass(slots=True)
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -17,6 +17,7 @@
 
 WAIT_SHARE = 0.75  # of the time within which the list must be asked for; the rest covers a slow call
 WAIT_MOST = 20.0  # s that a call waits where no such time is stated
+LIST_MOST = 8 * 1024 * 1024  # bytes of a list; tens of thousands of servers, and far under the memory limit
 SLACK = 1.5  # s over its wait that a call may take
 
 
@@ -97,7 +98,7 @@
             connection = self._connection = Connection(self._address)
             await connection.open()
         request = Request("GET", target, {"host": f"{self._address[0]}:{self._address[1]}"})
-        answer = await connection.exchange(request, AnswerReader())
+        answer = await connection.exchange(request, AnswerReader(LIST_MOST))
         if answer.keep:
             connection.rest(0.0)
         else:
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -107,7 +107,6 @@
         cold_share=number(paths, "invariants.start_capacity", 1.0),
         cold_time=number(paths, "invariants.cold", 0.0) / 1000,
         tip_multiple=number(paths, "invariants.tip_multiple", 1.0),
-        tip_span=number(paths, "invariants.fall", 1000.0) / 1000,
     )
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -557,6 +557,22 @@
     run(story())
 
 
+@pytest.mark.parametrize("framed", [True, False])
+def test_a_list_of_a_thousand_servers_is_longer_than_a_body_and_read_all_the_same(framed: bool) -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            text, then = news(2, rows(*[peer] * 1000))
+            chunks = text.replace(text.split(b"\r\n")[1], b"Transfer-Encoding: chunked", 1)
+            head, body = chunks.split(b"\r\n\r\n", 1)
+            chunks = head + b"\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+            async with Peer((text if framed else chunks, then)) as teller:
+                asked = Discovery(teller.address, 0.0)
+                assert len((await asked.news()).servers) == 1000
+                asked.close()
+
+    run(story())
+
+
 @pytest.mark.parametrize(
     ("status", "presence"),
     [
