Figures that are no numbers stay outside; a drain answers what came together

Found by reading. Req-Cost and load reports were read with float(), which lets nan and inf in: a rank or a score that compares neither way (jobs.py ask_of, terms.py load, discovery.py since_ms). A drain closed after an answer even when the next request had come with the first (callers.py converse). A module that fails at a withdrawal left the job's coroutine waiting (jobs.py). Each has a story.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -137,7 +137,8 @@
             answer = await self._answer(request)
             if answer is None:
                 return
-            keep = keep and not self._callers.draining
+            # Guards against closing over a request that came with this one, drain or not.
+            keep = keep and (not self._callers.draining or self._requests.begun)
             await self._write(Answer(answer.status, answer.headers, answer.body, keep))
             self._busy = False
 
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -47,11 +48,14 @@
 
 
 def _listed(row: Mapping[str, Any]) -> Listed:
+    since = float(row.get("since_ms") or 0)
+    if not math.isfinite(since):
+        raise ValueError("since_ms is no time")
     return Listed(
         name=str(row["name"]),
         # Guards against sending to a server in a state this node does not know.
         presence=words.PRESENCES.get(row["status"], Presence.DRAINING),
-        started_at=float(row.get("since_ms") or 0) / 1000,
+        started_at=since / 1000,
         zone=str(row.get("zone") or ""),
         cell=None if row.get("group") is None else int(row["group"]),
     )
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -25,7 +25,7 @@
 
 log = logging.getLogger(__name__)
 
-TIME_LEFT_DIGITS = 8  # digits of milliseconds: over a day is no time that a caller waits
+DIGITS_MOST = 8  # digits of milliseconds: over a day is no time that a caller waits; work is less
 LOST_AFTER = 0.03  # s past the abandon time; a job unanswered by then was lost by a failure of the node's own
 WRITTEN_OFF = Answer(502)
 OWN_FAILURE = Answer(500)
@@ -81,7 +81,12 @@
                     return self._own_failure() if self._broken else None
 
     def withdraw(self) -> None:
-        self._decider.withdraw(self._ticket)
+        """The caller has gone, or the node failed: no orders but the last will come."""
+        try:
+            self._decider.withdraw(self._ticket)
+        except Exception:
+            self._counters.add("failures")
+            log.exception("job failed in the node")
 
     def _send(self, order: Send) -> None:
         self._counters.add("dispatches_first" if order.dispatch == 0 else "dispatches_again")
@@ -119,7 +124,7 @@
         log.exception("job failed in the node")
         self._counters.add("failures")
         self._broken = True
-        self._decider.withdraw(self._ticket)
+        self.withdraw()
 
     def _own_failure(self) -> Answer:
         self._counters.add("answered_own_failure")
@@ -129,18 +134,20 @@
 def ask_of(request: Request, waited: float) -> Ask | None:
     """The job that a request states; None where the time it may take is missing or absurd."""
     headers = request.headers
-    left = headers.get(words.TIME_LEFT, "")
-    if not (left.isascii() and left.isdigit()) or len(left) > TIME_LEFT_DIGITS:
+    left = _whole(headers.get(words.TIME_LEFT, ""))
+    hint = _whole(headers.get(words.WORK_HINT, ""))
+    if left is None:
         return None
-    try:
-        hint: float | None = float(headers[words.WORK_HINT]) / 1e6  # whole microseconds on sockets
-    except (KeyError, ValueError):
-        hint = None
     return Ask(
         profile=headers.get(words.PROFILE, ""),
-        time_left=int(left) / 1000 - waited,
+        time_left=left / 1000 - waited,
         effect=words.effect(request.method, words.NUMBER in headers),
         operator=headers.get(words.OPERATOR, ""),
         repeat=headers.get(words.REPEAT) == "1",
-        work_hint=hint,
+        work_hint=None if hint is None else hint / 1e6,  # microseconds on sockets
     )
+
+
+def _whole(text: str) -> int | None:
+    """A whole number; None where there is none, or an absurd one (a float would let "nan" in)."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= DIGITS_MOST else None
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from notchjunction.interface import Effect, Group, Load, Profile, Terms
@@ -116,7 +117,10 @@
     for name, value in report.items():
         if name in LOAD_WORDS and isinstance(value, str | int | float) and value != "":
             try:
-                figures[LOAD_WORDS[name]] = float(value) / (1000 if name.endswith("_ms") else 1)
+                figure = float(value) / (1000 if name.endswith("_ms") else 1)
             except ValueError:
                 continue
+            # Guards against a server that reports no number: a comparison with it would hold neither way.
+            if math.isfinite(figure) and figure >= 0:
+                figures[LOAD_WORDS[name]] = figure
     return Load(**figures) if report else None
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -165,6 +165,12 @@
     assert story.decider.kept == 0
 
 
+@pytest.mark.parametrize("figure", ["nan", "inf", float("nan"), -1, "much", None, [], {}])
+def test_a_load_figure_that_is_no_number_stays_unknown(figure: object) -> None:
+    found = terms.load({"q": figure, "rate": 2.5, "news": 1})
+    assert found is not None and (found.waiting, found.rate) == (None, 2.5)
+
+
 def test_both_forms_of_the_settings_give_the_same_terms() -> None:
     nested = {
         "layer": 1,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -23,6 +23,7 @@
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.discovery import Discovery, Unusable, read_list
+from notchjunction.net.jobs import ask_of
 from notchjunction.net.logs import KeyValueFormatter, pairs
 from notchjunction.net.servers import Exchanged, Servers
 from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, news, rows, running
@@ -385,6 +386,22 @@
     run(story())
 
 
+def test_a_caller_who_goes_while_the_module_fails_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("notchjunction.rules.Balancer.withdrawn", broken)
+
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client = await Client().open(address)
+            client.ask(left="100")
+            await peer.asked.wait()
+            client.writer.close()
+            while not (figures := node.counters.read()).get("withdrawn") or figures["jobs_kept"]:
+                await asyncio.sleep(0.001)
+            assert figures["failures"] == 1 and figures["callers_connected"] == 0
+
+    run(story())
+
+
 def test_news_that_fails_in_the_node_is_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
     async def story() -> None:
         async with Peer() as peer:
@@ -616,6 +633,34 @@
     run(story())
 
 
+def test_a_draining_node_answers_both_requests_that_came_together() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client = await Client().open(address)
+            client.ask()
+            await peer.asked.wait()
+            client.ask()
+            (caller,) = node._callers._callers.values()
+            while not caller._requests.begun:
+                await asyncio.sleep(0.001)
+            node.stop()
+            while not node._callers.draining:
+                await asyncio.sleep(0.001)
+            peer.go_on.set()
+            found = [await client.answer() for _ in range(2)]
+            assert [(one.status, one.keep) for one in found] == [(200, True), (200, False)]
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    ("text", "hint"), [("187429", 0.187429), ("", None), ("nan", None), ("1e3", None), ("-5", None)]
+)
+def test_a_work_hint_is_whole_microseconds_or_none(text: str, hint: float | None) -> None:
+    ask = ask_of(Request("GET", "/api", {"req-deadline-ms": "500", "req-cost": text}), 0.1)
+    assert ask is not None and ask.work_hint == hint and ask.time_left == pytest.approx(0.4)
+
+
 def test_a_draining_node_serves_on_answers_what_it_holds_and_ends() -> None:
     async def story() -> None:
         async with Peer(SILENT) as peer, running(peer) as (node, address):
