--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -30,10 +30,7 @@
 )
 from notchjunction.rules import Balancer
 
-LAGS_KEPT = 64  # last delays of timers; a second to tens of seconds of traffic
-LATE_TURNS = (
-    10  # middle delays of a timer between a request's arrival and its answer: five loop turns of twice that
-)
+LAGS_KEPT = 256  # last delays of timers; some tens of seconds of ordinary traffic
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +165,6 @@
         self._errands: asyncio.Queue[Errand] = asyncio.Queue()
         self._timers: list[tuple[float, int]] = []
         self._awake_at = math.inf
-        self._allowed = 2 * terms.tick  # the module itself answers so much before the time is up
         self.lags: deque[float] = deque(maxlen=LAGS_KEPT)
         # A job whose method and key contradict its profile is at-most-once: a copy of the profile says so.
         self._effects = [profile.effect for profile in terms.profiles]
@@ -186,7 +182,7 @@
             id=ticket.number,
             profile=self._profile(ask),
             operator=self._operators.get(ask.operator, 0),
-            time_left=max(ask.time_left - self._lateness(), ask.time_left / 2),
+            time_left=ask.time_left,
             repeat=ask.repeat,
             work_hint=ask.work_hint,
         )
@@ -276,11 +272,6 @@
             self._awake_at = self._timers[0][0]
             self._wake(max(0.0, self._awake_at - self._clock()))
 
-    def _lateness(self) -> float:
-        """What a loop that cannot keep up adds to each answer, so that none comes after its time."""
-        middle = sorted(self.lags)[len(self.lags) // 2] if self.lags else 0.0
-        return max(0.0, LATE_TURNS * middle - self._allowed)
-
     # Numbers for names.
 
     def _release(self, ticket: Ticket) -> None:
