--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -38,6 +38,11 @@
         """Whether part of a message has come."""
         return self._start is not None or len(self._bytes) > 0
 
+    @property
+    def unread(self) -> int:
+        """Bytes that came and are not yet read."""
+        return len(self._bytes)
+
     def feed(self, piece: bytes) -> None:
         self._bytes += piece
 
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -193,14 +193,17 @@
     async def _job(self, job: Job) -> Answer | None:
         """Waits for the job's answer, and reads on so that a caller who goes is noticed."""
         work = asyncio.create_task(job.answer())
-        reading = self._read()
-        waiting: set[asyncio.Future[Any]] = {work, reading}
-        await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        if reading.done() and not work.done():
-            try:
-                self._feed()
-            except StreamClosedError:
-                job.withdraw()
+        while not work.done():
+            waiting: set[asyncio.Future[Any]] = {work}
+            if self._requests.unread < PIECE:  # bounds what a caller can send ahead
+                waiting.add(self._read())
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            if self._reading is not None and self._reading.done() and not work.done():
+                try:
+                    self._feed()
+                except StreamClosedError:
+                    job.withdraw()
+                    break
         answer = await work
         if answer is None:
             self._callers.counters.add("withdrawn")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -340,14 +340,20 @@
     run(story())
 
 
-@pytest.mark.parametrize("at_once", [True, False])
-def test_a_caller_who_goes_stops_its_dispatch(at_once: bool) -> None:
+@pytest.mark.parametrize(("at_once", "ahead"), [(True, 0), (False, 0), (False, 1), (False, 20)])
+def test_a_caller_who_goes_stops_its_dispatch(at_once: bool, ahead: int) -> None:
     async def story() -> None:
         async with Peer(SILENT) as peer, running(peer) as (node, address):
             client = await Client().open(address)
             client.ask()
             if not at_once:
                 await peer.asked.wait()
+            (caller,) = node._callers._callers.values() if ahead else (None,)
+            for _ in range(ahead):
+                client.ask()
+                seen = caller._requests.unread if caller else 0
+                while caller and caller._requests.unread == seen:
+                    await asyncio.sleep(0.001)
             client.writer.close()
             while not (figures := node.counters.read()).get("withdrawn") or figures["jobs_kept"]:
                 await asyncio.sleep(0.001)
