Stories for four more guards that could be taken out unseen

53 guards of the node taken out one by one: unnoticed were a start time that is no number, one line for a limit reached, an address that is taken, and a signal before the loop runs. All 53 are noticed now.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import os
 import signal
 import socket
 import subprocess
@@ -14,6 +15,7 @@
 
 import pytest
 
+from notchjunction.__main__ import main
 from notchjunction.http1.messages import Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence, Result
@@ -560,6 +562,7 @@
         (answer(b"503 Busy", b'{"index":9,"snapshot":true,"endpoints":[]}'), "keep"),
         (answer(b"200 OK", b"{"), "keep"),
         (answer(b"200 OK", b'{"index":1}'), "keep"),
+        news(2, [{"name": "s", "status": "active", "since_ms": float("nan")}]),
         SILENT,
     ],
 )
@@ -616,7 +619,9 @@
 # Limits, start and end.
 
 
-def test_over_the_limit_idle_connections_go_first_then_callers_are_refused() -> None:
+def test_over_the_limit_idle_connections_go_first_then_callers_are_refused(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
             clients = [await Client().open(address) for _ in range(9)]
@@ -631,9 +636,13 @@
             assert (found.status, found.keep) == (503, False) and len(peer.requests) == 1
             figures = node.counters.read()
             assert (figures["connections_idle"], figures["dispatches_first"]) == (0, 1)
+            again = await Client().open(address)
+            again.ask()
+            assert (await again.answer()).status == 503
             for _ in range(3):
                 last = await Client().open(address)
             assert await last.closed()
+            assert [record.getMessage() for record in caplog.records].count("limit reached") == 1
             assert node.counters.read()["callers_dropped"] >= 1  # well past the limit: not even a refusal
 
     run(story())
@@ -724,6 +733,36 @@
     )
 
 
+def test_an_address_that_is_taken_ends_the_program_with_one_plain_line(tmp_path: Any) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        at = f"127.0.0.1:{taken.getsockname()[1]}"
+        file = tmp_path / "told.json"
+        file.write_text(json.dumps({"name": "n", "listen": at, "discovery": at, "seed": "f"}))
+        ended = subprocess.run(
+            PROGRAM, env={"GW_CONFIG": str(file)}, capture_output=True, text=True, timeout=20
+        )
+    assert ended.returncode == 1 and "Traceback" not in ended.stderr
+    assert 'event="cannot listen"' in ended.stderr.splitlines()[-1]
+
+
+def test_a_request_for_counters_before_the_node_runs_does_not_end_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    def early(_: object) -> None:
+        os.kill(os.getpid(), signal.SIGUSR1)
+        raise KeyError("told")
+
+    before = signal.getsignal(signal.SIGUSR1)
+    monkeypatch.setattr("sys.argv", ["notchjunction"])
+    monkeypatch.setattr("os.environ", {})
+    monkeypatch.setattr("notchjunction.net.logs.start", lambda _: None)
+    monkeypatch.setattr(node_input, "read", early)
+    try:
+        assert main() == 2
+    finally:
+        signal.signal(signal.SIGUSR1, before)
+
+
 def test_the_program_starts_by_its_environment_and_ends_with_0_at_sigterm(tmp_path: Any) -> None:
     async def story() -> None:
         async with Peer() as peer, Peer(SILENT) as teller:
