--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -142,7 +142,7 @@
 
     number: int
     orders: asyncio.Queue[Order] = field(default_factory=asyncio.Queue)
-    dispatches: list[str] = field(default_factory=list)
+    servers: list[int] = field(default_factory=list)  # by dispatch
     out: set[int] = field(default_factory=set)
     answered: bool = False
 
@@ -200,7 +200,7 @@
         ticket.out.discard(dispatch)
         first = ended.result is Result.HONOURED and not ticket.answered
         ticket.answered = ticket.answered or first
-        server = self._servers[ticket.dispatches[dispatch]]
+        server = ticket.servers[dispatch]
         self._core.outcome(
             Outcome(ticket.number, dispatch, server, ended.result, ended.seconds, ticket.answered, ended.load)
         )
@@ -258,8 +258,8 @@
 
     def _send(self, job: int, server: int, within: float) -> None:
         ticket = self._tickets[job]
-        dispatch = len(ticket.dispatches)
-        ticket.dispatches.append(self._names[server])
+        dispatch = len(ticket.servers)
+        ticket.servers.append(server)
         ticket.out.add(dispatch)
         self._order(job, Send(dispatch, self._names[server], within))
 
--- a/notchjunction/http1/encoder.py
+++ b/notchjunction/http1/encoder.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
-from notchjunction.http1.messages import HOP_HEADERS, Answer, Request
+from notchjunction.http1.messages import HOP_HEADERS, Answer, Request, connection_options
 
 
 def encode_request(request: Request) -> bytes:
@@ -26,7 +26,7 @@
 
 def end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
     """Headers without those that speak of one connection only."""
-    named = {word.strip().lower() for word in headers.get("connection", "").split(",")}
+    named = connection_options(headers)
     return {name: value for name, value in headers.items() if name not in HOP_HEADERS and name not in named}
 
 
--- a/notchjunction/http1/messages.py
+++ b/notchjunction/http1/messages.py
@@ -14,6 +14,10 @@
 )
 
 
+def connection_options(headers: Mapping[str, str]) -> set[str]:
+    return {word.strip().lower() for word in headers.get("connection", "").split(",")}
+
+
 class Malformed(Exception):
     """Bytes that are no message; `status` is what a caller is told. The connection is of no further use."""
 
--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -5,7 +5,7 @@
 import re
 from enum import Enum, auto
 
-from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Malformed, Request
+from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Malformed, Request, connection_options
 
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 TARGET = re.compile(r"[\x21-\x7e]+")
@@ -27,6 +27,7 @@
         self._searched = 0
         self._start: tuple[str, str, str] | None = None
         self._headers: dict[str, str] = {}
+        self._framed = False
         self._framing = Framing.LENGTH
         self._wanted = 0
         self._body = bytearray()
@@ -100,6 +101,10 @@
             self._wanted = int(length)
         else:
             self._framing = without
+        self._framed = True
+
+    def _end_message(self) -> None:
+        self._start, self._framed = None, False
 
     def _body_read(self) -> bool:
         if self._framing is Framing.LENGTH:
@@ -158,15 +163,11 @@
                 self._chunk_left = -1
 
     def _keeps(self, version: str) -> bool:
-        options = {word.strip().lower() for word in self._headers.get("connection", "").split(",")}
+        options = connection_options(self._headers)
         return "close" not in options and (version == "HTTP/1.1" or "keep-alive" in options)
 
 
 class RequestReader(Reader):
-    def __init__(self) -> None:
-        super().__init__()
-        self._framed = False
-
     def awaits_go_ahead(self) -> bool:
         """Once for a request whose caller holds the body back until told to go on (RFC 9110, 10.1.1)."""
         awaited = self._framed and self._headers.get("expect", "").lower() == "100-continue"
@@ -186,19 +187,14 @@
             if not TOKEN.fullmatch(method) or not TARGET.fullmatch(target):
                 raise Malformed(400, "malformed request line")
             self._frame(without=Framing.LENGTH)
-            self._framed = True
         if not self._body_read():
             return None
         request = Request(method, target, self._headers, bytes(self._body), self._keeps(version))
-        self._start, self._framed = None, False
+        self._end_message()
         return request
 
 
 class AnswerReader(Reader):
-    def __init__(self, body_most: int = BODY_MOST) -> None:
-        super().__init__(body_most)
-        self._framed = False
-
     def next(self) -> Answer | None:
         """The whole answer; None while it is not whole. Interim answers (1xx) are passed over."""
         while self._head_read():
@@ -208,10 +204,9 @@
                 if version not in ("HTTP/1.1", "HTTP/1.0") or not re.fullmatch(r"[1-9][0-9]{2}", status):
                     raise Malformed(502, "malformed status line")
                 if status[0] == "1":
-                    self._start = None
+                    self._end_message()
                     continue
                 self._frame(without=Framing.LENGTH if status in ("204", "304") else Framing.TO_THE_END)
-                self._framed = True
             return self._whole(keep=True) if self._body_read() else None
         return None
 
@@ -226,5 +221,5 @@
         version, status, _ = self._start
         # Guards against reading a leftover as the next answer: with bytes to spare the connection is unfit.
         keep = keep and self._keeps(version) and not self._bytes
-        self._start, self._framed = None, False
+        self._end_message()
         return Answer(int(status), self._headers, bytes(self._body), keep)
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -19,7 +19,7 @@
 from notchjunction.net.connections import BUFFER_MOST, PIECE, Address, read_piece
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
-from notchjunction.net.jobs import Job, ask_of
+from notchjunction.net.jobs import Job, ask_of, own_failure
 from notchjunction.net.logs import pairs
 
 log = logging.getLogger(__name__)
@@ -54,7 +54,7 @@
         self._callers: dict[int, Caller] = {}
         self._limited = False
         self.draining = False
-        counters.gauge("callers_connected", lambda: len(self._callers))
+        counters.gauge("callers_connected", lambda: self.connected)
 
     def open(self, address: Address) -> None:
         self.listen(address[1], address[0], backlog=BACKLOG, reuse_port=False)
@@ -79,9 +79,8 @@
             await caller.converse()
         except StreamClosedError:
             pass
-        except Exception:
-            self.counters.add("failures")
-            log.exception("caller failed in the node")
+        except Exception as error:
+            self.counters.add_failure("caller failed in the node", error)
         finally:
             del self._callers[id(caller)]
             stream.close()
@@ -96,13 +95,6 @@
         for caller in list(self._callers.values()):
             caller.close_if_idle()
 
-    def own_failure(self) -> Answer:
-        """The module failed at a job before it began."""
-        log.exception("job failed in the node")
-        self.counters.add("failures")
-        self.counters.add("answered_own_failure")
-        return Answer(500)
-
     @property
     def connected(self) -> int:
         return len(self._callers)
@@ -186,8 +178,9 @@
             return Answer(503)
         try:
             job = self._callers.take(ask, request)
-        except Exception:
-            return self._callers.own_failure()
+        except Exception as error:
+            self._callers.counters.add_failure("job failed in the node", error)
+            return own_failure(self._callers.counters)
         return await self._job(job)
 
     async def _job(self, job: Job) -> Answer | None:
--- a/notchjunction/net/counters.py
+++ b/notchjunction/net/counters.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from collections.abc import Callable
 
+from notchjunction.interface import Result
+
+log = logging.getLogger(__name__)
+
 
 class Counters:
     def __init__(self) -> None:
@@ -14,6 +19,14 @@
     def add(self, name: str, more: int = 1) -> None:
         self._counts[name] += more
 
+    def add_result(self, kind: str, result: Result) -> None:
+        self.add(f"{kind}_{result.value.replace(' ', '_')}")
+
+    def add_failure(self, event: str, error: BaseException) -> None:
+        """A failure of the node's own: counted, and logged with its trace."""
+        self.add("failures")
+        log.error(event, exc_info=error)
+
     def gauge(self, name: str, figure: Callable[[], float]) -> None:
         self._gauges[name] = figure
 
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 
 from notchjunction.decider import (
     Ask,
@@ -23,14 +22,18 @@
 from notchjunction.net.counters import Counters
 from notchjunction.net.servers import Exchanged, Servers
 
-log = logging.getLogger(__name__)
-
 DIGITS_MOST = 8  # digits of milliseconds: over a day is no time that a caller waits; work is less
 LOST_AFTER = 0.03  # s past the abandon time; a job unanswered by then was lost by a failure of the node's own
 WRITTEN_OFF = Answer(502)
 OWN_FAILURE = Answer(500)
 
 
+def own_failure(counters: Counters) -> Answer:
+    """The node itself failed at the job, which is answered all the same."""
+    counters.add("answered_own_failure")
+    return OWN_FAILURE
+
+
 def turned_back(come_back_in: float) -> Answer:
     return Answer(503, {"retry-after": f"{come_back_in:.3f}"} if come_back_in > 0 else {})
 
@@ -54,11 +57,11 @@
         try:
             async with asyncio.timeout(self._answer_within):
                 return await self._follow_orders()
-        except Exception:
-            self._fail()
+        except Exception as error:
+            self._fail(error)
             for dispatch in list(self._tasks):
                 self._stop(dispatch)
-            return self._own_failure()
+            return own_failure(self._counters)
 
     async def _follow_orders(self) -> Answer | None:
         while True:
@@ -78,15 +81,14 @@
                     self._counters.add("answered_written_off")
                     return WRITTEN_OFF
                 case Leave():
-                    return self._own_failure() if self._broken else None
+                    return own_failure(self._counters) if self._broken else None
 
     def withdraw(self) -> None:
         """The caller has gone, or the node failed: no orders but the last will come."""
         try:
             self._decider.withdraw(self._ticket)
-        except Exception:
-            self._counters.add("failures")
-            log.exception("job failed in the node")
+        except Exception as error:
+            self._counters.add_failure("job failed in the node", error)
 
     def _send(self, order: Send) -> None:
         self._counters.add("dispatches_first" if order.dispatch == 0 else "dispatches_again")
@@ -106,30 +108,23 @@
         if task.cancelled():
             ended = Ended(Result.RECALLED, 0.0)
         elif (error := task.exception()) is not None:
-            self._counters.add("failures")
-            log.error("dispatch failed in the node", exc_info=error)
+            self._counters.add_failure("dispatch failed in the node", error)
         else:
             exchanged = task.result()
             ended = exchanged.ended
             if exchanged.answer is not None:
                 self._answers[dispatch] = exchanged.answer
-        self._counters.add(f"dispatches_{ended.result.value.replace(' ', '_')}")
+        self._counters.add_result("dispatches", ended.result)
         try:
             self._decider.report(self._ticket, dispatch, ended)
-        except Exception:
-            self._fail()
+        except Exception as failure:
+            self._fail(failure)
 
-    def _fail(self) -> None:
-        """The node's own failure: logged, counted, and the job is answered all the same."""
-        log.exception("job failed in the node")
-        self._counters.add("failures")
+    def _fail(self, error: Exception) -> None:
+        self._counters.add_failure("job failed in the node", error)
         self._broken = True
         self.withdraw()
 
-    def _own_failure(self) -> Answer:
-        self._counters.add("answered_own_failure")
-        return OWN_FAILURE
-
 
 def ask_of(request: Request, waited: float) -> Ask | None:
     """The job that a request states; None where the time it may take is missing or absurd."""
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -115,9 +115,8 @@
     def _tick(self) -> None:
         try:
             self._decider.tick()
-        except Exception:
-            self.counters.add("failures")
-            log.exception("timer failed in the node")
+        except Exception as error:
+            self.counters.add_failure("timer failed in the node", error)
 
     # Errands.
 
@@ -129,8 +128,7 @@
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            self.counters.add("failures")
-            log.error("errand failed in the node", exc_info=error)
+            self.counters.add_failure("errand failed in the node", error)
 
     async def _run_errands(self) -> None:
         while True:
@@ -146,7 +144,7 @@
     async def _probe(self, server: str) -> None:
         ended = await self._servers.probe(server)
         self.counters.add("probes")
-        self.counters.add(f"probes_{ended.result.value.replace(' ', '_')}")
+        self.counters.add_result("probes", ended.result)
         self._decider.report_probe(server, ended)
 
     async def _follow(self) -> None:
@@ -171,8 +169,7 @@
         self._list_fails = True
         if not isinstance(error, Unusable):
             # Guards against a node that never asks for the list again after one failure of its own.
-            self.counters.add("failures")
-            log.error("list news failed in the node", exc_info=error)
+            self.counters.add_failure("list news failed in the node", error)
 
     def _hear(self, news: ServerList, kind: News) -> None:
         if kind is not News.CHANGES:
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -72,13 +72,7 @@
     def point(self, ready: Mapping[str, Address]) -> None:
         """The servers that may get new requests, and where; idle connections elsewhere are closed."""
         self._addresses = dict(ready)
-        for server, kept in list(self._idle.items()):
-            for connection in list(kept):
-                if self._addresses.get(server) != connection.address:
-                    kept.remove(connection)
-                    self._close(connection)
-            if not kept:
-                del self._idle[server]
+        self._retire(lambda server, connection: not self._current(server, connection))
 
     async def dispatch(self, server: str, request: Request, within: float) -> Exchanged:
         headers = end_to_end(request.headers)
@@ -96,13 +90,7 @@
 
     def sweep(self) -> None:
         """Retires connections that have stood idle, or were closed by their server."""
-        for server, kept in list(self._idle.items()):
-            for connection in list(kept):
-                if not self._fit(connection):
-                    kept.remove(connection)
-                    self._close(connection)
-            if not kept:
-                del self._idle[server]
+        self._retire(lambda _, connection: not self._fit(connection))
 
     def close_oldest(self) -> bool:
         """Gives up one idle connection, where descriptors are short."""
@@ -165,7 +153,7 @@
             async with asyncio.timeout(self._connect_within):
                 await connection.open()
             # Guards against a request to a server that the list has dropped while the connection came up.
-            if self._addresses.get(server) != address:
+            if not self._current(server, connection):
                 raise NotSent("no longer in the list")
         except TimeoutError as error:
             self._close(connection)
@@ -175,12 +163,25 @@
             raise
         return connection
 
+    def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
+        for server, kept in list(self._idle.items()):
+            for connection in list(kept):
+                if unwanted(server, connection):
+                    kept.remove(connection)
+                    self._close(connection)
+            if not kept:
+                del self._idle[server]
+
+    def _current(self, server: str, connection: Connection) -> bool:
+        """Whether the list still has the server ready, and at that address."""
+        return self._addresses.get(server) == connection.address
+
     def _fit(self, connection: Connection) -> bool:
         """Guards against a request that crosses the end of a connection its server is about to close."""
         return connection.idle_since > self._clock() - self._idle_most and connection.fit()
 
     def _give_back(self, server: str, connection: Connection, keep: bool) -> None:
-        if keep and self._addresses.get(server) == connection.address:
+        if keep and self._current(server, connection):
             connection.rest(self._clock())
             self._idle.setdefault(server, deque()).append(connection)
         else:
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -59,7 +59,12 @@
 
 def named(paths: Paths, stem: str) -> list[str]:
     """The names in a list of objects."""
-    return [paths.get(f"{stem}.{i}.name", "") for i in range(int(number(paths, f"{stem}.count", 0)))]
+    return [paths.get(item + "name", "") for item in _items(paths, stem)]
+
+
+def _items(paths: Paths, stem: str) -> list[str]:
+    """The stems of the objects in a list."""
+    return [f"{stem}.{i}." for i in range(int(number(paths, f"{stem}.count", 0)))]
 
 
 def _flag(paths: Paths, path: str, default: bool) -> bool:
@@ -83,12 +88,11 @@
 def terms(seed: int, paths: Paths) -> Terms:
     layers = words(paths, "layers")
     layer = int(number(paths, "layer", -1))
-    operators = range(int(number(paths, "tenants.count", 0)))
     advised = _flag(paths, "limits.retry_after", False)
     return Terms(
         seed=seed,
-        profiles=[_profile(paths, f"profiles.{i}.") for i in range(int(number(paths, "profiles.count", 0)))],
-        operator_quotas=[number(paths, f"tenants.{i}.quota_rps", 0.0) for i in operators],
+        profiles=[_profile(paths, item) for item in _items(paths, "profiles")],
+        operator_quotas=[number(paths, item + "quota_rps", 0.0) for item in _items(paths, "tenants")],
         nodes=max(1, int(number(paths, "group_size", 1))),
         depth=layer if 0 <= layer < len(layers) else None,
         depths=len(layers),
