Idle callers make room, first requests due in 2 s, bad ones closed, SIGHUP moves the list

A trace of what callers sent showed floods of profiles that no server knows, ids of held jobs, and connections that ask once and stay. Ruled out: memory (17 MB of 64) and a late loop.

At fault: IDLE_MOST and HEAD_WITHIN in callers.py, one budget for callers and servers in descriptors.py, ask_of taking any profile, no handler for SIGHUP. Accepting is now counted at once, and at most 16 at one go.

--- a/notchjunction/__main__.py
+++ b/notchjunction/__main__.py
@@ -20,11 +20,13 @@
 
 
 def main() -> int:
+    # Guards against being ended by a request that comes before the node can answer it. One for new
+    # configuration is kept until then.
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     parser = argparse.ArgumentParser(prog="notchjunction", description=__doc__)
     parser.add_argument("--log-level", default="INFO", help="of the standard error log (default: INFO)")
     logs.start(parser.parse_args().log_level.upper())
-    # Guards against being ended by a request for counters that comes before the node can answer it.
-    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
     try:
         told = node_input.read(os.environ)
     except (OSError, KeyError, ValueError, TypeError, AttributeError) as error:
--- a/notchjunction/http1/encoder.py
+++ b/notchjunction/http1/encoder.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
-from notchjunction.http1.messages import HOP_HEADERS, Answer, Request, connection_options
+from notchjunction.http1.messages import Answer, Request
 
 
 def encode_request(request: Request) -> bytes:
@@ -24,12 +24,6 @@
     return _encode(f"HTTP/1.1 {answer.status} {reason(answer.status)}", headers, answer.body)
 
 
-def end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
-    """Headers without those that speak of one connection only."""
-    named = connection_options(headers)
-    return {name: value for name, value in headers.items() if name not in HOP_HEADERS and name not in named}
-
-
 def reason(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/notchjunction/http1/messages.py
+++ b/notchjunction/http1/messages.py
@@ -8,11 +8,6 @@
 HEAD_MOST = 16 * 1024  # bytes of a message's head; far over what a caller sends
 BODY_MOST = 64 * 1024  # bytes of a body; the protocol's bound
 
-# Headers that speak of one connection and are never passed on (RFC 9110, 7.6.1).
-HOP_HEADERS = frozenset(
-    ("connection", "expect", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade")
-)
-
 
 def connection_options(headers: Mapping[str, str]) -> set[str]:
     return {word.strip().lower() for word in headers.get("connection", "").split(",")}
--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -8,6 +8,7 @@
 from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Malformed, Request, connection_options
 
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+SOUND = re.compile(r"[\t\x20-\x7e\x80-\xff]*")  # a header's value without control bytes
 TARGET = re.compile(r"[\x21-\x7e]+")
 CHUNK_LINE_MOST = 256  # bytes of a chunk's size line; extensions are rare and short
 
@@ -21,10 +22,13 @@
 class Reader:
     """What both kinds of message share: the head's lines, the length rules and the body."""
 
+    VALUE = SOUND
+
     def __init__(self, body_most: int = BODY_MOST) -> None:
         self._bytes = bytearray()
         self._body_most = body_most
         self._searched = 0
+        self._blank = False
         self._start: tuple[str, str, str] | None = None
         self._headers: dict[str, str] = {}
         self._framed = False
@@ -51,8 +55,10 @@
         """Reads the head once it is whole."""
         if self._start is not None:
             return True
-        while self._bytes[:2] == b"\r\n":  # an empty line before a message is passed over (RFC 9112, 2.2)
+        if not self._blank and self._bytes[:2] == b"\r\n":
+            # An empty line before a message is passed over (RFC 9112, 2.2); more would never end.
             del self._bytes[:2]
+            self._blank = True
         end = self._bytes.find(b"\r\n\r\n", self._searched)
         if end < 0 or end > HEAD_MOST:
             if len(self._bytes) > HEAD_MOST:
@@ -68,13 +74,14 @@
         self._headers = {}
         for line in lines[1:]:
             name, colon, value = line.partition(":")
-            if not colon or not TOKEN.fullmatch(name) or "\n" in value or "\r" in value or "\0" in value:
+            if not colon or not TOKEN.fullmatch(name) or not self.VALUE.fullmatch(value):
                 raise Malformed(400, "malformed header")
             name, value = name.lower(), value.strip(" \t")
             if name in self._headers and name in ("content-length", "transfer-encoding", "host"):
                 raise Malformed(400, f"two headers {name}")
             self._headers[name] = f"{self._headers[name]}, {value}" if name in self._headers else value
         self._start = (start[0], start[1], start[2] if len(start) > 2 else "")
+        self._blank = False
         return True
 
     def _frame(self, without: Framing) -> None:
@@ -195,6 +202,8 @@
 
 
 class AnswerReader(Reader):
+    VALUE = re.compile(r"[^\r\n]*")  # an odd header spoils no answer: none but the named ones is looked at
+
     def next(self) -> Answer | None:
         """The whole answer; None while it is not whole. Interim answers (1xx) are passed over."""
         while self._head_read():
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from contextlib import suppress
+from itertools import islice
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
+from tornado.netutil import bind_sockets
 
 from notchjunction.decider import Ask
 from notchjunction.http1.encoder import encode_answer
@@ -25,56 +27,114 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024  # connections that wait to be accepted; a burst of callers, also after a restart
-HEAD_WITHIN = 10.0  # s from a request's first byte to its last; far over what a sound caller takes
+ACCEPT_MOST = 16  # connections accepted at one go; jobs get their turn in between, however many knock
+REQUEST_WITHIN = 2.0  # s from connecting, or from a later request's first byte, until a request is whole
 WRITTEN_WITHIN = 10.0  # s that a caller may take to read its answer; then it counts as gone
 REFUSED_WITHIN = 1.0  # s that a caller over the limit has for the one request that is refused
+LINGER_WITHIN = 0.5  # s of reading on after an error, so that a reset does not destroy it on its way
+LINGER_MOST = 1024 * 1024  # bytes thrown away in that time; more costs too much for politeness
 IDLE_MOST = 120.0  # s that a caller may stand idle; longer than pauses in traffic
-
+IDLE_SPARED = 2.0  # s idle after which a caller is closed where descriptors are short; sound ones come again
+SILENT_SPARED = 0.5  # s from connecting after which one that said nothing is; sound ones send at once
+TRIED_MOST = 4  # callers looked at to make room for one; the longest idle are rarely about to send
 
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Callers(TCPServer):
+class Callers:
     def __init__(
         self,
         clock: Callable[[], float],
         take: Callable[[Ask, Request], Job],
         ready: Callable[[], bool],
         spare_one: Callable[[], bool],
+        profiles: Collection[str],
         descriptors: Descriptors,
         counters: Counters,
     ) -> None:
-        super().__init__(max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
         self.clock = clock
         self.take = take
         self.ready = ready
+        self.profiles = profiles
         self.counters = counters
+        self.descriptors = descriptors
         self._spare_one = spare_one
-        self._descriptors = descriptors
-        self._callers: dict[int, Caller] = {}
+        self._loop = asyncio.get_running_loop()
+        self._listeners: list[socket.socket] = []
+        self._callers: dict[Caller, asyncio.Task[None]] = {}
+        # Those that have sent nothing yet, and those between two requests; the longest so come first.
+        self.silent: dict[Caller, float] = {}
+        self.idle: dict[Caller, float] = {}
+        self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
         self.draining = False
-        counters.gauge("callers_connected", lambda: self.connected)
+        counters.gauge("callers_connected", lambda: descriptors.callers)
+        counters.gauge("callers_idle", lambda: len(self.idle))
+
+    @property
+    def connected(self) -> int:
+        return len(self._callers)
 
     def open(self, address: Address) -> None:
-        self.listen(address[1], address[0], backlog=BACKLOG, reuse_port=False)
+        self._listeners = bind_sockets(address[1], address[0], backlog=BACKLOG)
+        for listener in self._listeners:
+            self._loop.add_reader(listener.fileno(), self._accept, listener)
 
-    async def handle_stream(self, stream: IOStream, address: Any) -> None:
-        full = self._descriptors.full() and not self._spare_one()
-        if full and self._descriptors.spent():
+    def stop(self) -> None:
+        """Lets nobody in from now on."""
+        while self._listeners:
+            listener = self._listeners.pop()
+            self._loop.remove_reader(listener.fileno())
+            listener.close()
+
+    def _accept(self, listener: socket.socket) -> None:
+        for _ in range(ACCEPT_MOST):
+            try:
+                connection, _ = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # Guards against a caller gone before it was let in, and descriptors that others use up.
+                self.counters.add("accepts_failed")
+                log.warning("accept fails", extra=pairs(why=error))
+                return
+            self._let_in(connection)
+
+    def _let_in(self, connection: socket.socket) -> None:
+        full = self.descriptors.full_of_callers() and not self._make_room()
+        if full and self.descriptors.spent():
             # Guards against running out altogether: then not even the list could be asked for.
             self.counters.add("callers_dropped")
-            stream.close()
+            connection.close()
             return
-        self._descriptors.take()
+        self.descriptors.take_caller()
         self.counters.add("callers_opened")
         if full:
             self.counters.add("callers_refused")
         if full and not self._limited:
-            log.warning("limit reached", extra=pairs(limit="descriptors", held=self._descriptors.held))
+            log.warning("limit reached", extra=pairs(limit="descriptors", held=self.descriptors.held))
         self._limited = full
+        stream = IOStream(connection, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
         caller = Caller(self, stream, full)
-        self._callers[id(caller)] = caller
+        self._callers[caller] = self._loop.create_task(self._serve(caller))
+
+    def _make_room(self) -> bool:
+        """Closes an idle caller; else an idle connection to a server, if callers are within their share."""
+        return self.close_oldest() or (not self.descriptors.past_callers_share() and self._spare_one())
+
+    def close_oldest(self) -> bool:
+        """Gives up the caller that has been idle longest, else one that has sent nothing since it came."""
+        now = self.clock()
+        for kept, spared in ((self.idle, IDLE_SPARED), (self.silent, SILENT_SPARED)):
+            for caller, since in islice(kept.items(), TRIED_MOST):
+                if since > now - spared:
+                    break
+                if caller.close_if_idle():
+                    self.counters.add("callers_closed_for_room")
+                    return True
+        return False
+
+    async def _serve(self, caller: Caller) -> None:
         try:
             await caller.converse()
         except StreamClosedError:
@@ -82,23 +142,17 @@
         except Exception as error:
             self.counters.add_failure("caller failed in the node", error)
         finally:
-            del self._callers[id(caller)]
-            stream.close()
-            self._descriptors.give_back()
-            self.counters.add("callers_closed")
+            caller.close()
+            del self._callers[caller]
 
     def drain(self) -> None:
         """Answers say from now on that the connection closes."""
         self.draining = True
 
     def close_idle(self) -> None:
-        for caller in list(self._callers.values()):
+        for caller in list(self._callers):
             caller.close_if_idle()
 
-    @property
-    def connected(self) -> int:
-        return len(self._callers)
-
 
 class Caller:
     """One connection; requests on it are served one after another."""
@@ -107,11 +161,15 @@
         self._callers = callers
         self._stream = stream
         self._full = full
-        self._idle_most = REFUSED_WITHIN if full else IDLE_MOST
         self._requests = RequestReader()
         self._reading: asyncio.Future[bytes] | None = None
-        self._first_at = 0.0
+        self._open = True
         self._busy = False
+        self._first_at = callers.clock()
+        callers.silent[self] = self._first_at
+        # The first request is due by the time of connecting: bytes that drip in do not renew it.
+        self._renews = False
+        self._due = self._first_at + (REFUSED_WITHIN if full else REQUEST_WITHIN)
 
     async def converse(self) -> None:
         self._stream.set_nodelay(True)
@@ -120,46 +178,78 @@
             try:
                 request = await self._request()
             except Malformed as error:
-                await self._refuse(error.status)
+                await self._write(self._bad(error.status))
+                await self._linger()
                 return
             if request is None:
                 return
             self._busy = True
-            keep = request.keep and not self._full
             answer = await self._answer(request)
             if answer is None:
                 return
             # Guards against closing over a request that came with this one, drain or not.
-            keep = keep and (not self._callers.draining or self._requests.begun)
+            drained = self._callers.draining and not self._requests.begun
+            keep = answer.keep and request.keep and not self._full and not drained
             await self._write(Answer(answer.status, answer.headers, answer.body, keep))
             self._busy = False
+            self._rest()
+            if self._requests.begun:
+                await asyncio.sleep(0)  # guards against a caller of many requests at once taking all turns
+        if self._requests.unread:
+            await self._linger()
+
+    def close(self) -> None:
+        """The one place where a caller's descriptor is given back."""
+        if self._open:
+            self._open = False
+            self._stream.close()
+            self._stir()
+            self._callers.descriptors.give_back_caller()
+            self._callers.counters.add("callers_closed")
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Guards against closing over a request that has come and is not yet read."""
-        if self._busy or self._requests.begun or (self._reading is not None and self._reading.done()):
-            return
+        reading = self._reading is not None and self._reading.done()
+        if self._busy or self._requests.begun or reading or self._stream.closed():
+            return False
         try:
             self._stream.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            self._stream.close()
+            self.close()
+            return True
         except OSError:
             pass
+        return False
+
+    def _rest(self) -> None:
+        """Between two requests, unless the next one has begun to come."""
+        now = self._callers.clock()
+        if self._requests.begun:
+            self._renews, self._due = False, now + REQUEST_WITHIN
+        else:
+            self._renews, self._due = True, now + IDLE_MOST
+            self._callers.idle[self] = now
+
+    def _stir(self) -> None:
+        self._callers.silent.pop(self, None)
+        self._callers.idle.pop(self, None)
 
     async def _request(self) -> Request | None:
-        """The next whole request; None when the caller has stood idle for too long."""
+        """The next whole request; None when the caller has sent nothing for too long."""
+        late = False
         while (request := self._requests.next()) is None:
-            begun = self._requests.begun
-            wait = self._first_at + HEAD_WITHIN - self._callers.clock() if begun else self._idle_most
+            if late and self._requests.begun:
+                raise Malformed(408, "request too slow")
+            if late:
+                return None
             reading = self._read()
             if self._requests.awaits_go_ahead():
                 await self._stream.write(GO_AHEAD)
-            await asyncio.wait({reading}, timeout=max(0.0, wait))
+            await asyncio.wait({reading}, timeout=max(0.0, self._due - self._callers.clock()))
+            # Guards against a busy loop's delay being put down to the caller: what has come is read first.
+            late = self._callers.clock() >= self._due
             if reading.done():
                 self._feed()
-            elif begun:
-                raise Malformed(408, "request too slow")
-            else:
-                return None
         return request
 
     async def _answer(self, request: Request) -> Answer | None:
@@ -169,19 +259,28 @@
             return self._bad(404)
         if request.method not in ("GET", "POST"):
             return self._bad(405)
-        ask = ask_of(request, self._callers.clock() - self._first_at)
-        if ask is None or not request.headers.get(words.JOB_ID):
+        ask = ask_of(request, self._callers.clock() - self._first_at, self._callers.profiles)
+        if ask is None:
             return self._bad(400)
+        job_id = request.headers[words.JOB_ID]
+        if job_id in self._callers.ids:
+            # Guards against one job's answer and end being mistaken for another's, here and at servers.
+            return self._bad(409)
         self._callers.counters.add("taken")
         if self._full:
             self._callers.counters.add("answered_turned_back")
             return Answer(503)
+        self._callers.ids.add(job_id)
         try:
             job = self._callers.take(ask, request)
+            return await self._job(job)
+        except StreamClosedError:
+            raise
         except Exception as error:
             self._callers.counters.add_failure("job failed in the node", error)
             return own_failure(self._callers.counters)
-        return await self._job(job)
+        finally:
+            self._callers.ids.discard(job_id)
 
     async def _job(self, job: Job) -> Answer | None:
         """Waits for the job's answer, and reads on so that a caller who goes is noticed."""
@@ -212,16 +311,16 @@
         reading, self._reading = self._reading, None
         piece = reading.result()
         if not self._requests.begun:
+            self._stir()
             self._first_at = self._callers.clock()
+            if self._renews:
+                self._renews, self._due = False, self._first_at + REQUEST_WITHIN
         self._requests.feed(piece)
 
     def _bad(self, status: int) -> Answer:
+        """An error that the caller made: said once, and the connection is not used further."""
         self._callers.counters.add("bad_requests")
-        return Answer(status)
-
-    async def _refuse(self, status: int) -> None:
-        answer = self._bad(status)
-        await self._write(Answer(answer.status, keep=False))
+        return Answer(status, keep=False)
 
     async def _write(self, answer: Answer) -> None:
         try:
@@ -230,3 +329,15 @@
         except TimeoutError as error:
             # Guards against a caller that reads nothing: a drain would wait for it.
             raise StreamClosedError from error
+
+    async def _linger(self) -> None:
+        """Reads on for a moment: a close over unread bytes is a reset, which may destroy what was written."""
+        if self._callers.descriptors.full_of_callers():
+            return
+        left = LINGER_MOST
+        with suppress(OSError, TimeoutError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(LINGER_WITHIN):
+                while left > 0:
+                    left -= len(await self._read())
+                    self._reading = None
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -54,7 +54,11 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as error:
+            # Guards against an outcome in doubt where the operating system itself is short of descriptors.
+            raise NoDescriptor(_cause(error)) from error
         self._stream = IOStream(sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
         self._reading: asyncio.Future[bytes] | None = None
         self.idle_since = 0.0
--- a/notchjunction/net/descriptors.py
+++ b/notchjunction/net/descriptors.py
@@ -4,23 +4,42 @@
 
 OWN = 16  # descriptors of the program itself: standard streams, event loop, listener, discovery, and slack
 MARGIN = 0.1  # share of the limit left unused; closed sockets are counted late by the operating system
+SERVERS_LEAST = 1 / 3  # share that callers never get: without connections to servers none of them is served
 
 
 class Descriptors:
     def __init__(self, limit: int) -> None:
         self._margin = int(limit * MARGIN)
         self._most = max(8, limit - self._margin - OWN)
+        self._callers_most = self._most - int(self._most * SERVERS_LEAST)
         self.held = 0
+        self.callers = 0
 
     def full(self) -> bool:
         return self.held >= self._most
 
+    def past_callers_share(self) -> bool:
+        return self.callers >= self._callers_most
+
+    def full_of_callers(self) -> bool:
+        return self.past_callers_share() or self.full()
+
     def spent(self) -> bool:
         """Whether half the margin is used too."""
-        return self.held >= self._most + self._margin // 2
+        return (
+            max(self.held, self.callers + self._most - self._callers_most) >= self._most + self._margin // 2
+        )
 
     def take(self) -> None:
         self.held += 1
 
     def give_back(self) -> None:
         self.held -= 1
+
+    def take_caller(self) -> None:
+        self.callers += 1
+        self.take()
+
+    def give_back_caller(self) -> None:
+        self.callers -= 1
+        self.give_back()
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -43,7 +43,7 @@
             servers=tuple(_listed(row) for row in rows),
             addresses={str(row["name"]): address_of(row["address"]) for row in rows if row.get("address")},
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise Unusable(f"malformed list: {error!r}") from error
 
 
@@ -67,12 +67,34 @@
         self._wait = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
         self._connection: Connection | None = None
         self._version: int | None = None
+        self._moves = 0
 
     def remember(self, version: int) -> None:
         self._version = version
 
+    def move(self, address: Address) -> None:
+        """Asks there from now on, for the whole list first; the call that is out at the old place ends."""
+        self._address = address
+        self._moves += 1
+        self._version = None
+        self.close()
+
     async def news(self) -> ServerList:
         """The next news; waits for it, for a bounded time."""
+        while True:
+            moves = self._moves
+            try:
+                found = await self._ask()
+            except Unusable:
+                if moves == self._moves:
+                    raise
+                continue  # the call was ended by a move: no failure, and the next one is due at once
+            # Guards against a late answer from the old place, whose versions are not those of the new one.
+            if moves == self._moves:
+                self._version = found.version
+                return found
+
+    async def _ask(self) -> ServerList:
         target = words.LIST
         wait = 0.0
         if self._version is not None:
@@ -80,15 +102,13 @@
             target += f"?after={self._version}&wait_ms={int(wait * 1000)}"
         try:
             async with asyncio.timeout(wait + SLACK):
-                found = read_list(await self._call(target))
+                return read_list(await self._call(target))
         except (NotSent, Cut, Malformed, TimeoutError) as error:
             self.close()
             raise Unusable(str(error) or type(error).__name__) from error
         except BaseException:
             self.close()
             raise
-        self._version = found.version
-        return found
 
     def close(self) -> None:
         if self._connection is not None:
@@ -111,5 +131,5 @@
             raise Unusable(f"status {answer.status}")
         try:
             return json.loads(answer.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise Unusable("no JSON") from error
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import re
+from collections.abc import Collection
 
 from notchjunction.decider import (
     Ask,
@@ -15,13 +17,13 @@
     TurnBack,
     WriteOff,
 )
-from notchjunction.http1.encoder import end_to_end
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.interface import Result
 from notchjunction.net import words
 from notchjunction.net.counters import Counters
 from notchjunction.net.servers import Exchanged, Servers
 
+WORD = re.compile(r"[!-~]{1,128}")  # an id or a number: what is longer or not printable is none
 DIGITS_MOST = 8  # digits of milliseconds: over a day is no time that a caller waits; work is less
 LOST_AFTER = 0.03  # s past the abandon time; a job unanswered by then was lost by a failure of the node's own
 WRITTEN_OFF = Answer(502)
@@ -73,7 +75,9 @@
                 case PassOn(dispatch):
                     self._counters.add("answered_honoured")
                     honoured = self._answers[dispatch]
-                    return Answer(200, end_to_end(honoured.headers), honoured.body)
+                    # Guards against a server's oddities: its body and what that is are the caller's alone.
+                    back = {name: value for name, value in honoured.headers.items() if name in words.BACK}
+                    return Answer(200, back, honoured.body)
                 case TurnBack(come_back_in):
                     self._counters.add("answered_turned_back")
                     return turned_back(come_back_in)
@@ -126,9 +130,16 @@
         self.withdraw()
 
 
-def ask_of(request: Request, waited: float) -> Ask | None:
-    """The job that a request states; None where the time it may take is missing or absurd."""
+def ask_of(request: Request, waited: float, profiles: Collection[str]) -> Ask | None:
+    """The job that a request states; None where its id, number, profile or time is missing or absurd."""
     headers = request.headers
+    if not WORD.fullmatch(headers.get(words.JOB_ID, "")) or not WORD.fullmatch(
+        headers.get(words.NUMBER, "-")
+    ):
+        return None
+    if profiles and headers.get(words.PROFILE, "") not in profiles:
+        # Guards against work that no server knows: each would only refuse it, at the cost of sound jobs.
+        return None
     left = _whole(headers.get(words.TIME_LEFT, ""))
     hint = _whole(headers.get(words.WORK_HINT, ""))
     if left is None:
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -12,6 +12,7 @@
 from notchjunction.decider import Ask, Decider, Follow, Probe, SetAside
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
+from notchjunction.net import node_input
 from notchjunction.net.callers import Callers
 from notchjunction.net.connections import Address
 from notchjunction.net.counters import Counters
@@ -38,15 +39,28 @@
         self._descriptors = descriptors = Descriptors(told.sockets)
         self._discovery = Discovery(told.discovery, told.terms.ask_within)
         self._servers = Servers(
-            self.now, told.connect_within, told.idle_most, told.load_path, descriptors, counters
+            self.now,
+            told.connect_within,
+            told.idle_most,
+            told.load_path,
+            lambda: self._callers.close_oldest(),
+            descriptors,
+            counters,
         )
         self._callers = Callers(
-            self.now, self._take, lambda: self._ready, self._servers.close_oldest, descriptors, counters
+            self.now,
+            self._take,
+            lambda: self._ready,
+            self._servers.close_oldest,
+            frozenset(told.names.profiles),
+            descriptors,
+            counters,
         )
         self._addresses: dict[str, Address] = {}
         self._presences: dict[str, Presence] = {}
         self._ready = False
         self._list_fails = False
+        self._list_due = asyncio.Event()
         self._stopping = asyncio.Event()
         self.listening = asyncio.Event()
         self._wake_call: asyncio.TimerHandle | None = None
@@ -67,9 +81,11 @@
             signal.SIGTERM: self.stop,
             signal.SIGINT: self.stop,
             signal.SIGUSR1: self._print_counters,
+            signal.SIGHUP: self.read_again,
         }
         for number, handler in handlers.items():
             self._loop.add_signal_handler(number, handler)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         host, port = told.listen
         log.info("start", extra=pairs(node=told.name, listen=f"{host}:{port}", depth=told.terms.depth))
         self._callers.open(told.listen)
@@ -78,6 +94,7 @@
             self._discovery.remember(told.known.version)
             self._hear(told.known, News.REMEMBERED)
         self._start(self._run_errands())
+        self._start(self._follow_list())
         self._start(self._sweep())
         await self._stopping.wait()
         await self._drain()
@@ -86,6 +103,23 @@
         """Begins the drain; a second call changes nothing."""
         self._stopping.set()
 
+    def read_again(self) -> None:
+        """Takes a new place of discovery from the file; whatever can't be read leaves all as it was."""
+        try:
+            told = node_input.read_again(self._told)
+        except (OSError, KeyError, ValueError, TypeError, AttributeError, RecursionError) as error:
+            self.counters.add("reloads_failed")
+            log.error("new configuration unusable", extra=pairs(why=repr(error)))
+            return
+        self.counters.add("reloads")
+        host, port = told.discovery
+        kept = ",".join(node_input.changed(self._told, told)) or "none"
+        log.info("new configuration", extra=pairs(discovery=f"{host}:{port}", needs_restart=kept))
+        if told.discovery != self._told.discovery:
+            self._discovery.move(told.discovery)
+            self._list_due.set()  # at once, also in a failed call's pause: a new place has not failed
+        self._told = told
+
     async def _drain(self) -> None:
         log.info("drain", extra=pairs(held=self._decider.held, callers=self._callers.connected))
         self._callers.drain()
@@ -136,7 +170,7 @@
                 case Probe(server):
                     self._start(self._probe(server))
                 case Follow():
-                    self._start(self._follow())
+                    self._list_due.set()
                 case SetAside(server, seconds):
                     self.counters.add("servers_set_aside")
                     log.warning("server set aside", extra=pairs(server=server, seconds=round(seconds, 1)))
@@ -147,20 +181,23 @@
         self.counters.add_result("probes", ended.result)
         self._decider.report_probe(server, ended)
 
-    async def _follow(self) -> None:
-        """Calls discovery again and again, each call from the last version on, until one fails."""
+    async def _follow_list(self) -> None:
+        """The one owner of calls to discovery: when one is due, again and again until one fails."""
         while True:
+            await self._list_due.wait()
             try:
-                news = await self._discovery.news()
-                self._hear(news, News.WHOLE if news.whole else News.CHANGES)
+                while True:
+                    news = await self._discovery.news()
+                    self._hear(news, News.WHOLE if news.whole else News.CHANGES)
+                    self.counters.add("list_calls")
+                    if self._list_fails:
+                        log.info("list back", extra=pairs(version=news.version))
+                    self._list_fails = False
             except Exception as error:
+                # Guards against a second call for an earlier pause, which ran out while this one went on.
+                self._list_due.clear()
                 self._list_failed(error)
                 self._decider.report_list(News.FAILED)
-                return
-            self.counters.add("list_calls")
-            if self._list_fails:
-                log.info("list back", extra=pairs(version=news.version))
-            self._list_fails = False
 
     def _list_failed(self, error: Exception) -> None:
         self.counters.add("list_calls_failed")
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -33,14 +33,13 @@
     connect_within: float
     idle_most: float
     load_path: str
+    file: str | None = None
+    told: Mapping[str, Any] = field(default_factory=dict)
 
 
 def read(environment: Mapping[str, str]) -> NodeInput:
-    told: dict[str, Any] = {}
-    if environment.get("GW_CONFIG"):
-        told = json.loads(Path(environment["GW_CONFIG"]).read_text(encoding="utf-8"))
-        if not isinstance(told, dict):
-            raise ValueError("no JSON object in the file")
+    file = environment.get("GW_CONFIG") or None
+    told = _object(file) if file else {}
     paths = terms.flatten(told.get("settings", {}))
     found = terms.terms(int(str(told.get("seed", "0")), 16), paths)
     return NodeInput(
@@ -59,9 +58,32 @@
         connect_within=terms.number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
         idle_most=terms.number(paths, "limits.conn_idle", IDLE) / 1000,
         load_path=words.LOAD if terms.words(paths, "report.fields") else words.HEALTH,
+        file=file,
+        told=told,
     )
 
 
+def read_again(told: NodeInput) -> NodeInput:
+    """The same node with the discovery that its file names now; the environment can't change under it."""
+    if told.file is None:
+        raise ValueError("no file to read")
+    found = _object(told.file)
+    return replace(told, discovery=address_of(found["discovery"]), told=found)
+
+
+def changed(before: NodeInput, after: NodeInput) -> list[str]:
+    """What says something else in the file, but for what a node takes as it runs or only starts with."""
+    names = sorted({*before.told, *after.told} - {"discovery", "known", "seed"})
+    return [name for name in names if before.told.get(name) != after.told.get(name)]
+
+
+def _object(file: str) -> dict[str, Any]:
+    found = json.loads(Path(file).read_text(encoding="utf-8"))
+    if not isinstance(found, dict):
+        raise ValueError("no JSON object in the file")
+    return found
+
+
 def _known(told: Any) -> ServerList | None:
     """The remembered list; one that is empty or unreadable is none, and discovery is waited for."""
     try:
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 
 from notchjunction.decider import Ended
-from notchjunction.http1.encoder import end_to_end
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Load, Result
@@ -34,7 +33,7 @@
 def read_load(text: str | bytes) -> Load | None:
     try:
         report = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return load(report) if isinstance(report, Mapping) else None
 
@@ -55,6 +54,7 @@
         connect_within: float,
         idle_most: float,
         load_path: str,
+        spare_one: Callable[[], bool],
         descriptors: Descriptors,
         counters: Counters,
     ) -> None:
@@ -62,6 +62,7 @@
         self._connect_within = connect_within
         self._idle_most = idle_most * IDLE_SHARE
         self._load_path = load_path
+        self._spare_one = spare_one
         self._descriptors = descriptors
         self._counters = counters
         self._addresses: dict[str, Address] = {}
@@ -75,7 +76,10 @@
         self._retire(lambda server, connection: not self._current(server, connection))
 
     async def dispatch(self, server: str, request: Request, within: float) -> Exchanged:
-        headers = end_to_end(request.headers)
+        # Guards against a caller's oddities, on which a server would close the connection.
+        headers = {
+            name: value for name, value in request.headers.items() if name in words.ONWARD and value.isascii()
+        }
         headers[words.TIME_LEFT] = str(max(1, int(within * 1000)))
         onward = Request(request.method, request.target, headers, request.body)
         return await self._exchange(server, onward, within)
@@ -143,10 +147,10 @@
                 return connection
             self._counters.add("connections_found_unfit")
             self._close(connection)
-        if self._descriptors.full() and not self.close_oldest():
+        if self._descriptors.full() and not self.close_oldest() and not self._spare_one():
             self._counters.add("descriptors_short")
             raise NoDescriptor
-        connection = Connection(address)
+        connection = Connection(address)  # takes no descriptor of the budget where there is none to be had
         self._descriptors.take()
         self._counters.add("connections_opened")
         try:
--- a/notchjunction/net/words.py
+++ b/notchjunction/net/words.py
@@ -17,9 +17,16 @@
 OPERATOR = "req-owner"
 WORK_HINT = "req-cost"
 NUMBER = "idempotency-key"
+FIGURES = "req-extra"
 SERVER_LOAD = "srv-load"
 DECLINED = "srv-declined"
 
+# What a job's request takes with it to a server, and an answer to its caller; anything else stays here.
+ONWARD = frozenset(
+    (JOB_ID, PROFILE, REPEAT, OPERATOR, WORK_HINT, NUMBER, FIGURES, "host", "accept", "content-type")
+)
+BACK = frozenset(("content-type",))
+
 PRESENCES = {"active": Presence.READY, "leaving": Presence.DRAINING, "left": Presence.GONE}
 
 
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -122,7 +122,7 @@
         if name in LOAD_WORDS and isinstance(value, str | int | float) and value != "":
             try:
                 figure = float(value) / (1000 if name.endswith("_ms") else 1)
-            except ValueError:
+            except (ValueError, OverflowError):
                 continue
             # Guards against a server that reports no number: a comparison with it would hold neither way.
             if math.isfinite(figure) and figure >= 0:
