One watch a reload, waits of 20 s, and a drain that serves on callers who stay

Each reload cost two calls, each watch ended after 7.5 s with nothing new. And both first-tier nodes were gone together for a second: a drained one closed callers at 0.6 s although a SIGKILL comes after 3.7 s at the earliest.

Checked: ask_within speaks of nodes that do not watch, so a wait may be longer; versions are the service's own, so the watch goes on at a new place. A list counted anew is asked for whole. Ruled out: the module's room (turn-backs came with one known sound server) and a late loop.

At fault: Discovery.move and WAIT_SHARE in discovery.py; Node._drain.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -68,6 +68,7 @@
         self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
         self.draining = False
+        self.parting = False
         counters.gauge("callers_connected", lambda: descriptors.callers)
         counters.gauge("callers_idle", lambda: len(self.idle))
 
@@ -146,9 +147,13 @@
             del self._callers[caller]
 
     def drain(self) -> None:
-        """Answers say from now on that the connection closes."""
+        """The node says from now on that it is not ready for more callers."""
         self.draining = True
 
+    def part(self) -> None:
+        """Answers say from now on that the connection closes."""
+        self.parting = True
+
     def close_idle(self) -> None:
         for caller in list(self._callers):
             caller.close_if_idle()
@@ -188,8 +193,8 @@
             if answer is None:
                 return
             # Guards against closing over a request that came with this one, drain or not.
-            drained = self._callers.draining and not self._requests.begun
-            keep = answer.keep and request.keep and not self._full and not drained
+            parts = self._callers.parting and not self._requests.begun
+            keep = answer.keep and request.keep and not self._full and not parts
             await self._write(Answer(answer.status, answer.headers, answer.body, keep))
             self._busy = False
             self._rest()
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -16,8 +16,7 @@
 from notchjunction.net import words
 from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of
 
-WAIT_SHARE = 0.75  # of the time within which the list must be asked for; the rest covers a slow call
-WAIT_MOST = 20.0  # s that a call waits where no such time is stated
+WAIT = 20.0  # s that a call waits for news: while it does the list is followed, and each call costs discovery
 LIST_MOST = 8 * 1024 * 1024  # bytes of a list; tens of thousands of servers, and far under the memory limit
 SLACK = 1.5  # s over its wait that a call may take
 
@@ -62,9 +61,8 @@
 
 
 class Discovery:
-    def __init__(self, address: Address, ask_within: float) -> None:
+    def __init__(self, address: Address) -> None:
         self._address = address
-        self._wait = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
         self._connection: Connection | None = None
         self._version: int | None = None
         self._moves = 0
@@ -73,10 +71,9 @@
         self._version = version
 
     def move(self, address: Address) -> None:
-        """Asks there from now on, for the whole list first; the call that is out at the old place ends."""
+        """Asks there from now on, from the last version on; the call that is out at the old place ends."""
         self._address = address
         self._moves += 1
-        self._version = None
         self.close()
 
     async def news(self) -> ServerList:
@@ -89,16 +86,20 @@
                 if moves == self._moves:
                     raise
                 continue  # the call was ended by a move: no failure, and the next one is due at once
-            # Guards against a late answer from the old place, whose versions are not those of the new one.
-            if moves == self._moves:
-                self._version = found.version
-                return found
+            if moves != self._moves:
+                continue  # a late answer from the old place, which no longer speaks for the list
+            if self._version is not None and found.version < self._version and not found.whole:
+                # Guards against a list that is counted anew: its changes would miss all that went before.
+                self._version = None
+                continue
+            self._version = found.version
+            return found
 
     async def _ask(self) -> ServerList:
         target = words.LIST
         wait = 0.0
         if self._version is not None:
-            wait = self._wait
+            wait = WAIT
             target += f"?after={self._version}&wait_ms={int(wait * 1000)}"
         try:
             async with asyncio.timeout(wait + SLACK):
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
+import math
 import signal
 import time
 from collections.abc import Coroutine
+from dataclasses import replace
 from typing import Any
 
 from notchjunction.decider import Ask, Decider, Follow, Probe, SetAside
@@ -27,6 +29,10 @@
 
 SWEEP_SPAN = 1.0  # s between looks at idle connections; short against the time they may stand idle
 LISTEN_ON = 0.6  # s that new callers are let in after SIGTERM; they go on coming for 0.4 s
+KILL_AFTER = 0.7  # s, and the longest abandon time, from SIGTERM to the least that a SIGKILL may come
+LONGEST_MOST = 3.0  # s of that abandon time at most
+KILL_MARGIN = 0.3  # s before it by which all is answered; the loop may be late
+ANSWER_SHARE = 0.5  # of what is left kept for answers; until then callers that stay are served on
 LOOK_SPAN = 0.05  # s between looks whether a draining node has answered all
 
 
@@ -37,7 +43,7 @@
         self._loop = asyncio.get_running_loop()
         self.counters = counters = Counters()
         self._descriptors = descriptors = Descriptors(told.sockets)
-        self._discovery = Discovery(told.discovery, told.terms.ask_within)
+        self._discovery = Discovery(told.discovery)
         self._servers = Servers(
             self.now,
             told.connect_within,
@@ -63,6 +69,7 @@
         self._list_due = asyncio.Event()
         self._stopping = asyncio.Event()
         self.listening = asyncio.Event()
+        self._end_at = math.inf
         self._wake_call: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._decider = Decider(told.terms, told.names, self.now, self._wake)
@@ -122,9 +129,17 @@
 
     async def _drain(self) -> None:
         log.info("drain", extra=pairs(held=self._decider.held, callers=self._callers.connected))
+        longest = max((profile.abandon_time for profile in self._told.terms.profiles), default=LONGEST_MOST)
+        span = KILL_AFTER - KILL_MARGIN + min(longest, LONGEST_MOST)
+        self._end_at = self.now() + span
         self._callers.drain()
         await asyncio.sleep(LISTEN_ON)
         self._callers.stop()
+        # Guards against callers that have nowhere to go yet, as where another node is still starting.
+        serve_until = self._end_at - span * ANSWER_SHARE
+        while self._callers.connected and self.now() < serve_until:
+            await asyncio.sleep(LOOK_SPAN)
+        self._callers.part()
         while self._callers.connected:
             self._callers.close_idle()
             await asyncio.sleep(LOOK_SPAN)
@@ -137,6 +152,8 @@
         log.info("exit", extra=pairs(held=self._decider.held))
 
     def _take(self, ask: Ask, request: Request) -> Job:
+        # Guards against a job that the end of the node would leave unanswered.
+        ask = replace(ask, time_left=min(ask.time_left, self._end_at - self.now()))
         return Job(self._decider, self._servers, self.counters, ask, request)
 
     # Timers.
