Nothing grows with servers that have gone; endless interim answers and trailers are given up

Stories: 2000 servers come and go and the sizes of all containers are as before (fails without the change), spoilt answers are given up at their head, an unreadable report or an odd header spoils no answer.

--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -159,7 +159,8 @@
         self._operators = {name: index for index, name in enumerate(names.operators)}
         self._zones = {name: index for index, name in enumerate(names.zones)}
         self._servers: dict[str, int] = {}
-        self._names: list[str] = []
+        self._names: dict[int, str] = {}
+        self._listed = 0
         self._tickets: dict[int, Ticket] = {}
         self._taken = 0
         self._errands: asyncio.Queue[Errand] = asyncio.Queue()
@@ -222,10 +223,19 @@
         return await self._errands.get()
 
     def report_probe(self, server: str, ended: Ended) -> None:
-        self._core.probed(self._servers[server], ended.result, ended.load)
+        if server in self._servers:  # it may have left the list meanwhile
+            self._core.probed(self._servers[server], ended.result, ended.load)
 
     def report_list(self, news: News, listed: Sequence[Listed] = ()) -> None:
         self._core.listed(news, [self._entry(server) for server in listed])
+        if news is News.FAILED:
+            return
+        # Guards against growing with every server that ever was. Numbers are never given out again.
+        gone = {server.name for server in listed if server.presence is Presence.GONE}
+        if news is not News.CHANGES:
+            gone |= self._servers.keys() - {server.name for server in listed}
+        for name in gone:
+            self._names.pop(self._servers.pop(name))
 
     def tick(self) -> None:
         now = self._clock()
@@ -286,8 +296,9 @@
 
     def _entry(self, listed: Listed) -> ServerEntry:
         if listed.name not in self._servers:
-            self._servers[listed.name] = len(self._names)
-            self._names.append(listed.name)
+            self._listed += 1
+            self._servers[listed.name] = self._listed
+            self._names[self._listed] = listed.name
         number = self._servers[listed.name]
         # Guards against repeats outside the group: servers of an unknown cell or zone share it with nobody.
         zone = self._zones.setdefault(listed.zone, len(self._zones)) if listed.zone else -1 - number
--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -10,6 +10,8 @@
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 SOUND = re.compile(r"[\t\x20-\x7e\x80-\xff]*")  # a header's value without control bytes
 TARGET = re.compile(r"[\x21-\x7e]+")
+INTERIM_MOST = 16  # interim answers (1xx) ahead of one answer; a sound server sends a few
+TRAILERS_MOST = 32  # lines after the last chunk; more never end
 CHUNK_LINE_MOST = 256  # bytes of a chunk's size line; extensions are rare and short
 
 
@@ -29,6 +31,7 @@
         self._body_most = body_most
         self._searched = 0
         self._blank = False
+        self._interim = 0
         self._start: tuple[str, str, str] | None = None
         self._headers: dict[str, str] = {}
         self._framed = False
@@ -36,6 +39,7 @@
         self._wanted = 0
         self._body = bytearray()
         self._in_trailer = False
+        self._trailers = 0
         self._chunk_left = -1
 
     @property
@@ -89,6 +93,7 @@
         self._body = bytearray()
         self._chunk_left = -1
         self._in_trailer = False
+        self._trailers = 0
         length = self._headers.get("content-length")
         coding = self._headers.get("transfer-encoding")
         self._wanted = 0
@@ -149,6 +154,9 @@
                     return False
                 if line == "":
                     return True
+                self._trailers += 1
+                if self._trailers > TRAILERS_MOST:
+                    raise Malformed(431, "trailer too large")
             elif self._chunk_left < 0:
                 line = self._line()
                 if line is None:
@@ -213,6 +221,10 @@
                 if version not in ("HTTP/1.1", "HTTP/1.0") or not re.fullmatch(r"[1-9][0-9]{2}", status):
                     raise Malformed(502, "malformed status line")
                 if status[0] == "1":
+                    self._interim += 1
+                    # Nothing here asked for another protocol, and more than a few never end.
+                    if status == "101" or self._interim > INTERIM_MOST:
+                        raise Malformed(502, "unexpected interim answer")
                     self._end_message()
                     continue
                 self._frame(without=Framing.LENGTH if status in ("204", "304") else Framing.TO_THE_END)
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -24,7 +24,8 @@
 from notchjunction.net.servers import Exchanged, Servers
 
 WORD = re.compile(r"[!-~]{1,128}")  # an id or a number: what is longer or not printable is none
-DIGITS_MOST = 8  # digits of milliseconds: over a day is no time that a caller waits; work is less
+DIGITS_MOST = 6  # digits of milliseconds: over a quarter of an hour is no time that a caller waits
+HINT_MOST = 8  # digits of microseconds: over a minute and a half is no work of one job
 LOST_AFTER = 0.03  # s past the abandon time; a job unanswered by then was lost by a failure of the node's own
 WRITTEN_OFF = Answer(502)
 OWN_FAILURE = Answer(500)
@@ -141,7 +142,7 @@
         # Guards against work that no server knows: each would only refuse it, at the cost of sound jobs.
         return None
     left = _whole(headers.get(words.TIME_LEFT, ""))
-    hint = _whole(headers.get(words.WORK_HINT, ""))
+    hint = _whole(headers.get(words.WORK_HINT, ""), HINT_MOST)
     if left is None:
         return None
     return Ask(
@@ -154,6 +155,6 @@
     )
 
 
-def _whole(text: str) -> int | None:
+def _whole(text: str, most: int = DIGITS_MOST) -> int | None:
     """A whole number; None where there is none, or an absurd one (a float would let "nan" in)."""
-    return int(text) if text.isascii() and text.isdigit() and len(text) <= DIGITS_MOST else None
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= most else None
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -13,7 +13,7 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum, auto
 from random import Random
 from typing import Any, NamedTuple
@@ -663,15 +663,15 @@
     def _enter(self, entry: ServerEntry) -> None:
         known = self._servers.get(entry.server)
         now = self._host.now()
-        if known is None or entry.started_at > known.entry.started_at:
+        if entry.presence is Presence.GONE:
+            # Guards against growing with each server that ever was; dispatches there still know its group.
+            self._servers.pop(entry.server, None)
+        elif known is None or entry.started_at > known.entry.started_at:
             # Guards against judging a restarted server by what it was before.
             known = Server(entry)
             self._servers[entry.server] = known
             if self._is_cold(known, now):
                 known.cold_next = now + self._random.uniform(0, self._cold_gap(known, now))
-        elif entry.presence is Presence.GONE:
-            # Guards against resending outside a gone server's group: this news may not say where it was.
-            known.entry = replace(known.entry, presence=entry.presence)
         else:
             known.entry = entry
 
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -53,6 +53,35 @@
         return asyncio.run(picked())
 
 
+@pytest.mark.parametrize("whole", [True, False])
+def test_nothing_grows_with_the_servers_and_jobs_that_have_gone_by(whole: bool) -> None:
+    story = Story()
+
+    def sizes() -> list[int]:
+        core = story.decider._core
+        held = [*vars(story.decider).values(), *vars(core).values()]
+        kept = [each for each in held if isinstance(each, dict | list | set)]
+        return [len(each) for each in kept if each is not story.decider._zones]
+
+    def pass_by(count: int) -> None:
+        for i in range(count):
+            new = [Listed(f"n{story.clock}-{i}", Presence.READY, zone="a", cell=0) for _ in range(1)]
+            story.decider.report_list(News.WHOLE if whole else News.CHANGES, new)
+            story.end(ticket := story.take(), Result.HONOURED)
+            story.decider.report_probe(new[0].name, Ended(Result.HONOURED, 0.1))
+            gone = [replace(new[0], presence=Presence.GONE)]
+            story.decider.report_list(News.WHOLE if whole else News.CHANGES, [] if whole else gone)
+            story.decider.report_probe(new[0].name, Ended(Result.HONOURED, 0.1))
+            assert ticket.answered
+            story.clock += 0.5
+            story.decider.tick()
+
+    pass_by(100)
+    before = sizes()
+    pass_by(2000)
+    assert all(now <= then + 8 for then, now in zip(before, sizes(), strict=True))
+
+
 def first_sends(story: Story, count: int = 10) -> None:
     """Traffic that leaves room in the budget."""
     for _ in range(count):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -49,6 +49,9 @@
         (POST + b"Content-Length: %d\r\n\r\n" % (BODY_MOST + 1), 413),
         (POST + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n", 413),
         (POST + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+        (b"\r\n\r\nGET /api HTTP/1.1\r\n\r\n", 400),
+        (b"GET /api HTTP/1.1\r\nA: a\x07b\r\n\r\n", 400),
+        (POST + CHUNKS + b"0\r\n" + b"A: b\r\n" * 40, 431),
         (POST + CHUNKS + b"x\r\n", 400),
         (POST + CHUNKS + b"1\r\nabc", 400),
         (POST + CHUNKS + b"fffff\r\n", 413),
@@ -90,6 +93,31 @@
         assert (last.body if last else None) == at_the_end and (last is None or not last.keep)
 
 
+@pytest.mark.parametrize(
+    "wire",
+    [
+        b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\n" * 40,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nX: " + b"x" * HEAD_MOST,
+        b"\x00\xff\r\n\r\n",
+    ],
+)
+def test_a_spoilt_answer_is_given_up_at_its_head(wire: bytes) -> None:
+    reader = AnswerReader()
+    reader.feed(wire)
+    with pytest.raises(Malformed):
+        reader.next()
+
+
+def test_an_odd_header_spoils_no_answer() -> None:
+    reader = AnswerReader()
+    reader.feed(b"HTTP/1.1 200 OK\r\nSrv-Load: {\x00\x07\xff\r\nContent-Length: 2\r\n\r\nok")
+    found = reader.next()
+    assert found is not None and (found.body, found.keep) == (b"ok", True)
+
+
 @pytest.mark.parametrize(
     ("wire", "keep"),
     [
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -256,6 +256,22 @@
     run(story())
 
 
+@pytest.mark.parametrize(
+    "report", [b"[" * 9000, b'{"q":' + b"9" * 400 + b"}", b"{\x00", b'{"q":1e999}', b"nonsense"]
+)
+def test_an_unreadable_report_spoils_no_answer(report: bytes) -> None:
+    async def story() -> None:
+        async with Peer((answer(b"200 OK\r\nSrv-Load: " + report, b"ok"), "keep")) as peer:
+            sent = Dispatches(peer)
+            for _ in range(2):
+                exchanged = await sent.send()
+                assert exchanged.ended.result is Result.HONOURED
+                assert exchanged.answer is not None and exchanged.answer.body == b"ok"
+            assert peer.connections == 1
+
+    run(story())
+
+
 def test_a_probe_brings_the_servers_figures() -> None:
     async def story() -> None:
         async with Peer((answer(b"200 OK", b'{"q":3,"lat_ms":20,"new":{}}'), "keep")) as peer:
