Unreadable answers are their server's own; first tries do not pass for old beside last retries

A trace of times left showed first tries of 2 and 3 s beside last retries that state 4 and 6 s; _age took the longest of all as usual, so first tries counted as past their contract time and were turned back.

Checked: an unreadable answer speaks of the called server alone (a deeper one's comes up as 500), may have run, and its connection is closed, as after a reset. Extra bytes always came with their answer, none later (trace).

At fault: Malformed as UNKNOWN in servers.py; _age in rules.py.

--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -44,6 +44,7 @@
     TIMED_OUT = "timed out"
     NO_CONNECTION = "no connection"
     RESET = "reset"
+    SPOILT = "spoilt"  # its answer could not be read: it may have run, and the connection is of no use
     RECALLED = "recalled"
     NEVER_SENT = "never sent"
     UNKNOWN = "unknown"
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -125,7 +125,8 @@
         except Cut:
             result = Result.RESET
         except Malformed:
-            result = Result.UNKNOWN
+            # The called server's own doing: what a deeper one spoils comes up as a plain error.
+            result = Result.SPOILT
         except TimeoutError:
             result = Result.TIMED_OUT if written else Result.NO_CONNECTION
         finally:
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -165,8 +165,8 @@
     def __init__(self, terms: Terms, host: Host) -> None:
         self._host = host
         self._random = Random(terms.seed)
+        self._terms = terms
         self._profiles = list(terms.profiles)
-        self._nodes = terms.nodes
         self._deepest = terms.depth is not None and terms.depth == terms.depths - 1
         tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
         self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
@@ -175,21 +175,11 @@
         self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
         span = 0.0 if terms.depth else SHARE_SPAN  # shares are the first tier's matter
         self._shares = [quota / terms.nodes * span for quota in terms.operator_quotas]
-        self._zone = terms.zone
         self._near_first = terms.crossing_price > 0
-        self._probes = terms.probes
         self._thrifty = terms.connection_price > 0
-        self._link_span = terms.connection_idle
         self._shared_links = terms.connection_jobs > 1
-        self._recalls = terms.recalls
-        self._copies = terms.second_copies
-        self._max_dispatches = terms.max_dispatches
-        self._advice_limit = terms.advice_limit
         self._guard = GUARD_TICKS * terms.tick
         self._renew_limit = terms.ask_within / 4 or math.inf
-        self._cold_share = terms.cold_share
-        self._cold_time = terms.cold_time
-        self._tip_multiple = terms.tip_multiple
 
         self._servers: dict[int, Server] = {}
         self._ready: list[Server] = []
@@ -208,7 +198,7 @@
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
-        self._lefts: list[deque[float]] = [deque(maxlen=32) for _ in self._profiles]
+        self._lefts: list[deque[tuple[float, bool]]] = [deque(maxlen=32) for _ in self._profiles]
         self._unprobed = 0
         self._odd_probe = False
         self._failures = 0
@@ -218,7 +208,7 @@
         self._usual_now = Usual(1.0, 1.0)
         if terms.must_follow:
             host.follow()
-        if self._probes:
+        if self._terms.probes:
             self._after(self._random.uniform(0, PROBE_SPAN), self._probe_on)
 
     # What the host calls.
@@ -226,7 +216,7 @@
     def take(self, job: Job) -> None:
         now = self._host.now()
         profile = self._profile(job.profile)
-        age = self._age(job, profile)
+        age = self._age(job, profile, now)
         stretch = profile.contract_stretch * (job.work_hint or 0.0)
         held = Held(
             id=job.id,
@@ -344,8 +334,11 @@
         quick = self._quick(held.profile)
         if held.abandon_end - now - self._guard < quick:
             return True
-        scarce = bool(self._queue) or self._pressing(now) >= self._room()
-        return held.contract_end - now < quick and (scarce or not self._profile(held.profile).late_share)
+        late_earns = self._profile(held.profile).late_share > 0
+        return held.contract_end - now < quick and (not late_earns or self._scarce(now))
+
+    def _scarce(self, now: float) -> bool:
+        return bool(self._queue) or self._pressing(now) >= self._room()
 
     def _finds_place(self, held: Held) -> bool:
         room = self._room() * (SPARE_SHARE if held.past_share else 1.0)
@@ -374,7 +367,7 @@
         return len(self._retries) + 1 <= RETRY_SHARE * len(self._firsts)
 
     def _may_retry(self, held: Held) -> bool:
-        if not self._budget_left() or len(held.sent) >= self._max_dispatches or self._hopeless(held):
+        if not self._budget_left() or len(held.sent) >= self._terms.max_dispatches or self._hopeless(held):
             return False
         held.choice = self._pick(held)
         return held.choice is not None
@@ -401,7 +394,7 @@
         self._firsts.append((self._host.now(),))
         self._send(held)
         self._unprobed += 1
-        if self._probes and self._unprobed >= PROBE_EVERY:
+        if self._terms.probes and self._unprobed >= PROBE_EVERY:
             self._probe()
 
     def _send_again(self, held: Held) -> None:
@@ -426,7 +419,7 @@
         late = self._profile(held.profile).late_share
         end = held.abandon_end if late else min(held.abandon_end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
-        if self._copies:
+        if self._terms.second_copies:
             self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._step(held, Input.OVERDUE))
 
     def _give_up(self, held: Held) -> None:
@@ -441,7 +434,7 @@
         del self._held[held.id]
         if held in self._queue:
             self._queue.remove(held)
-        if self._recalls:
+        if self._terms.recalls:
             # Guards against servers working on for nobody.
             for number, dispatch in enumerate(held.sent):
                 if dispatch.out:
@@ -469,10 +462,10 @@
         pool = known or [server for server in self._pool if fits(server)]
         ready = known or self._ready
         choice = self._better(pool, (server for server in ready if fits(server)), now)
-        if choice is not None and self._near_first and choice.entry.zone != self._zone:
+        if choice is not None and self._near_first and choice.entry.zone != self._terms.zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
-            pool = [server for server in pool if server.entry.zone == self._zone]
-            found = (server for server in ready if server.entry.zone == self._zone and fits(server))
+            pool = [server for server in pool if server.entry.zone == self._terms.zone]
+            found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
             near = self._better(pool, found, now)
             if near is not None and self._score(near, now) <= NEAR_SLACK * self._score(choice, now):
                 return near
@@ -501,14 +494,14 @@
 
     def _linked(self, server: Server, now: float) -> bool:
         shared = self._shared_links and len(server.flights) > 0
-        return shared or (len(server.idle) > 0 and server.idle[-1] > now - self._link_span)
+        return shared or (len(server.idle) > 0 and server.idle[-1] > now - self._terms.connection_idle)
 
     def _noted_link(self, dispatch: Dispatch, result: Result, now: float) -> None:
         if not dispatch.linked and result is not Result.NEVER_SENT:
             self._links.append((now, result is not Result.NO_CONNECTION))
         if result in (Result.NO_CONNECTION, Result.RESET):
             dispatch.server.idle.clear()
-        elif result is not Result.NEVER_SENT:
+        elif result not in (Result.NEVER_SENT, Result.SPOILT):
             dispatch.server.idle.append(now)
 
     def _score(self, server: Server, now: float) -> float:
@@ -553,7 +546,7 @@
     def _may_run_on(self, held: Held, server: Server, now: float) -> bool:
         """Whether a further dispatch there cannot make an effect happen twice."""
         profile = self._profile(held.profile)
-        if not self._copies and self._others_out(held):
+        if not self._terms.second_copies and self._others_out(held):
             return False
         ran = [dispatch for dispatch in held.sent if dispatch.may_have_run]
         if not ran or profile.effect is Effect.REISSUABLE:
@@ -578,16 +571,18 @@
         return profile.effect is Effect.REISSUABLE
 
     def _is_cold(self, server: Server, now: float) -> bool:
-        return server.entry.started_at > 0 and now < server.entry.started_at + self._cold_time
+        return server.entry.started_at > 0 and now < server.entry.started_at + self._terms.cold_time
 
     def _cold_gap(self, server: Server, now: float) -> float:
         """Seconds between own sends to a cold server, so that all nodes together stay in its budget."""
         warm = sum(1 for other in self._ready if not self._is_cold(other, now)) or len(self._ready) or 1
         self._prune(self._firsts, now - RETRY_SPAN)
         each = len(self._firsts) / RETRY_SPAN / warm
-        warmed = min(max(0.0, now - server.entry.started_at) / self._cold_time, 1.0)
-        share = self._cold_share + (1.0 - self._cold_share) * warmed
-        return min(1.0 / max(each * share * self._tip_multiple * COLD_CARE, 1e-6), self._cold_time)
+        warmed = min(max(0.0, now - server.entry.started_at) / self._terms.cold_time, 1.0)
+        share = self._terms.cold_share + (1.0 - self._terms.cold_share) * warmed
+        return min(
+            1.0 / max(each * share * self._terms.tip_multiple * COLD_CARE, 1e-6), self._terms.cold_time
+        )
 
     # Room, health and the rest.
 
@@ -599,7 +594,7 @@
         # Guards against servers that turn slow from holding too much, long before the contract time is full.
         most = self._calm_times * min(self._calm, default=math.inf)
         learned = sum(min(contract * self._hold_share, most) for _, contract in self._answers) / span
-        return max(2.0, FLOOR_EACH * len(self._ready) / self._nodes, learned)
+        return max(2.0, FLOOR_EACH * len(self._ready) / self._terms.nodes, learned)
 
     def _pressing(self, now: float) -> int:
         """Jobs out and still young. Guards against swallowed jobs, out for seconds, using up the room."""
@@ -685,15 +680,19 @@
         asked.append((now,))
         return False
 
-    def _age(self, job: Job, profile: Profile) -> float:
+    def _age(self, job: Job, profile: Profile, now: float) -> float:
         """How long the client has waited, read off the time left against the longest seen lately."""
         if job.profile >= len(self._lefts):
             return 0.0
         lefts = self._lefts[job.profile]
-        lefts.append(job.time_left)
-        usual = max(lefts)
+        lefts.append((job.time_left, job.repeat))
+        # Guards against first tries that pass for old beside a last retry, which may state all that is left;
+        # but while room is scarce they yield to it, as their clients come again.
+        scarce = self._scarce(now)
+        usual = max((left for left, repeat in lefts if scarce or not repeat), default=job.time_left)
         if job.repeat:
-            return profile.abandon_time - job.time_left if job.time_left < 0.98 * usual else 0.0
+            own = abs(job.time_left - usual) > 0.02 * usual
+            return max(0.0, profile.abandon_time - job.time_left) if own else 0.0
         return usual - job.time_left
 
     def _quick(self, profile: int) -> float:
@@ -702,7 +701,7 @@
 
     def _advice(self) -> float:
         wait = ADVICE_LEAST + len(self._queue) / max(self._rate(self._host.now()), 1.0)
-        return min(wait * self._random.uniform(1.0, 2.0), self._advice_limit)
+        return min(wait * self._random.uniform(1.0, 2.0), self._terms.advice_limit)
 
     def _profile(self, index: int) -> Profile:
         # An unknown profile is taken as at-most-once.
@@ -721,9 +720,9 @@
 
 UNKNOWN_PROFILE = Profile(contract_time=1.0, abandon_time=math.inf)
 NEVER_RAN = (Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT)
-OWNED_ANYWHERE = (Result.FULL, Result.NO_CONNECTION, Result.RESET)
+OWNED_ANYWHERE = (Result.FULL, Result.NO_CONNECTION, Result.RESET, Result.SPOILT)
 OWNED_DEEPEST = (*OWNED_ANYWHERE, Result.ERROR, Result.TIMED_OUT)
-FAULTS = (Result.ERROR, Result.TIMED_OUT, Result.NO_CONNECTION, Result.RESET)
+FAULTS = (Result.ERROR, Result.TIMED_OUT, Result.NO_CONNECTION, Result.RESET, Result.SPOILT)
 
 B, S, E = Balancer, State, Input
 TABLE = (
