--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -67,6 +67,7 @@
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
 NEAR_SLACK = 2.0  # times the far server's score at which a near server still wins
+NEAR_SPARE = 1.0  # jobs that do not count against a near server there; one more or less is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
 RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
 ADVICE_LEAST = 0.25  # s a turned back client is asked to wait at least
@@ -467,7 +468,8 @@
             pool = [server for server in pool if server.entry.zone == self._terms.zone]
             found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
             near = self._better(pool, found, now)
-            if near is not None and self._score(near, now) <= NEAR_SLACK * self._score(choice, now):
+            most = NEAR_SLACK * self._score(choice, now)
+            if near is not None and self._score(near, now, NEAR_SPARE) <= most:
                 return near
         return choice
 
@@ -504,13 +506,13 @@
         elif result not in (Result.NEVER_SENT, Result.SPOILT):
             dispatch.server.idle.append(now)
 
-    def _score(self, server: Server, now: float) -> float:
-        """The answer's load, less as it ages, plus own sends still out, by the server's pace."""
+    def _score(self, server: Server, now: float, spare: float = 0.0) -> float:
+        """The answer's load, less as it ages, plus own sends still out, less those spared, by its pace."""
         answer = server.answer or Load()
         usual = self._usual()
         reported = answer.held if answer.held is not None else answer.waiting or 0.0
         weight = usual.seconds / (usual.seconds + now - server.answered_at)
-        held = weight * reported + len(server.flights)
+        held = max(0.0, weight * reported + len(server.flights) - spare)
         # Guards against herds: among idle servers a noisy pace would decide alone, so it counts half.
         return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -365,6 +365,13 @@
     assert (host.finals(last), host.finals(first)) == ([], ["turn_back"])
 
 
+def test_a_near_server_may_hold_a_job_more_than_twice_a_far_ones() -> None:
+    host = FakeHost(servers=0, crossing_price=0.05, zone=0)
+    host.list_servers(0, zone=0)
+    host.list_servers(1, zone=1)
+    assert [host.sent(host.take()) for _ in range(4)] == [[0], [0], [0], [1]]
+
+
 def test_a_near_server_with_one_answer_comes_before_far_ones() -> None:
     host = FakeHost(servers=0, crossing_price=0.05, zone=1)
     host.list_servers(0, zone=1)
