Idle connections go before their server ends them; after a reset writes get new ones

A trace: told to keep them 60 s, servers end them after 0.25 to 0.65 s, each its own, and resets come 0.3 ms after the write at any idle time. Checked: closed ones are found before writing (fit); what is left crosses the end itself. At fault: Servers._fit knew the settings' idle time alone, and put jobs that must run once on kept connections.

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -62,6 +62,10 @@
         self._stream = IOStream(sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
         self._reading: asyncio.Future[bytes] | None = None
         self.idle_since = 0.0
+        self.kept = False  # whether it has served before
+        self.lived: float | None = None  # s that it stood idle until the other side ended it
+        self._resting = 0  # counts the times that it stood idle
+        self._closing = False
 
     async def open(self) -> None:
         try:
@@ -72,6 +76,7 @@
 
     async def exchange(self, request: Request, answers: AnswerReader) -> Answer:
         """Writes the request in one piece and waits for its whole answer."""
+        self._resting += 1
         try:
             await self._stream.write(encode_request(request))
         except StreamClosedError as error:
@@ -92,7 +97,16 @@
     def rest(self, now: float) -> None:
         """Stands idle from now on; a read goes on, so that an end is noticed."""
         self.idle_since = now
+        self.kept = True
+        self._resting += 1
         self._reading = read_piece(self._stream)
+        loop, rest = asyncio.get_running_loop(), self._resting
+        began = loop.time()
+        self._reading.add_done_callback(lambda reading: self._rested(reading, rest, loop.time() - began))
+
+    def _rested(self, reading: asyncio.Future[bytes], rest: int, seconds: float) -> None:
+        if rest == self._resting and not self._closing and not reading.cancelled() and reading.exception():
+            self.lived = seconds
 
     def fit(self) -> bool:
         """Whether a request may be written: open, and nothing unread. Guards against resets at reuse."""
@@ -107,6 +121,7 @@
         return False
 
     def close(self) -> None:
+        self._closing = True
         self._stream.close()
         if self._reading is not None and self._reading.done() and not self._reading.cancelled():
             self._reading.exception()  # seen: an idle connection's end is no failure
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -21,6 +22,10 @@
 IDLE_SHARE = (
     0.75  # of the servers' idle time; then a connection is retired, so that no request crosses its end
 )
+LIVES_KEPT = 8  # idle connections that a server ended, by which it is learned how long it keeps them
+LIVES_LEAST = 3  # of them; fewer are chance
+LIVES_SPAN = 60.0  # s that they count; then the settings hold again, as the server may have changed
+DOUBT_SPAN = 10.0  # s after a kept connection was reset in which what may run once only is not put on one
 PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
 
 
@@ -67,12 +72,15 @@
         self._counters = counters
         self._addresses: dict[str, Address] = {}
         self._idle: dict[str, deque[Connection]] = {}
+        self._reset_at = -math.inf
+        self._lives: dict[str, deque[tuple[float, float]]] = {}
         counters.gauge("connections_idle", lambda: sum(len(kept) for kept in self._idle.values()))
         counters.gauge("servers_known", lambda: len(self._addresses))
 
     def point(self, ready: Mapping[str, Address]) -> None:
         """The servers that may get new requests, and where; idle connections elsewhere are closed."""
         self._addresses = dict(ready)
+        self._lives = {server: lives for server, lives in self._lives.items() if server in ready}
         self._retire(lambda server, connection: not self._current(server, connection))
 
     async def dispatch(self, server: str, request: Request, within: float) -> Exchanged:
@@ -94,7 +102,7 @@
 
     def sweep(self) -> None:
         """Retires connections that have stood idle, or were closed by their server."""
-        self._retire(lambda _, connection: not self._fit(connection))
+        self._retire(lambda server, connection: not self._fit(server, connection))
 
     def close_oldest(self) -> bool:
         """Gives up one idle connection, where descriptors are short."""
@@ -114,7 +122,7 @@
         answer: Answer | None = None
         try:
             async with asyncio.timeout(within):
-                connection = await self._connected(server)
+                connection = await self._connected(server, kept=self._may_be_kept(request))
                 written = True
                 answer = await connection.exchange(request, AnswerReader())
             result = read_result(answer)
@@ -124,6 +132,8 @@
             result = Result.NO_CONNECTION
         except Cut:
             result = Result.RESET
+            if connection is not None and connection.kept:
+                self._reset_at = self._clock()
         except Malformed:
             # The called server's own doing: what a deeper one spoils comes up as a plain error.
             result = Result.SPOILT
@@ -136,18 +146,22 @@
         ended = Ended(result, self._clock() - began, read_load(report) if report else None)
         return Exchanged(ended, answer)
 
-    async def _connected(self, server: str) -> Connection:
-        """The newest idle connection that is fit, else a new one to a server that is still ready."""
+    def _may_be_kept(self, request: Request) -> bool:
+        """Guards against jobs lost where servers end kept connections unheard: the next request is reset."""
+        return request.method == "GET" or self._clock() - self._reset_at > DOUBT_SPAN
+
+    async def _connected(self, server: str, kept: bool) -> Connection:
+        """The newest idle connection that is fit, if one may be used; else a new one to a ready server."""
         address = self._addresses.get(server)
         if address is None:
             raise NotSent("no longer in the list")
-        kept = self._idle.get(server, deque())
-        while kept:
-            connection = kept.pop()
-            if self._fit(connection):
+        idle = self._idle.get(server, deque()) if kept else deque()
+        while idle:
+            connection = idle.pop()
+            if self._fit(server, connection):
                 return connection
             self._counters.add("connections_found_unfit")
-            self._close(connection)
+            self._close_idle(server, connection)
         if self._descriptors.full() and not self.close_oldest() and not self._spare_one():
             self._counters.add("descriptors_short")
             raise NoDescriptor
@@ -173,7 +187,7 @@
             for connection in list(kept):
                 if unwanted(server, connection):
                     kept.remove(connection)
-                    self._close(connection)
+                    self._close_idle(server, connection)
             if not kept:
                 del self._idle[server]
 
@@ -181,9 +195,21 @@
         """Whether the list still has the server ready, and at that address."""
         return self._addresses.get(server) == connection.address
 
-    def _fit(self, connection: Connection) -> bool:
+    def _fit(self, server: str, connection: Connection) -> bool:
         """Guards against a request that crosses the end of a connection its server is about to close."""
-        return connection.idle_since > self._clock() - self._idle_most and connection.fit()
+        return connection.idle_since > self._clock() - self._idle_limit(server) and connection.fit()
+
+    def _idle_limit(self, server: str) -> float:
+        """By the settings, or by what the server did lately: it may keep idle connections for less."""
+        lives = [life for at, life in self._lives.get(server, ()) if at > self._clock() - LIVES_SPAN]
+        if len(lives) < LIVES_LEAST:
+            return self._idle_most
+        return min(self._idle_most, sorted(lives)[len(lives) // 2] * IDLE_SHARE)
+
+    def _close_idle(self, server: str, connection: Connection) -> None:
+        if connection.lived is not None and server in self._addresses:
+            self._lives.setdefault(server, deque(maxlen=LIVES_KEPT)).append((self._clock(), connection.lived))
+        self._close(connection)
 
     def _give_back(self, server: str, connection: Connection, keep: bool) -> None:
         if keep and self._current(server, connection):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -145,6 +145,7 @@
         self.reply = reply
         self.requests: list[Request] = []
         self.connections = 0
+        self._writers: list[asyncio.StreamWriter] = []
         self.asked = asyncio.Event()
         self.left = asyncio.Event()
         self.go_on = asyncio.Event()
@@ -161,8 +162,14 @@
     def at(self) -> str:
         return f"{self.address[0]}:{self.address[1]}"
 
+    def end_all(self) -> None:
+        for writer in self._writers:
+            writer.close()
+        self._writers.clear()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self._writers.append(writer)
         requests = RequestReader()
         try:
             while piece := await reader.read(65536):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -192,6 +192,54 @@
     run(story())
 
 
+def test_after_a_reset_on_a_kept_connection_what_may_run_once_gets_new_ones_for_a_while() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            sent = Dispatches(peer)
+            await sent.send()
+            peer.reply = (b"", "reset")
+            assert (await sent.send()).ended.result is Result.RESET and peer.connections == 1
+            peer.reply = OK
+            for connections in (2, 3):
+                await sent.send()
+                assert peer.connections == connections
+            await sent.servers.dispatch("s0", Request("GET", "/api", {"req-id": "1"}), 2.0)
+            assert peer.connections == 3
+            sent.clock += 10.5
+            await sent.send()  # the kept ones have stood idle for too long by now
+            await sent.send()
+            assert peer.connections == 4
+
+    run(story())
+
+
+def test_a_server_that_ends_idle_connections_early_is_not_met_at_that_moment() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            sent = Dispatches(peer)
+            assert sent.servers._idle_limit("s0") == 3.0
+            for _ in range(3):
+                await sent.send()
+                await asyncio.sleep(0.1)
+                peer.end_all()
+                (connection,) = sent.servers._idle["s0"]
+                while connection.lived is None:
+                    await asyncio.sleep(0.001)
+                sent.servers.sweep()
+            limit = sent.servers._idle_limit("s0")
+            assert 0.05 < limit < 0.5
+            await sent.send()
+            sent.clock += limit + 0.01
+            await sent.send()
+            assert peer.connections == 5 and sent.descriptors.held == 1
+            sent.clock += 61.0
+            assert sent.servers._idle_limit("s0") == 3.0
+            sent.servers.point({})
+            assert sent.servers._lives == {}
+
+    run(story())
+
+
 def test_a_timed_out_connection_is_never_used_again() -> None:
     async def story() -> None:
         async with Peer(SILENT) as peer:
