--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import math
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -16,7 +17,9 @@
 from notchjunction.net import words
 from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of
 
-WAIT = 20.0  # s that a call waits for news: while it does the list is followed, and each call costs discovery
+WAIT_SHARE = 0.75  # of the time within which the list must be asked for; a wait that is cut off says nothing
+WAIT_MOST = 20.0  # s that a call waits at most: where no such time is stated, or calls are refused
+REFUSALS_KEPT = 8  # last calls by which it is seen whether discovery has more of them than it can answer
 LIST_MOST = 8 * 1024 * 1024  # bytes of a list; tens of thousands of servers, and far under the memory limit
 SLACK = 1.5  # s over its wait that a call may take
 
@@ -61,8 +64,10 @@
 
 
 class Discovery:
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, ask_within: float) -> None:
         self._address = address
+        self._wait_least = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
+        self._refused: deque[bool] = deque([False] * REFUSALS_KEPT, maxlen=REFUSALS_KEPT)
         self._connection: Connection | None = None
         self._version: int | None = None
         self._moves = 0
@@ -95,11 +100,19 @@
             self._version = found.version
             return found
 
+    def _wait(self) -> float:
+        """Short, as a place cut off says nothing; the longer, the more of the last calls were refused.
+
+        While one waits the list is followed. Guards against all nodes' calls keeping each other out.
+        """
+        share = sum(self._refused) / REFUSALS_KEPT
+        return self._wait_least + (WAIT_MOST - self._wait_least) * share
+
     async def _ask(self) -> ServerList:
         target = words.LIST
         wait = 0.0
         if self._version is not None:
-            wait = WAIT
+            wait = self._wait()
             target += f"?after={self._version}&wait_ms={int(wait * 1000)}"
         try:
             async with asyncio.timeout(wait + SLACK):
@@ -128,6 +141,7 @@
             connection.rest(0.0)
         else:
             self.close()
+        self._refused.append(answer.status == 503)
         if answer.status != 200:
             raise Unusable(f"status {answer.status}")
         try:
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -43,7 +43,7 @@
         self._loop = asyncio.get_running_loop()
         self.counters = counters = Counters()
         self._descriptors = descriptors = Descriptors(told.sockets)
-        self._discovery = Discovery(told.discovery)
+        self._discovery = Discovery(told.discovery, told.terms.ask_within)
         self._servers = Servers(
             self.now,
             told.connect_within,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -692,7 +692,7 @@
 
     async def story() -> None:
         async with Peer(reply) as teller:
-            asked = Discovery(teller.address)
+            asked = Discovery(teller.address, 0.0)
             with pytest.raises(Unusable):
                 await asked.news()
             teller.reply = news(3, [])
@@ -702,11 +702,30 @@
     run(story())
 
 
+def test_calls_wait_longer_the_more_of_the_last_ones_were_refused() -> None:
+    async def story() -> None:
+        async with Peer((answer(b"503 Busy"), "keep")) as teller:
+            asked = Discovery(teller.address, 10.0)
+            asked.remember(1)
+            for _ in range(8):
+                with pytest.raises(Unusable):
+                    await asked.news()
+            teller.reply = news(2, [])
+            for _ in range(9):
+                await asked.news()
+            asked.close()
+            waits = [int(request.target.split("wait_ms=")[1]) for request in teller.requests]
+            assert waits[:9] == sorted(waits[:9]) and waits[8:] == sorted(waits[8:], reverse=True)
+            assert (waits[0], waits[8], waits[-1]) == (7500, 20000, 7500)
+
+    run(story())
+
+
 def test_a_list_that_is_counted_anew_is_asked_for_as_a_whole() -> None:
     async def story() -> None:
         reply = lambda request: news(4, [], False) if "after=" in request.target else news(4, [])  # noqa: E731
         async with Peer(reply) as teller:
-            asked = Discovery(teller.address)
+            asked = Discovery(teller.address, 0.0)
             asked.remember(41)
             found = await asked.news()
             assert (found.version, found.whole, len(teller.requests)) == (4, True, 2)
@@ -724,7 +743,7 @@
             head, body = chunks.split(b"\r\n\r\n", 1)
             chunks = head + b"\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
             async with Peer((text if framed else chunks, then)) as teller:
-                asked = Discovery(teller.address)
+                asked = Discovery(teller.address, 0.0)
                 assert len((await asked.news()).servers) == 1000
                 asked.close()
 
