Near servers are spared whole jobs of half an even share; ages as before again

In a large fleet one job is all that tells servers apart. Half an even share of own jobs out, in whole jobs, is none there and one to three with four servers.

--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -67,7 +67,7 @@
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
 NEAR_SLACK = 2.0  # times the far server's score at which a near server still wins
-NEAR_SPARE = 1.0  # jobs that do not count against a near server there; one more or less is chance
+NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
 RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
 ADVICE_LEAST = 0.25  # s a turned back client is asked to wait at least
@@ -199,7 +199,7 @@
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
-        self._lefts: list[deque[tuple[float, bool]]] = [deque(maxlen=32) for _ in self._profiles]
+        self._lefts: list[deque[float]] = [deque(maxlen=32) for _ in self._profiles]
         self._unprobed = 0
         self._odd_probe = False
         self._failures = 0
@@ -217,7 +217,7 @@
     def take(self, job: Job) -> None:
         now = self._host.now()
         profile = self._profile(job.profile)
-        age = self._age(job, profile, now)
+        age = self._age(job, profile)
         stretch = profile.contract_stretch * (job.work_hint or 0.0)
         held = Held(
             id=job.id,
@@ -335,11 +335,8 @@
         quick = self._quick(held.profile)
         if held.abandon_end - now - self._guard < quick:
             return True
-        late_earns = self._profile(held.profile).late_share > 0
-        return held.contract_end - now < quick and (not late_earns or self._scarce(now))
-
-    def _scarce(self, now: float) -> bool:
-        return bool(self._queue) or self._pressing(now) >= self._room()
+        scarce = bool(self._queue) or self._pressing(now) >= self._room()
+        return held.contract_end - now < quick and (scarce or not self._profile(held.profile).late_share)
 
     def _finds_place(self, held: Held) -> bool:
         room = self._room() * (SPARE_SHARE if held.past_share else 1.0)
@@ -468,8 +465,9 @@
             pool = [server for server in pool if server.entry.zone == self._terms.zone]
             found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
             near = self._better(pool, found, now)
+            spare = math.floor(NEAR_SPARE * len(self._flying) / len(self._ready))
             most = NEAR_SLACK * self._score(choice, now)
-            if near is not None and self._score(near, now, NEAR_SPARE) <= most:
+            if near is not None and self._score(near, now, spare) <= most:
                 return near
         return choice
 
@@ -682,19 +680,15 @@
         asked.append((now,))
         return False
 
-    def _age(self, job: Job, profile: Profile, now: float) -> float:
+    def _age(self, job: Job, profile: Profile) -> float:
         """How long the client has waited, read off the time left against the longest seen lately."""
         if job.profile >= len(self._lefts):
             return 0.0
         lefts = self._lefts[job.profile]
-        lefts.append((job.time_left, job.repeat))
-        # Guards against first tries that pass for old beside a last retry, which may state all that is left;
-        # but while room is scarce they yield to it, as their clients come again.
-        scarce = self._scarce(now)
-        usual = max((left for left, repeat in lefts if scarce or not repeat), default=job.time_left)
+        lefts.append(job.time_left)
+        usual = max(lefts)
         if job.repeat:
-            own = abs(job.time_left - usual) > 0.02 * usual
-            return max(0.0, profile.abandon_time - job.time_left) if own else 0.0
+            return profile.abandon_time - job.time_left if job.time_left < 0.98 * usual else 0.0
         return usual - job.time_left
 
     def _quick(self, profile: int) -> float:
