--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -199,7 +199,7 @@
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
-        self._lefts: list[deque[float]] = [deque(maxlen=32) for _ in self._profiles]
+        self._lefts: list[deque[tuple[float, bool]]] = [deque(maxlen=32) for _ in self._profiles]
         self._unprobed = 0
         self._odd_probe = False
         self._failures = 0
@@ -217,7 +217,7 @@
     def take(self, job: Job) -> None:
         now = self._host.now()
         profile = self._profile(job.profile)
-        age = self._age(job, profile)
+        age = self._age(job, profile, now)
         stretch = profile.contract_stretch * (job.work_hint or 0.0)
         held = Held(
             id=job.id,
@@ -335,8 +335,11 @@
         quick = self._quick(held.profile)
         if held.abandon_end - now - self._guard < quick:
             return True
-        scarce = bool(self._queue) or self._pressing(now) >= self._room()
-        return held.contract_end - now < quick and (scarce or not self._profile(held.profile).late_share)
+        late_earns = self._profile(held.profile).late_share > 0
+        return held.contract_end - now < quick and (not late_earns or self._scarce(now))
+
+    def _scarce(self, now: float) -> bool:
+        return bool(self._queue) or self._pressing(now) >= self._room()
 
     def _finds_place(self, held: Held) -> bool:
         room = self._room() * (SPARE_SHARE if held.past_share else 1.0)
@@ -680,15 +683,18 @@
         asked.append((now,))
         return False
 
-    def _age(self, job: Job, profile: Profile) -> float:
+    def _age(self, job: Job, profile: Profile, now: float) -> float:
         """How long the client has waited, read off the time left against the longest seen lately."""
         if job.profile >= len(self._lefts):
             return 0.0
         lefts = self._lefts[job.profile]
-        lefts.append(job.time_left)
-        usual = max(lefts)
+        lefts.append((job.time_left, job.repeat))
+        # Guards against first tries passing for old beside a last retry; they yield while room is scarce.
+        scarce = self._scarce(now)
+        usual = max((left for left, repeat in lefts if scarce or not repeat), default=job.time_left)
         if job.repeat:
-            return profile.abandon_time - job.time_left if job.time_left < 0.98 * usual else 0.0
+            own = abs(job.time_left - usual) > 0.02 * usual
+            return max(0.0, profile.abandon_time - job.time_left) if own else 0.0
         return usual - job.time_left
 
     def _quick(self, profile: int) -> float:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -349,6 +349,22 @@
     assert host.sent(slower) in ([1], [2])
 
 
+def test_a_first_try_does_not_pass_for_old_beside_a_last_retry_unless_room_is_scarce() -> None:
+    host = FakeHost(profiles=[profile(Effect.REISSUABLE, late_share=0.0)])
+    for _ in range(100):  # answers enough that a job may expect to wait a moment only
+        first = host.take(time_left=0.8)
+        host.advance(0.01)
+        host.end(first, seconds=0.01)
+    last = host.take(time_left=1.9, repeat=True)
+    first = host.take(time_left=0.8)
+    assert host.sent(last) and host.sent(first)
+    while not host.core._scarce(host.clock):
+        host.take(time_left=1.9, repeat=True)
+    last = host.take(time_left=1.9, repeat=True)
+    first = host.take(time_left=0.8)
+    assert (host.finals(last), host.finals(first)) == ([], ["turn_back"])
+
+
 @pytest.mark.parametrize(("far", "least", "most"), [(1, 9, 10), (9, 2, 4)])
 def test_a_near_server_is_spared_part_of_an_even_share(far: int, least: int, most: int) -> None:
     host = FakeHost(servers=0, crossing_price=0.05, zone=0)
