--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -337,7 +337,7 @@
 
     async def _linger(self) -> None:
         """Reads on for a moment: a close over unread bytes is a reset, which may destroy what was written."""
-        if self._callers.descriptors.full_of_callers():
+        if self._stream.closed() or self._callers.descriptors.full_of_callers():
             return
         left = LINGER_MOST
         with suppress(OSError, TimeoutError):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 import pytest
 
 from notchjunction.__main__ import main
-from notchjunction.http1.messages import Request
+from notchjunction.http1.messages import Answer, Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence, Result
 from notchjunction.net import callers, discovery, node_input
@@ -552,6 +552,24 @@
     run(story())
 
 
+def test_a_bad_caller_that_is_gone_before_its_error_is_no_failure(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def gone(caller: callers.Caller, _: Answer) -> None:
+        caller._stream.close()
+
+    monkeypatch.setattr(callers.Caller, "_write", gone)
+
+    async def story() -> None:
+        async with running() as (node, address):
+            client = await Client().open(address)
+            client.send(b"nonsense\r\n\r\n")
+            assert await client.closed()
+            while not (figures := node.counters.read()).get("callers_closed"):
+                await asyncio.sleep(0.001)
+            assert figures.get("failures", 0) == 0
+
+    run(story())
+
+
 def test_the_id_of_a_job_that_is_held_is_refused_and_the_first_one_is_unharmed() -> None:
     async def story() -> None:
         async with Peer(SILENT) as peer, running(peer) as (_, address):
