Reread: derived state instead of kept, one median, one text of an address, less work a job

No behaviour changes. Connection.lived needs no counter of rests nor a mark of our own closing: an end in the midst of an exchange or of our own is never asked for. Whether a caller's next byte renews its time is whether it is among the idle. The middle of idle lives is the library's median_high; an address is written as text in one place of three. The limit of callers well past their share is said as two plain bounds. The room is not worked out for a job's age while no retry is among the last times left: until now it was for every job.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -173,7 +173,6 @@
         self._first_at = callers.clock()
         callers.silent[self] = self._first_at
         # The first request is due by the time of connecting: bytes that drip in do not renew it.
-        self._renews = False
         self._due = self._first_at + (REFUSED_WITHIN if full else REQUEST_WITHIN)
 
     async def converse(self) -> None:
@@ -230,9 +229,9 @@
         """Between two requests, unless the next one has begun to come."""
         now = self._callers.clock()
         if self._requests.begun:
-            self._renews, self._due = False, now + REQUEST_WITHIN
+            self._due = now + REQUEST_WITHIN
         else:
-            self._renews, self._due = True, now + IDLE_MOST
+            self._due = now + IDLE_MOST
             self._callers.idle[self] = now
 
     def _stir(self) -> None:
@@ -316,10 +315,10 @@
         reading, self._reading = self._reading, None
         piece = reading.result()
         if not self._requests.begun:
-            self._stir()
             self._first_at = self._callers.clock()
-            if self._renews:
-                self._renews, self._due = False, self._first_at + REQUEST_WITHIN
+            if self in self._callers.idle:
+                self._due = self._first_at + REQUEST_WITHIN
+            self._stir()
         self._requests.feed(piece)
 
     def _bad(self, status: int) -> Answer:
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from functools import partial
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -45,6 +46,10 @@
     return host.strip("[]"), int(port)
 
 
+def text_of(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
 def _cause(error: Exception) -> str:
     """What the operating system said, where the stream tells it."""
     return str(getattr(error, "real_error", None) or error)
@@ -64,8 +69,6 @@
         self.idle_since = 0.0
         self.kept = False  # whether it has served before
         self.lived: float | None = None  # s that it stood idle until the other side ended it
-        self._resting = 0  # counts the times that it stood idle
-        self._closing = False
 
     async def open(self) -> None:
         try:
@@ -76,7 +79,6 @@
 
     async def exchange(self, request: Request, answers: AnswerReader) -> Answer:
         """Writes the request in one piece and waits for its whole answer."""
-        self._resting += 1
         try:
             await self._stream.write(encode_request(request))
         except StreamClosedError as error:
@@ -98,15 +100,13 @@
         """Stands idle from now on; a read goes on, so that an end is noticed."""
         self.idle_since = now
         self.kept = True
-        self._resting += 1
         self._reading = read_piece(self._stream)
-        loop, rest = asyncio.get_running_loop(), self._resting
-        began = loop.time()
-        self._reading.add_done_callback(lambda reading: self._rested(reading, rest, loop.time() - began))
+        self._reading.add_done_callback(partial(self._rested, asyncio.get_running_loop().time()))
 
-    def _rested(self, reading: asyncio.Future[bytes], rest: int, seconds: float) -> None:
-        if rest == self._resting and not self._closing and not reading.cancelled() and reading.exception():
-            self.lived = seconds
+    def _rested(self, began: float, reading: asyncio.Future[bytes]) -> None:
+        """Notes an end; one in the midst of an exchange, or of our own, is never asked for."""
+        if not reading.cancelled() and reading.exception():
+            self.lived = asyncio.get_running_loop().time() - began
 
     def fit(self) -> bool:
         """Whether a request may be written: open, and nothing unread. Guards against resets at reuse."""
@@ -121,7 +121,6 @@
         return False
 
     def close(self) -> None:
-        self._closing = True
         self._stream.close()
         if self._reading is not None and self._reading.done() and not self._reading.cancelled():
             self._reading.exception()  # seen: an idle connection's end is no failure
--- a/notchjunction/net/descriptors.py
+++ b/notchjunction/net/descriptors.py
@@ -26,9 +26,8 @@
 
     def spent(self) -> bool:
         """Whether half the margin is used too."""
-        return (
-            max(self.held, self.callers + self._most - self._callers_most) >= self._most + self._margin // 2
-        )
+        over = self._margin // 2
+        return self.held >= self._most + over or self.callers >= self._callers_most + over
 
     def take(self) -> None:
         self.held += 1
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -15,7 +15,7 @@
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence
 from notchjunction.net import words
-from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of
+from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of, text_of
 
 WAIT_SHARE = 0.75  # of the time within which the list must be asked for; a wait that is cut off says nothing
 WAIT_MOST = 20.0  # s that a call waits at most: where no such time is stated, or calls are refused
@@ -135,7 +135,7 @@
             self.close()
             connection = self._connection = Connection(self._address)
             await connection.open()
-        request = Request("GET", target, {"host": f"{self._address[0]}:{self._address[1]}"})
+        request = Request("GET", target, {"host": text_of(self._address)})
         answer = await connection.exchange(request, AnswerReader(LIST_MOST))
         if answer.keep:
             connection.rest(0.0)
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -16,7 +16,7 @@
 from notchjunction.interface import News, Presence
 from notchjunction.net import node_input
 from notchjunction.net.callers import Callers
-from notchjunction.net.connections import Address
+from notchjunction.net.connections import Address, text_of
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.discovery import Discovery, ServerList, Unusable
@@ -93,8 +93,7 @@
         for number, handler in handlers.items():
             self._loop.add_signal_handler(number, handler)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        host, port = told.listen
-        log.info("start", extra=pairs(node=told.name, listen=f"{host}:{port}", depth=told.terms.depth))
+        log.info("start", extra=pairs(node=told.name, listen=text_of(told.listen), depth=told.terms.depth))
         self._callers.open(told.listen)
         self.listening.set()
         if told.known is not None:
@@ -119,9 +118,8 @@
             log.error("new configuration unusable", extra=pairs(why=repr(error)))
             return
         self.counters.add("reloads")
-        host, port = told.discovery
         kept = ",".join(node_input.changed(self._told, told)) or "none"
-        log.info("new configuration", extra=pairs(discovery=f"{host}:{port}", needs_restart=kept))
+        log.info("new configuration", extra=pairs(discovery=text_of(told.discovery), needs_restart=kept))
         if told.discovery != self._told.discovery:
             self._discovery.move(told.discovery)
             self._list_due.set()  # at once, also in a failed call's pause: a new place has not failed
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from statistics import median_high
 
 from notchjunction.decider import Ended
 from notchjunction.http1.messages import Answer, Malformed, Request
@@ -204,7 +205,7 @@
         lives = [life for at, life in self._lives.get(server, ()) if at > self._clock() - LIVES_SPAN]
         if len(lives) < LIVES_LEAST:
             return self._idle_most
-        return min(self._idle_most, sorted(lives)[len(lives) // 2] * IDLE_SHARE)
+        return min(self._idle_most, median_high(lives) * IDLE_SHARE)
 
     def _close_idle(self, server: str, connection: Connection) -> None:
         if connection.lived is not None and server in self._addresses:
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -690,7 +690,7 @@
         lefts = self._lefts[job.profile]
         lefts.append((job.time_left, job.repeat))
         # Guards against first tries passing for old beside a last retry; they yield while room is scarce.
-        scarce = self._scarce(now)
+        scarce = any(repeat for _, repeat in lefts) and self._scarce(now)
         usual = max((left for left, repeat in lefts if scarce or not repeat), default=job.time_left)
         if job.repeat:
             own = abs(job.time_left - usual) > 0.02 * usual
