--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -65,7 +65,8 @@
 OVERDUE_TIMES = 8.0  # times the usual seconds before a second copy; rarer than a large job on a sound server
 PATIENCE = 4.0  # times the usual seconds before a dispatch counts as unanswered; jobs differ in size
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
-COLD_CARE = 0.35  # of the cold budget used; jobs differ in size and nodes may coincide
+COLD_CARE = 0.6  # of the cold budget used; jobs differ in size, servers in speed, and nodes may coincide
+COLD_SPREAD = 0.25  # of a send, at random, by which nodes wait more or less, so as not to fall in step
 NEAR_SLACK = 2.0  # times the far server's score at which a near server still wins
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
@@ -133,7 +134,8 @@
     answered_at: float = -math.inf
     back_at: float = -math.inf
     idle: deque[float] = field(default_factory=lambda: deque(maxlen=IDLE_MOST))
-    cold_next: float = -math.inf
+    cold_from: float = -math.inf  # since when this node's part of the cold budget adds up to the next send
+    cold_due: float = 1.0  # sends that it has to add up to
 
 
 class End(NamedTuple):
@@ -416,7 +418,8 @@
         held.sent.append(dispatch)
         server.flights.append(dispatch)
         if self._is_cold(server, now):
-            server.cold_next = now + self._cold_gap(server, now) * self._random.uniform(0.75, 1.25)
+            server.cold_from = now
+            server.cold_due = self._random.uniform(1 - COLD_SPREAD, 1 + COLD_SPREAD)
         late = self._profile(held.profile).late_share
         end = held.abandon_end if late else min(held.abandon_end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
@@ -454,7 +457,7 @@
                 and len(server.flights) < most
                 and server.entry.presence is Presence.READY
                 and server not in silent
-                and not (server.cold_next > now and self._is_cold(server, now))
+                and not (self._is_cold(server, now) and self._cold_left(server, now) < server.cold_due)
                 and not any(dispatch.server is server for dispatch in held.sent)
                 and (not held.sent or self._may_run_on(held, server, now))
             )
@@ -576,16 +579,16 @@
     def _is_cold(self, server: Server, now: float) -> bool:
         return server.entry.started_at > 0 and now < server.entry.started_at + self._terms.cold_time
 
-    def _cold_gap(self, server: Server, now: float) -> float:
-        """Seconds between own sends to a cold server, so that all nodes together stay in its budget."""
+    def _cold_left(self, server: Server, now: float) -> float:
+        """Sends that this node's part of the cold budget has come to since the last one there."""
         warm = sum(1 for other in self._ready if not self._is_cold(other, now)) or len(self._ready) or 1
         self._prune(self._firsts, now - RETRY_SPAN)
         each = len(self._firsts) / RETRY_SPAN / warm
-        warmed = min(max(0.0, now - server.entry.started_at) / self._terms.cold_time, 1.0)
+        # Added up as the server warms, and not foretold: many nodes' next sends lie seconds ahead.
+        between = (server.cold_from + now) / 2 - server.entry.started_at
+        warmed = min(max(0.0, between) / self._terms.cold_time, 1.0)
         share = self._terms.cold_share + (1.0 - self._terms.cold_share) * warmed
-        return min(
-            1.0 / max(each * share * self._terms.tip_multiple * COLD_CARE, 1e-6), self._terms.cold_time
-        )
+        return (now - server.cold_from) * each * share * self._terms.tip_multiple * COLD_CARE
 
     # Room, health and the rest.
 
@@ -669,7 +672,7 @@
             known = Server(entry)
             self._servers[entry.server] = known
             if self._is_cold(known, now):
-                known.cold_next = now + self._random.uniform(0, self._cold_gap(known, now))
+                known.cold_from, known.cold_due = now, self._random.random()
         else:
             known.entry = entry
 
