--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -45,6 +45,10 @@
 POOL_MOST = 48  # newest answers that are looked at; bounds the work of a pick, however large the fleet
 POOL_SHARE = 0.34  # of the fresh answers, the best, that make up the pool; random enough against herds
 PACE_NOISE = 1.5  # times the usual pace that a report may show by chance alone
+WAIT_NOISE = 2.0  # times the usual seconds that a probe may take by chance, as on a new connection
+WAIT_TIMES = 4.0  # times the usual past which its server counts as slow; past chance and unequal machines
+WAIT_PART = 0.05  # of a job's usual time; a probe that takes less tells of nothing that harms one
+WAIT_SPAN = 3.0  # s that such a probe counts; time to rest, and about the time between two probes of a server
 LAST_ALL = 64  # outcomes kept of all servers together; what is usual, in a second or a few of traffic
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
 HEALTH_GAP = 0.35  # share of successes by which a server must trail the others; under it is chance in eight
@@ -54,11 +58,12 @@
 RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
 HOLD_SHARE = 0.5  # of the contract time that jobs out may take to clear; the rest is slack for chance
 YOUNG_SHARE = 0.75  # of the contract time after which a dispatch counts as stuck and takes up no room
+TURN_SPAN = 0.05  # s between looks at waiting jobs without an outcome; short against any contract time
 WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
 CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
 CALM_MOST = 32  # stretches of answers remembered to find the calmest; a minute or more, longer than troubles
 STRETCH_LEAST = 16  # answers in a stretch; fewer make a middle by chance
-FLOOR_EACH = 6.0  # jobs a ready server gets from all nodes before anything is learned: a small machine's
+FLOOR_EACH = 9.0  # jobs that all nodes send an able server before anything is learned: a small machine's
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
@@ -66,6 +71,7 @@
 PATIENCE = 4.0  # times the usual seconds before a dispatch counts as unanswered; jobs differ in size
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.6  # of the cold budget used; jobs differ in size, servers in speed, and nodes may coincide
+COLD_SPAN = 3.0  # s in which all nodes together may send a warm server one job, whatever they learned
 COLD_SPREAD = 0.25  # of a send, at random, by which nodes wait more or less, so as not to fall in step
 NEAR_SLACK = 2.0  # times the far server's score at which a near server still wins
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
@@ -132,10 +138,14 @@
     seconds: deque[float] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
     answer: Load | None = None
     answered_at: float = -math.inf
+    asked_at: float | None = None  # when the last probe was sent, while it is out
+    wait: float = 0.0  # s that the last probe took; whatever its server does delays it
+    waited_at: float = -math.inf
     back_at: float = -math.inf
     idle: deque[float] = field(default_factory=lambda: deque(maxlen=IDLE_MOST))
     cold_from: float = -math.inf  # since when this node's part of the cold budget adds up to the next send
     cold_due: float = 1.0  # sends that it has to add up to
+    warm_take: float = 0.0  # what this node sent each warm server in a second when this one came
 
 
 class End(NamedTuple):
@@ -149,6 +159,7 @@
 class Usual(NamedTuple):
     seconds: float
     pace: float
+    wait: float
 
 
 def middle(values: Iterable[float], default: float) -> float:
@@ -208,7 +219,8 @@
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
         self._usual_until = -math.inf
-        self._usual_now = Usual(1.0, 1.0)
+        self._usual_now = Usual(1.0, 1.0, 1.0)
+        self._passed_over: list[Server] = []
         if terms.must_follow:
             host.follow()
         if self._terms.probes:
@@ -274,9 +286,17 @@
 
     def probed(self, server: int, result: Result, load: Load | None) -> None:
         known = self._servers.get(server)
-        if known is not None and result is Result.HONOURED:
-            self._answered(known, load or Load(), self._host.now())
-        elif known is not None:
+        if known is None:
+            return
+        now = self._host.now()
+        waited = now - known.asked_at if known.asked_at is not None else None
+        known.asked_at = None
+        # Guards against taking a probe that failed at once for a quick one.
+        if waited is not None and (result is Result.HONOURED or waited > known.wait):
+            known.wait, known.waited_at = waited, now
+        if result is Result.HONOURED:
+            self._answered(known, load or Load(), now)
+        else:
             known.answered_at = -math.inf
 
     def timer(self, token: int) -> None:
@@ -320,6 +340,12 @@
             if head.state is State.WAITING:
                 return
 
+    def _turn_on(self) -> None:
+        # Guards against jobs that wait for a cold server, or one set aside, while no outcome wakes them.
+        self._turn()
+        if self._queue:
+            self._after(TURN_SPAN, self._turn_on)
+
     def _tell(self, job: int, event: Input) -> None:
         held = self._held.get(job)
         if held is not None:
@@ -389,6 +415,8 @@
         pass
 
     def _wait(self, held: Held) -> None:
+        if not self._queue:
+            self._after(TURN_SPAN, self._turn_on)
         insort(self._queue, held, key=Held.rank)
 
     def _send_first(self, held: Held) -> None:
@@ -449,14 +477,14 @@
     def _pick(self, held: Held) -> Server | None:
         now = self._host.now()
         most = self._server_room()
-        silent = self._silent(now)
+        passed_over = self._unable()
 
         def fits(server: Server) -> bool:
             return (
                 server.back_at <= now
                 and len(server.flights) < most
                 and server.entry.presence is Presence.READY
-                and server not in silent
+                and server not in passed_over
                 and not (self._is_cold(server, now) and self._cold_left(server, now) < server.cold_due)
                 and not any(dispatch.server is server for dispatch in held.sent)
                 and (not held.sent or self._may_run_on(held, server, now))
@@ -518,7 +546,9 @@
         weight = usual.seconds / (usual.seconds + now - server.answered_at)
         held = max(0.0, weight * reported + len(server.flights) - spare)
         # Guards against herds: among idle servers a noisy pace would decide alone, so it counts half.
-        return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2
+        late = max(0.0, server.wait / usual.wait / WAIT_NOISE - 1.0)
+        late *= usual.seconds / (usual.seconds + now - server.waited_at)
+        return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2 * (1.0 + late)
 
     def _slowness(self, server: Server, usual: Usual) -> float:
         """How many times slower than usual the server is, by its own report, else by its last few answers."""
@@ -537,6 +567,26 @@
         ]
         return silent if len(silent) <= SILENT_MOST * len(self._ready) else []
 
+    def _unable(self) -> list[Server]:
+        """Servers that are silent or slow; none if that is most of them."""
+        self._usual()  # found anew with the usual figures
+        return self._passed_over
+
+    def _find_passed_over(self, now: float) -> list[Server]:
+        """Guards against jobs at overdriven servers: a probe tells of those seconds before a job does."""
+        usual = self._usual_now
+        least = max(WAIT_TIMES * usual.wait, WAIT_PART * usual.seconds)
+        silent = self._silent(now)
+        found = silent + [
+            server
+            for server in self._ready
+            if server.wait > least and now - server.waited_at < WAIT_SPAN and server not in silent
+        ]
+        return found if len(found) <= SILENT_MOST * len(self._ready) else []
+
+    def _takes_more(self, server: Server, now: float) -> bool:
+        return server.back_at <= now and server not in self._unable()
+
     def _usual(self) -> Usual:
         now = self._host.now()
         if now >= self._usual_until:
@@ -544,7 +594,10 @@
             # One time a server: quick servers answer more jobs and would pass for the usual.
             latest = {end.server.entry.server: end.seconds for end in self._ends if end.seconds}
             paces = (server.answer.pace for server in self._pool if server.answer and server.answer.pace)
-            self._usual_now = Usual(max(middle(latest.values(), 1.0), 0.001), max(middle(paces, 1.0), 0.001))
+            waits = (server.wait for server in self._pool if server.wait)
+            figures = (latest.values(), paces, waits)
+            self._usual_now = Usual(*(max(middle(values, 1.0), 0.001) for values in figures))
+            self._passed_over = self._find_passed_over(now)
         return self._usual_now
 
     # The four rules.
@@ -579,11 +632,16 @@
     def _is_cold(self, server: Server, now: float) -> bool:
         return server.entry.started_at > 0 and now < server.entry.started_at + self._terms.cold_time
 
-    def _cold_left(self, server: Server, now: float) -> float:
-        """Sends that this node's part of the cold budget has come to since the last one there."""
+    def _warm_take(self, now: float) -> float:
+        """What this node sends a warm server in a second; never quite nothing."""
         warm = sum(1 for other in self._ready if not self._is_cold(other, now)) or len(self._ready) or 1
         self._prune(self._firsts, now - RETRY_SPAN)
-        each = len(self._firsts) / RETRY_SPAN / warm
+        return max(len(self._firsts) / RETRY_SPAN / warm, 1.0 / (COLD_SPAN * self._terms.nodes))
+
+    def _cold_left(self, server: Server, now: float) -> float:
+        """Sends that this node's part of the cold budget has come to since the last one there."""
+        # Guards against a fleet that sends ever less because it has sent little.
+        each = max(server.warm_take, self._warm_take(now))
         # Added up as the server warms, and not foretold: many nodes' next sends lie seconds ahead.
         between = (server.cold_from + now) / 2 - server.entry.started_at
         warmed = min(max(0.0, between) / self._terms.cold_time, 1.0)
@@ -600,16 +658,22 @@
         # Guards against servers that turn slow from holding too much, long before the contract time is full.
         most = self._calm_times * min(self._calm, default=math.inf)
         learned = sum(min(contract * self._hold_share, most) for _, contract in self._answers) / span
-        return max(2.0, FLOOR_EACH * len(self._ready) / self._terms.nodes, learned)
+        able = sum(
+            1 for server in self._ready if self._takes_more(server, now) and not self._is_cold(server, now)
+        )
+        return max(2.0, FLOOR_EACH * able / self._terms.nodes, learned)
 
     def _pressing(self, now: float) -> int:
-        """Jobs out and still young. Guards against swallowed jobs, out for seconds, using up the room."""
+        """Jobs out, still young, and where more may go.
+
+        Guards against jobs swallowed, or stuck in servers that are resting, using up the room of the others.
+        """
         while self._recent and (
             not self._recent[0].out
             or now - self._recent[0].at > self._young_share * self._recent[0].contract_time
         ):
             self._recent.popleft()
-        return sum(1 for dispatch in self._recent if dispatch.out)
+        return sum(1 for dispatch in self._recent if dispatch.out and self._takes_more(dispatch.server, now))
 
     def _server_room(self) -> float:
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready)))
@@ -659,7 +723,9 @@
             self._odd_probe = not self._odd_probe
             # Every other probe asks a server that is likely to be sent to; the rest keep the design's share.
             asked = (self._familiar(self._host.now()) if self._odd_probe else []) or self._ready
-            self._host.probe(self._random.choice(asked).entry.server)
+            server = self._random.choice(asked)
+            server.asked_at = self._host.now()
+            self._host.probe(server.entry.server)
 
     def _enter(self, entry: ServerEntry) -> None:
         known = self._servers.get(entry.server)
@@ -673,6 +739,7 @@
             self._servers[entry.server] = known
             if self._is_cold(known, now):
                 known.cold_from, known.cold_due = now, self._random.random()
+                known.warm_take = self._warm_take(now)
         else:
             known.entry = entry
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 import json
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Any
@@ -45,6 +45,7 @@
     def __init__(self, servers: int = 4, **terms: Any) -> None:
         self.clock = 1000.0
         self.did: list[tuple[Any, ...]] = []
+        self.sent_at: list[tuple[float, int]] = []
         self.timers: list[tuple[float, int]] = []
         self.jobs = 0
         self.core = Balancer(replace(TERMS, **terms), self)
@@ -55,6 +56,7 @@
 
     def dispatch(self, job: int, server: int, within: float) -> None:
         self.did.append(("dispatch", job, server, within))
+        self.sent_at.append((self.clock, server))
 
     def recall(self, job: int, dispatch: int) -> None:
         self.did.append(("recall", job, dispatch))
@@ -113,6 +115,17 @@
     def answer(self, server: int, **figures: float) -> None:
         self.core.probed(server, Result.HONOURED, Load(**figures))
 
+    def probe_all(self, seconds: Mapping[int, float], result: Result = Result.HONOURED) -> None:
+        """Traffic until those named, else all, have been probed; an answer takes as told, or 5 ms."""
+        missing, seen = set(seconds) or set(self.core._servers), len(self.did)
+        while missing:
+            self.serve(1, every=0.01)
+            rows, seen = [row for row in self.did[seen:] if row[0] == "probe"], len(self.did)
+            for row in rows:
+                missing.discard(row[1])
+                self.advance(seconds.get(row[1], 0.005))
+                self.core.probed(row[1], result if row[1] in seconds else Result.HONOURED, Load())
+
     def sent(self, job: int) -> list[int]:
         return [row[2] for row in self.did if row[0] == "dispatch" and row[1] == job]
 
