--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -7,7 +7,7 @@
 import math
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from notchjunction.decider import Listed
@@ -34,6 +34,7 @@
     whole: bool
     servers: tuple[Listed, ...]
     addresses: Mapping[str, Address]
+    older: bool = False  # than the last one heard: counted anew, or from a place that lags
 
 
 def read_list(value: Any) -> ServerList:
@@ -97,8 +98,9 @@
                 # Guards against a list that is counted anew: its changes would miss all that went before.
                 self._version = None
                 continue
+            older = self._version is not None and found.version < self._version
             self._version = found.version
-            return found
+            return replace(found, older=older)
 
     def _wait(self) -> float:
         """Short, as a place cut off says nothing; the longer, the more of the last calls were refused.
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from typing import Any
 
-from notchjunction.decider import Ask, Decider, Follow, Probe, SetAside
+from notchjunction.decider import Ask, Decider, Follow, Listed, Probe, SetAside
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
 from notchjunction.net import node_input
@@ -64,6 +64,7 @@
         )
         self._addresses: dict[str, Address] = {}
         self._presences: dict[str, Presence] = {}
+        self._starts: dict[str, float] = {}
         self._ready = False
         self._list_fails = False
         self._list_due = asyncio.Event()
@@ -224,15 +225,19 @@
             self.counters.add_failure("list news failed in the node", error)
 
     def _hear(self, news: ServerList, kind: News) -> None:
+        if news.older:
+            news = replace(news, servers=tuple(self._still_drained(server) for server in news.servers))
         if kind is not News.CHANGES:
             self._addresses.clear()
             self._presences.clear()
+            self._starts.clear()
         self._addresses.update(news.addresses)
         self._presences.update({server.name: server.presence for server in news.servers})
+        self._starts.update({server.name: server.started_at for server in news.servers})
         for server in news.servers:
             if server.presence is Presence.GONE:
                 self._addresses.pop(server.name, None)
-                del self._presences[server.name]
+                del self._presences[server.name], self._starts[server.name]
         ready = {
             name: self._addresses[name]
             for name, presence in self._presences.items()
@@ -244,6 +249,13 @@
             self._ready = True
             log.info("ready", extra=pairs(servers=len(ready), version=news.version))
 
+    def _still_drained(self, server: Listed) -> Listed:
+        """Guards against taking a server's drain back on older word; only a later start does."""
+        drained = self._presences.get(server.name) is Presence.DRAINING
+        if drained and server.presence is Presence.READY and server.started_at <= self._starts[server.name]:
+            return replace(server, presence=Presence.DRAINING)
+        return server
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_SPAN)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -291,6 +291,19 @@
     run(story())
 
 
+def test_a_server_at_anothers_address_gets_none_of_the_others_connections() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            sent = Dispatches(peer)
+            await sent.send()
+            sent.servers.point({"s1": peer.address})
+            await peer.left.wait()
+            await sent.servers.dispatch("s1", JOB, 2.0)
+            assert (len(peer.requests), peer.connections, sent.descriptors.held) == (2, 2, 1)
+
+    run(story())
+
+
 def test_a_stopped_dispatch_closes_its_connection() -> None:
     async def story() -> None:
         async with Peer(SILENT) as peer:
@@ -692,6 +705,65 @@
     run(story())
 
 
+@pytest.mark.parametrize(
+    ("version", "started", "served"), [(2, 0, False), (4, 0, True), (2, 5_000, True)]
+)
+def test_older_word_takes_no_drain_back_unless_the_server_has_started_since(
+    version: int, started: int, served: bool
+) -> None:
+    async def story() -> None:
+        told: list[Reply] = []
+        teller = Peer(lambda _: told.pop(0) if told else SILENT)
+        async with Peer() as peer, teller:
+            again = [{**row, "since_ms": started} for row in rows(peer)]
+            told += [news(3, rows(peer, status="leaving"), False), news(version, again)]
+            async with running(peer, discovery=teller) as (_, address):
+                while len(teller.requests) < 3:
+                    await asyncio.sleep(0.001)
+                client = await Client().open(address)
+                client.ask()
+                assert (await client.answer()).status == (200 if served else 503)
+
+    run(story())
+
+
+def test_an_empty_list_leaves_no_server_and_the_next_one_brings_them_back() -> None:
+    async def story() -> None:
+        told: list[Reply] = []
+        teller = Peer(lambda _: told.pop(0) if told else SILENT)
+        async with Peer() as peer, teller:
+            told += [news(2, []), news(3, rows(peer))]
+            async with running(peer, discovery=teller) as (node, address):
+                while len(teller.requests) < 3:
+                    await asyncio.sleep(0.001)
+                client = await Client().open(address)
+                client.ask()
+                assert (await client.answer()).status == 200
+                assert node.counters.read()["servers_known"] == 1
+
+    run(story())
+
+
+def test_thousands_of_changes_at_once_are_taken_in_one_answer_and_leave_nothing_behind() -> None:
+    async def story() -> None:
+        told: list[Reply] = []
+        teller = Peer(lambda _: told.pop(0) if told else SILENT)
+        async with Peer() as peer, teller:
+            many = [{**row, "name": f"m{number}"} for row in rows(peer) for number in range(3000)]
+            gone = [{**row, "status": "left"} for row in many]
+            told += [news(2, many, False), news(3, gone, False)]
+            async with running(peer, discovery=teller) as (node, address):
+                while len(teller.requests) < 3:
+                    await asyncio.sleep(0.001)
+                client = await Client().open(address)
+                client.ask()
+                assert (await client.answer()).status == 200
+                assert node.counters.read()["servers_known"] == 1
+                assert len(node._starts) == len(node._presences) == 1
+
+    run(story())
+
+
 @pytest.mark.parametrize(
     "reply",
     [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -176,6 +176,40 @@
     assert host.count("follow") == 2
 
 
+@pytest.mark.parametrize(("nodes", "down"), [(1, 0.0), (40, 0.0), (40, 60.0), (200, 0.0)])
+def test_a_fleet_that_asks_for_the_list_at_once_is_all_served_in_a_bounded_time(
+    nodes: int, down: float
+) -> None:
+    """Discovery works through four calls a second and refuses what would wait for over a second."""
+    rate, limit, step = 4.0, 2.5, 0.05
+    hosts = [FakeHost(1, seed=number, must_follow=True, ask_within=10.0) for number in range(nodes)]
+    waiting: list[FakeHost] = []
+    seen = dict.fromkeys(range(nodes), 0)
+    done: dict[int, float] = {}
+    calls, now, worked = 0, 0.0, 0.0
+    while len(done) < nodes:
+        for number, host in enumerate(hosts):
+            if number not in done and host.count("follow") > seen[number]:
+                seen[number] += 1
+                calls += 1
+                if now < down or len(waiting) > rate:
+                    host.core.listed(News.FAILED, ())
+                else:
+                    waiting.append(host)
+        worked += rate * step if now >= down else 0.0
+        while worked >= 1.0 and waiting:
+            worked -= 1.0
+            served = waiting.pop(0)
+            served.core.listed(News.CHANGES, ())
+            done[hosts.index(served)] = now
+        worked = min(worked, 1.0)
+        for host in hosts:
+            host.advance(step)
+        now += step
+        assert now < down + 1.5 * nodes / rate + 2 * limit
+    assert calls <= nodes * (4 + now / 1.0)
+
+
 def test_probes_go_out_with_and_without_jobs() -> None:
     host = FakeHost()
     host.advance(10.0)
