--- /dev/null
+++ b/notchjunction/emulator/checkers.py
@@ -0,0 +1,130 @@
+"""The rules and the mechanism's bounds, checked from a run's rows alone; they know nothing of the module."""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Iterator
+
+from notchjunction.emulator.trace import Answered, Final, Probed, Ran, Row, Sent, Story, Taken, Tipped, Told
+from notchjunction.interface import Effect, Group, Presence
+
+RETRY_SHARE = 0.2  # retries a first send at most; the design's bound
+BOUND_SPAN = 10.0  # s over which that bound holds; the design's
+KNOWING_SHARE = 2 / 3  # of the push on a cold server that came from nodes told of its start; the rule's
+PROBE_SHARE = 0.1  # probes a first send at least; the design's bound
+PROBE_SPAN = 5.0  # s between two probes of a node at most; the design's bound
+
+Key = tuple[int, int]  # node and job
+
+
+def one_answer(story: Story) -> Iterator[str]:
+    """Rule 1: exactly one final answer before the abandon time, and nothing sent after it."""
+    taken: dict[Key, Taken] = {}
+    ended: dict[Key, Answered] = {}
+    for row in story.rows:
+        if isinstance(row, Taken):
+            taken[row.node, row.job] = row
+        elif isinstance(row, Answered):
+            key = (row.node, row.job)
+            if key in ended:
+                yield f"{row.at:.3f} job {key} has a second answer {row.final.name}"
+            elif key in taken and row.at > taken[key].abandon_at + story.slack:
+                yield f"{row.at:.3f} job {key} is answered late"
+            ended[key] = row
+        elif isinstance(row, Sent) and (row.node, row.job) in ended:
+            yield f"{row.at:.3f} job {(row.node, row.job)} is sent after its answer"
+    for key, row in taken.items():
+        if key not in ended and row.abandon_at + story.slack < story.ended_at:
+            yield f"{row.abandon_at:.3f} job {key} has no answer"
+
+
+def no_double_effects(story: Story) -> Iterator[str]:
+    """Rule 2: what may run once runs once, and a turn-back promises that a retry is harmless."""
+    ran: dict[Key, set[int]] = defaultdict(set)
+    profile_of: dict[Key, int] = {}
+    for row in story.rows:
+        if isinstance(row, Taken):
+            profile_of[row.node, row.job] = row.profile
+            continue
+        if not isinstance(row, Ran | Answered):
+            continue
+        key = (row.node, row.job)
+        profile = story.profiles[profile_of[key]]
+        if isinstance(row, Ran):
+            ran[key].add(row.dispatch)
+            if len(ran[key]) > 1 and profile.effect is not Effect.REISSUABLE:
+                yield f"{row.at:.3f} job {key} runs a second time"
+        elif row.final is Final.TURNED_BACK and ran[key]:
+            harmless = profile.effect is Effect.REISSUABLE or (
+                profile.effect is Effect.NUMBERED and profile.group is Group.ALL
+            )
+            if not harmless:
+                yield f"{row.at:.3f} job {key} is turned back after it has run"
+
+
+def clean_drains(story: Story) -> Iterator[str]:
+    """Rule 3: nothing new past the grace after word that a server drains or is gone."""
+    told: dict[Key, float] = {}  # node and server
+    for row in story.rows:
+        if isinstance(row, Told) and row.presence is Presence.READY:
+            told.pop((row.node, row.server), None)
+        elif isinstance(row, Told):
+            told.setdefault((row.node, row.server), row.at)
+        elif isinstance(row, Sent):
+            since = told.get((row.node, row.server))
+            if since is not None and row.at > since + story.grace:
+                late = row.at - since
+                yield f"{row.at:.3f} node {row.node} sends to server {row.server}, told {late:.3f} s ago"
+
+
+def gentle_fail_back(story: Story) -> Iterator[str]:
+    """Rule 4: no cold server is pushed over by nodes that know of its start."""
+    for row in story.rows:
+        if isinstance(row, Tipped) and row.knowing >= KNOWING_SHARE:
+            yield f"{row.at:.3f} server {row.server} was pushed over while cold"
+
+
+def retry_bound(story: Story) -> Iterator[str]:
+    """Further dispatches of a node are at most a fifth of its first ones over any span of 10 s."""
+    firsts: dict[int, deque[float]] = defaultdict(deque)
+    others: dict[int, deque[float]] = defaultdict(deque)
+    for row in story.rows:
+        if not isinstance(row, Sent):
+            continue
+        (others if row.dispatch else firsts)[row.node].append(row.at)
+        for times in (firsts[row.node], others[row.node]):
+            while times and times[0] < row.at - BOUND_SPAN:
+                times.popleft()
+        if row.dispatch and len(others[row.node]) > RETRY_SHARE * len(firsts[row.node]):
+            yield f"{row.at:.3f} node {row.node} has sent {len(others[row.node])} again in 10 s"
+
+
+def probe_bound(story: Story) -> Iterator[str]:
+    """A node probes at least every 5 s, and once for ten first sends."""
+    last: dict[int, float] = {}
+    unprobed: dict[int, int] = defaultdict(int)
+    for row in story.rows:
+        if isinstance(row, Taken | Told):
+            last.setdefault(row.node, row.at)
+        elif isinstance(row, Probed):
+            last[row.node], unprobed[row.node] = row.at, 0
+        elif isinstance(row, Sent) and not row.dispatch:
+            unprobed[row.node] += 1
+            if unprobed[row.node] == 1 / PROBE_SHARE + 1:
+                yield f"{row.at:.3f} node {row.node} has sent ten first times without a probe"
+        node = _node(row)
+        if node in last and row.at - last[node] > PROBE_SPAN + story.slack:
+            yield f"{row.at:.3f} node {node} has not probed for {row.at - last[node]:.1f} s"
+            last[node] = row.at
+
+
+def _node(row: Row) -> int:
+    return -1 if isinstance(row, Tipped) else row.node
+
+
+CHECKERS = (one_answer, no_double_effects, clean_drains, gentle_fail_back, retry_bound, probe_bound)
+
+
+def breaches(story: Story) -> list[str]:
+    """All that was broken, each with the checker's name."""
+    return [f"{checker.__name__}: {text}" for checker in CHECKERS for text in checker(story)]
--- /dev/null
+++ b/notchjunction/emulator/trace.py
@@ -0,0 +1,91 @@
+"""What happened in a run, one row an event; checkers and tables read nothing else."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from notchjunction.interface import Presence, Profile
+
+
+class Final(Enum):
+    HONOURED = auto()
+    TURNED_BACK = auto()
+    WRITTEN_OFF = auto()
+    WITHDRAWN = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    at: float
+    node: int
+    job: int
+    profile: int
+    abandon_at: float
+    first_try: int  # the number of the client's first try; the same for all its tries
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    at: float
+    node: int
+    job: int
+    dispatch: int
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """The server began to work on it; a repeat that it dropped is none."""
+
+    at: float
+    node: int
+    job: int
+    dispatch: int
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    at: float
+    node: int
+    job: int
+    final: Final
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    at: float
+    node: int
+    server: int
+    presence: Presence
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    at: float
+    node: int
+    server: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tipped:
+    """A cold server was sent more than it bears, and is down for good."""
+
+    at: float
+    server: int
+    knowing: float  # share of the work that came from nodes that had been told of its start
+
+
+Row = Taken | Sent | Ran | Answered | Told | Probed | Tipped
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """A run's rows in order, and what is needed to judge them."""
+
+    rows: tuple[Row, ...]
+    profiles: tuple[Profile, ...]
+    grace: float  # s after word of a drain within which a send is forgiven
+    slack: float  # s past the abandon time within which a final answer is forgiven
+    ended_at: float
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -63,7 +63,9 @@
 CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
 CALM_MOST = 32  # stretches of answers remembered to find the calmest; a minute or more, longer than troubles
 STRETCH_LEAST = 16  # answers in a stretch; fewer make a middle by chance
-FLOOR_EACH = 9.0  # jobs that all nodes send an able server before anything is learned: a small machine's
+FLOOR_EACH = 6.0  # jobs that all nodes send an able server before anything is learned: a small machine's
+FLOOR_CALM = 9.0  # the same while answers come in calm times; servers that do well hold more
+SLOWER_TIMES = 1.5  # times the calmest middle time up to which they do; less is chance
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
@@ -221,6 +223,7 @@
         self._usual_until = -math.inf
         self._usual_now = Usual(1.0, 1.0, 1.0)
         self._passed_over: list[Server] = []
+        self._able = 0
         if terms.must_follow:
             host.follow()
         if self._terms.probes:
@@ -317,6 +320,7 @@
             self._servers = {index: known for index, known in self._servers.items() if index in named}
         for entry in entries:
             self._enter(entry)
+        self._usual_until = -math.inf
         # Kept between news: going through a large fleet for each job costs more than all its decisions.
         self._ready = [server for server in self._servers.values() if server.entry.presence is Presence.READY]
         known = (server for server in self._pool if self._servers.get(server.entry.server) is server)
@@ -477,7 +481,8 @@
     def _pick(self, held: Held) -> Server | None:
         now = self._host.now()
         most = self._server_room()
-        passed_over = self._unable()
+        self._usual()  # finds anew who is passed over
+        passed_over = self._passed_over
 
         def fits(server: Server) -> bool:
             return (
@@ -567,13 +572,11 @@
         ]
         return silent if len(silent) <= SILENT_MOST * len(self._ready) else []
 
-    def _unable(self) -> list[Server]:
-        """Servers that are silent or slow; none if that is most of them."""
-        self._usual()  # found anew with the usual figures
-        return self._passed_over
-
     def _find_passed_over(self, now: float) -> list[Server]:
-        """Guards against jobs at overdriven servers: a probe tells of those seconds before a job does."""
+        """Servers that are silent or slow; none if that is most of them.
+
+        Guards against jobs at overdriven servers: a probe tells of those seconds before a job does.
+        """
         usual = self._usual_now
         least = max(WAIT_TIMES * usual.wait, WAIT_PART * usual.seconds)
         silent = self._silent(now)
@@ -585,7 +588,7 @@
         return found if len(found) <= SILENT_MOST * len(self._ready) else []
 
     def _takes_more(self, server: Server, now: float) -> bool:
-        return server.back_at <= now and server not in self._unable()
+        return server.back_at <= now and server not in self._passed_over
 
     def _usual(self) -> Usual:
         now = self._host.now()
@@ -598,6 +601,12 @@
             figures = (latest.values(), paces, waits)
             self._usual_now = Usual(*(max(middle(values, 1.0), 0.001) for values in figures))
             self._passed_over = self._find_passed_over(now)
+            # Kept with them: going through a large fleet for each job costs more than all its decisions.
+            self._able = sum(
+                1
+                for server in self._ready
+                if self._takes_more(server, now) and not self._is_cold(server, now)
+            )
         return self._usual_now
 
     # The four rules.
@@ -658,10 +667,11 @@
         # Guards against servers that turn slow from holding too much, long before the contract time is full.
         most = self._calm_times * min(self._calm, default=math.inf)
         learned = sum(min(contract * self._hold_share, most) for _, contract in self._answers) / span
-        able = sum(
-            1 for server in self._ready if self._takes_more(server, now) and not self._is_cold(server, now)
-        )
-        return max(2.0, FLOOR_EACH * able / self._terms.nodes, learned)
+        self._usual()  # counts the able servers anew
+        # Guards small machines, which the higher floor overdrives: it holds while answers are calm.
+        calm = len(self._calm) > 1 and self._calm[-1] <= SLOWER_TIMES * min(self._calm)
+        floor = FLOOR_CALM if calm else FLOOR_EACH
+        return max(2.0, floor * self._able / self._terms.nodes, learned)
 
     def _pressing(self, now: float) -> int:
         """Jobs out, still young, and where more may go.
