--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -30,6 +30,7 @@
 )
 from notchjunction.rules import Balancer
 
+GONE_KEPT = 1024  # names that left the list and that operators may still speak of; a release of a large fleet
 LAGS_KEPT = 256  # last delays of timers; some tens of seconds of ordinary traffic
 
 
@@ -161,6 +162,8 @@
         self._servers: dict[str, int] = {}
         self._names: dict[int, str] = {}
         self._listed = 0
+        self._gone: deque[str] = deque(maxlen=GONE_KEPT)
+        self.barred: set[str] = set()  # by operators; whatever the list says
         self._tickets: dict[int, Ticket] = {}
         self._taken = 0
         self._errands: asyncio.Queue[Errand] = asyncio.Queue()
@@ -236,6 +239,28 @@
             gone |= self._servers.keys() - {server.name for server in listed}
         for name in gone:
             self._names.pop(self._servers.pop(name))
+            self._gone.append(name)
+
+    def bar(self, server: str) -> bool:
+        """An operator takes a server out of use; false where nobody has heard of it."""
+        if not self._heard_of(server):
+            return False
+        self.barred.add(server)
+        if server in self._servers:
+            self._core.barred(self._servers[server], True)
+        return True
+
+    def unbar(self, server: str) -> bool:
+        """An operator gives a server back, however often it was taken out."""
+        if not self._heard_of(server):
+            return False
+        self.barred.discard(server)
+        if server in self._servers:
+            self._core.barred(self._servers[server], False)
+        return True
+
+    def _heard_of(self, server: str) -> bool:
+        return server in self._servers or server in self.barred or server in self._gone
 
     def tick(self) -> None:
         now = self._clock()
@@ -299,6 +324,8 @@
             self._listed += 1
             self._servers[listed.name] = self._listed
             self._names[self._listed] = listed.name
+            if listed.name in self.barred:
+                self._core.barred(self._listed, True)
         number = self._servers[listed.name]
         # Guards against repeats outside the group: servers of an unknown cell or zone share it with nobody.
         zone = self._zones.setdefault(listed.zone, len(self._zones)) if listed.zone else -1 - number
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -154,9 +154,16 @@
         """Answers say from now on that the connection closes."""
         self.parting = True
 
-    def close_idle(self) -> None:
+    def serve(self) -> None:
+        """Takes both back: the node is ready for more, and connections are kept."""
+        self.draining = self.parting = False
+
+    def close_idle(self, least: float = 0.0) -> None:
+        """Closes callers with no request open, but for those that have stood so for less time."""
+        since = self.clock() - least
         for caller in list(self._callers):
-            caller.close_if_idle()
+            if self.idle.get(caller, self.silent.get(caller, 0.0)) <= since:
+                caller.close_if_idle()
 
 
 class Caller:
--- a/notchjunction/net/descriptors.py
+++ b/notchjunction/net/descriptors.py
@@ -8,9 +8,9 @@
 
 
 class Descriptors:
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, kept_back: int = 0) -> None:
         self._margin = int(limit * MARGIN)
-        self._most = max(8, limit - self._margin - OWN)
+        self._most = max(8, limit - self._margin - OWN - kept_back)
         self._callers_most = self._most - int(self._most * SERVERS_LEAST)
         self.held = 0
         self.callers = 0
--- /dev/null
+++ b/notchjunction/net/management.py
@@ -0,0 +1,163 @@
+"""The operators' listener: one call to a connection, read, asked of the node, and answered."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import NamedTuple, Protocol
+from urllib.parse import unquote
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+
+from notchjunction.http1.encoder import encode_answer
+from notchjunction.http1.messages import Answer, Malformed, Request
+from notchjunction.http1.parser import RequestReader
+from notchjunction.net.connections import BUFFER_MOST, PIECE, Address, read_piece
+from notchjunction.net.counters import Counters
+from notchjunction.net.logs import pairs
+
+log = logging.getLogger(__name__)
+
+CALLS_MOST = 16  # connections at once; operators and their tools are few, and descriptors are kept back
+CALL_WITHIN = 3.0  # s from connecting until a call is whole; a call is one small piece
+ANSWERED_WITHIN = 0.9  # s for the node to do as it is asked; the answer is due after 1 s
+LINGER_WITHIN = 0.3  # s of reading on after the answer, so that a reset does not destroy it on its way
+BACKLOG = 128  # connections that wait to be accepted; those who say nothing may come in a crowd
+DESCRIPTORS = CALLS_MOST + 2  # what this listener may use: its calls, itself, and one being turned away
+
+
+class Operated(Protocol):
+    """What operators may ask of a node; each says whether it was done."""
+
+    def control_ready(self) -> bool: ...
+
+    async def take_offline(self, server: str) -> bool: ...
+
+    async def bring_online(self, server: str) -> bool: ...
+
+    async def out_of_service(self) -> bool: ...
+
+    async def in_service(self) -> bool: ...
+
+
+class Call(NamedTuple):
+    method: str
+    path: re.Pattern[str]
+    refusal: int  # the status of a no
+    ask: Callable[[Operated, str], Awaitable[bool]]
+
+
+async def _ready(node: Operated, _: str) -> bool:
+    return node.control_ready()
+
+
+CALLS = (
+    Call("GET", re.compile(r"/control/(ready)"), 503, _ready),
+    Call("PUT", re.compile(r"/control/servers/([^/]+)/offline"), 404, lambda node, id: node.take_offline(id)),
+    Call("PUT", re.compile(r"/control/servers/([^/]+)/online"), 404, lambda node, id: node.bring_online(id)),
+    Call("PUT", re.compile(r"/control/(out-of-service)"), 409, lambda node, _: node.out_of_service()),
+    Call("PUT", re.compile(r"/control/(in-service)"), 409, lambda node, _: node.in_service()),
+)
+
+
+class Management:
+    def __init__(self, node: Operated, counters: Counters) -> None:
+        self._node = node
+        self._counters = counters
+        self._loop = asyncio.get_running_loop()
+        self._listeners: list[socket.socket] = []
+        self._calls: dict[asyncio.Task[None], IOStream] = {}
+        self._unread: dict[IOStream, None] = {}  # whose call is not whole; the oldest come first
+
+    def open(self, address: Address) -> None:
+        self._listeners = bind_sockets(address[1], address[0], backlog=BACKLOG)
+        for listener in self._listeners:
+            self._loop.add_reader(listener.fileno(), self._accept, listener)
+
+    def close(self) -> None:
+        while self._listeners:
+            listener = self._listeners.pop()
+            self._loop.remove_reader(listener.fileno())
+            listener.close()
+        for task in self._calls:
+            task.cancel()
+
+    def _accept(self, listener: socket.socket) -> None:
+        try:
+            connection, _ = listener.accept()
+        except OSError:
+            return
+        if len(self._calls) >= CALLS_MOST:
+            # Guards against callers that say nothing keeping out those who do: the oldest of them goes.
+            oldest = next(iter(self._unread), None)
+            if oldest is None:
+                connection.close()
+                return
+            self._counters.add("operator_calls_dropped")
+            oldest.close()
+            del self._unread[oldest]
+        stream = IOStream(connection, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+        task = self._loop.create_task(self._serve(stream))
+        self._calls[task] = stream
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        stream = self._calls.pop(task)
+        self._unread.pop(stream, None)
+        stream.close()
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._counters.add_failure("operator's call failed in the node", error)
+
+    async def _serve(self, stream: IOStream) -> None:
+        with suppress(StreamClosedError):
+            stream.set_nodelay(True)
+            self._unread[stream] = None
+            try:
+                async with asyncio.timeout(CALL_WITHIN):
+                    request = await self._read(stream)
+            except Malformed as error:
+                answer = Answer(error.status, keep=False)
+            except TimeoutError:
+                answer = Answer(408, keep=False)
+            else:
+                self._unread.pop(stream, None)
+                answer = await self._answer(request)
+            self._unread.setdefault(stream)  # answered: the first to go where there is no room
+            with suppress(TimeoutError):
+                async with asyncio.timeout(LINGER_WITHIN):
+                    await stream.write(encode_answer(answer))
+                    stream.socket.shutdown(socket.SHUT_WR)
+                    while True:
+                        await read_piece(stream)
+
+    async def _read(self, stream: IOStream) -> Request:
+        requests = RequestReader()
+        while (request := requests.next()) is None:
+            requests.feed(await read_piece(stream))
+        return request
+
+    async def _answer(self, request: Request) -> Answer:
+        self._counters.add("operator_calls")
+        found = [(call, match) for call in CALLS if (match := call.path.fullmatch(request.path))]
+        if not found:
+            return Answer(404, keep=False)
+        fitting = [(call, match) for call, match in found if call.method == request.method]
+        if not fitting:
+            return Answer(405, {"allow": ", ".join(call.method for call, _ in found)}, keep=False)
+        call, match = fitting[0]
+        try:
+            async with asyncio.timeout(ANSWERED_WITHIN):
+                done = await call.ask(self._node, unquote(match[1]))
+        except TimeoutError:
+            done = False
+        except Exception as error:
+            self._counters.add_failure("operator's call failed in the node", error)
+            return Answer(500, keep=False)
+        if call.method == "PUT":
+            log.info("operator's call", extra=pairs(path=request.path, done=done))
+        return Answer(200 if done else call.refusal, keep=False)
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -14,7 +14,7 @@
 from notchjunction.decider import Ask, Decider, Follow, Listed, Probe, SetAside
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
-from notchjunction.net import node_input
+from notchjunction.net import management, node_input
 from notchjunction.net.callers import Callers
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.counters import Counters
@@ -22,8 +22,10 @@
 from notchjunction.net.discovery import Discovery, ServerList, Unusable
 from notchjunction.net.jobs import Job
 from notchjunction.net.logs import pairs
+from notchjunction.net.management import Management
 from notchjunction.net.node_input import NodeInput
 from notchjunction.net.servers import Servers
+from notchjunction.net.service_state import Effect, Input, ServiceState, State
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +36,8 @@
 KILL_MARGIN = 0.3  # s before it by which all is answered; the loop may be late
 ANSWER_SHARE = 0.5  # of what is left kept for answers; until then callers that stay are served on
 LOOK_SPAN = 0.05  # s between looks whether a draining node has answered all
+LEAD_SPAN = 0.4  # s from a node's "not ready" until callers are parted with; they come for 0.3 s more
+IDLE_LEAST = 0.5  # s that a caller may stand idle while it is led away: its next request brings its end
 
 
 class Node:
@@ -42,7 +46,8 @@
         self._offset = time.time() - time.monotonic()
         self._loop = asyncio.get_running_loop()
         self.counters = counters = Counters()
-        self._descriptors = descriptors = Descriptors(told.sockets)
+        kept_back = management.DESCRIPTORS if told.mgmt else 0
+        self._descriptors = descriptors = Descriptors(told.sockets, kept_back)
         self._discovery = Discovery(told.discovery, told.terms.ask_within)
         self._servers = Servers(
             self.now,
@@ -62,6 +67,9 @@
             descriptors,
             counters,
         )
+        self._management = Management(self, counters)
+        self._service = ServiceState()
+        self._leading: asyncio.Task[None] | None = None
         self._addresses: dict[str, Address] = {}
         self._listed: dict[str, Listed] = {}
         self._ready = False
@@ -95,6 +103,8 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         log.info("start", extra=pairs(node=told.name, listen=text_of(told.listen), depth=told.terms.depth))
         self._callers.open(told.listen)
+        if told.mgmt is not None:
+            self._management.open(told.mgmt)
         self.listening.set()
         if told.known is not None:
             self._discovery.remember(told.known.version)
@@ -107,7 +117,56 @@
 
     def stop(self) -> None:
         """Begins the drain; a second call changes nothing."""
-        self._stopping.set()
+        if self._service.tell(Input.END) is Effect.CEASE:
+            self._stopping.set()
+
+    # What operators ask.
+
+    def control_ready(self) -> bool:
+        return self._ready and self._service.state is not State.ENDING
+
+    async def take_offline(self, server: str) -> bool:
+        known = self._decider.bar(server)
+        self._point()
+        return known
+
+    async def bring_online(self, server: str) -> bool:
+        known = self._decider.unbar(server)
+        self._point()
+        return known
+
+    async def out_of_service(self) -> bool:
+        return self._led(Input.OUT)
+
+    async def in_service(self) -> bool:
+        return self._led(Input.IN)
+
+    def _led(self, event: Input) -> bool:
+        effect = self._service.tell(event)
+        if effect is Effect.LEAD:
+            log.info("out of service", extra=pairs(callers=self._callers.connected))
+            self._callers.drain()
+            self._leading = asyncio.create_task(self._lead_away())
+        elif effect is Effect.SERVE:
+            log.info("in service", extra=pairs(callers=self._callers.connected))
+            self._stop_leading()
+            self._callers.serve()
+        return effect is not None
+
+    def _stop_leading(self) -> None:
+        if self._leading is not None:
+            self._leading.cancel()
+            self._leading = None
+
+    async def _lead_away(self) -> None:
+        await asyncio.sleep(LEAD_SPAN)
+        if self._service.tell(Input.DUE) is Effect.PART:
+            self._callers.part()
+        while True:
+            self._callers.close_idle(IDLE_LEAST)
+            await asyncio.sleep(LOOK_SPAN)
+
+    # Configuration and end.
 
     def read_again(self) -> None:
         """Takes a new place of discovery from the file; whatever can't be read leaves all as it was."""
@@ -130,6 +189,7 @@
         longest = max((profile.abandon_time for profile in self._told.terms.profiles), default=LONGEST_MOST)
         span = KILL_AFTER - KILL_MARGIN + min(longest, LONGEST_MOST)
         self._end_at = self.now() + span
+        self._stop_leading()
         self._callers.drain()
         await asyncio.sleep(LISTEN_ON)
         self._callers.stop()
@@ -144,6 +204,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._management.close()
         self._discovery.close()
         self._servers.close()
         self._print_counters()
@@ -235,16 +296,23 @@
             if server.presence is Presence.GONE:
                 self._addresses.pop(server.name, None)
                 del self._listed[server.name]
+        ready = self._point()
+        self._decider.report_list(kind, news.servers)
+        if not self._ready:
+            self._ready = True
+            log.info("ready", extra=pairs(servers=ready, version=news.version))
+
+    def _point(self) -> int:
+        """Shows the connections' owner who may get anything new: by the list, and by operators."""
         ready = {
             name: self._addresses[name]
             for name, server in self._listed.items()
-            if server.presence is Presence.READY and name in self._addresses
+            if server.presence is Presence.READY
+            and name in self._addresses
+            and name not in self._decider.barred
         }
         self._servers.point(ready)
-        self._decider.report_list(kind, news.servers)
-        if not self._ready:
-            self._ready = True
-            log.info("ready", extra=pairs(servers=len(ready), version=news.version))
+        return len(ready)
 
     def _still_drained(self, server: Listed) -> Listed:
         """Guards against taking a server's drain back on older word; only a later start does."""
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -33,6 +33,7 @@
     connect_within: float
     idle_most: float
     load_path: str
+    mgmt: Address | None = None  # where operators call; none: nowhere
     file: str | None = None
     told: Mapping[str, Any] = field(default_factory=dict)
 
@@ -58,6 +59,7 @@
         connect_within=terms.number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
         idle_most=terms.number(paths, "limits.conn_idle", IDLE) / 1000,
         load_path=words.LOAD if terms.words(paths, "report.fields") else words.HEALTH,
+        mgmt=address_of(mgmt) if (mgmt := environment.get("GW_MGMT") or told.get("mgmt")) else None,
         file=file,
         told=told,
     )
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -2,7 +2,7 @@
 
 A host (see `Host` and `Decisions` in interface.py) builds one `Balancer` from the `Terms` it was given and
 calls it for each thing that happens: `take`, `outcome`, `streaming`, `withdrawn`, `probed`, `timer`,
-`listed`. The balancer answers through the host: `dispatch`, `recall`, `probe`, `turn_back`, `write_off`, ...
+`listed`, `barred`. The balancer answers through the host: `dispatch`, `recall`, `probe`, `turn_back`, ...
 Each happening becomes an input to a job; TABLE says, by the job's state, what is done; `_step` reads it.
 The design is error ownership on one hop and a probe pool: see docs/design.md.
 """
@@ -13,7 +13,7 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 from random import Random
 from typing import Any, NamedTuple
@@ -32,13 +32,13 @@
     ServerEntry,
     Terms,
 )
+from notchjunction.records import LAST_FEW, Dispatch, End, Server, Usual, middle
 
 # Constants: unit, and why this size.
 RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
 PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
 FAMILIAR = 12  # servers a node keeps connections to where they are priced; enough to find two that are free
-IDLE_MOST = 32  # idle connections remembered of a server; a node rarely has more jobs there at once
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
@@ -50,7 +50,6 @@
 WAIT_PART = 0.05  # of a job's usual time; a probe that takes less tells of nothing that harms one
 WAIT_SPAN = 3.0  # s that such a probe counts; time to rest, and about the time between two probes of a server
 LAST_ALL = 64  # outcomes kept of all servers together; what is usual, in a second or a few of traffic
-LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
 HEALTH_GAP = 0.35  # share of successes by which a server must trail the others; under it is chance in eight
 ASIDE_SPAN = 2.0  # s set aside at least; short against troubles of many seconds, long against a blip
 ASIDE_RANDOM = 2.0  # s more at most, at random, so that nodes do not return together
@@ -102,16 +101,6 @@
     WITHDRAWN = auto()
 
 
-@dataclass(slots=True, eq=False)
-class Dispatch:
-    server: Server
-    at: float
-    contract_time: float
-    linked: bool
-    out: bool = True
-    may_have_run: bool = True
-
-
 @dataclass(slots=True, eq=False)
 class Held:
     """A job without its final answer."""
@@ -129,46 +118,6 @@
         return (self.past_share, self.contract_end)
 
 
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this node knows of one server, mostly from its own traffic."""
-
-    entry: ServerEntry
-    flights: list[Dispatch] = field(default_factory=list)
-    heard_at: float = -math.inf
-    last: deque[bool] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
-    seconds: deque[float] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
-    answer: Load | None = None
-    answered_at: float = -math.inf
-    asked_at: float | None = None  # when the last probe was sent, while it is out
-    wait: float = 0.0  # s that the last probe took; whatever its server does delays it
-    waited_at: float = -math.inf
-    back_at: float = -math.inf
-    idle: deque[float] = field(default_factory=lambda: deque(maxlen=IDLE_MOST))
-    cold_from: float = -math.inf  # since when this node's part of the cold budget adds up to the next send
-    cold_due: float = 1.0  # sends that it has to add up to
-    warm_take: float = 0.0  # what this node sent each warm server in a second when this one came
-
-
-class End(NamedTuple):
-    """One of the last outcomes of all servers."""
-
-    server: Server
-    good: bool
-    seconds: float
-
-
-class Usual(NamedTuple):
-    seconds: float
-    pace: float
-    wait: float
-
-
-def middle(values: Iterable[float], default: float) -> float:
-    ordered = sorted(values)
-    return ordered[len(ordered) // 2] if ordered else default
-
-
 class Row(NamedTuple):
     state: State
     input: Input
@@ -198,7 +147,9 @@
         self._renew_limit = terms.ask_within / 4 or math.inf
 
         self._servers: dict[int, Server] = {}
+        self._barred: dict[int, float] = {}
         self._ready: list[Server] = []
+        self._owed: list[Server] = []
         self._pool: deque[Server] = deque(maxlen=POOL_MOST)
         self._ends: deque[End] = deque(maxlen=LAST_ALL)
         self._held: dict[int, Held] = {}
@@ -321,9 +272,28 @@
             self._servers = {index: known for index, known in self._servers.items() if index in named}
         for entry in entries:
             self._enter(entry)
+        self._barred = {server: since for server, since in self._barred.items() if server in self._servers}
+        self._count_ready()
+
+    def barred(self, server: int, out: bool) -> None:
+        """An operator takes a server out of use or gives it back; the list has no say in that."""
+        now, known = self._host.now(), self._servers.get(server)
+        if out:
+            self._barred.setdefault(server, now)
+        elif (since := self._barred.pop(server, None)) is not None and known is not None:
+            # Guards against judging it by what it was before: it was very likely restarted meanwhile.
+            start = known.entry.started_at if known.entry.started_at > since else now
+            known = self._fresh(replace(known.entry, started_at=start))
+            known.out_since, known.owed = since, True
+            if self._terms.probes:
+                self._ask(known)
+        self._count_ready()
+
+    def _count_ready(self) -> None:
         self._usual_until = -math.inf  # its counts are of the servers before this news
         # Kept between news: going through a large fleet for each job costs more than all its decisions.
-        self._ready = [server for server in self._servers.values() if server.entry.presence is Presence.READY]
+        self._ready = [server for server in self._servers.values() if self._is_open(server)]
+        self._owed = [server for server in self._ready if server.owed]
         known = (server for server in self._pool if self._servers.get(server.entry.server) is server)
         self._pool = deque(known, maxlen=POOL_MOST)
         self._turn()
@@ -446,6 +416,7 @@
         server = held.choice
         assert server is not None
         held.choice = None
+        server.owed = False
         linked = self._linked(server, now)
         if linked and not self._shared_links:
             server.idle.pop()
@@ -492,12 +463,16 @@
             return (
                 self._takes_more(server, now)
                 and len(server.flights) < most
-                and server.entry.presence is Presence.READY
+                and self._is_open(server)
                 and not (self._is_cold(server, now) and self._cold_left(server, now) < server.cold_due)
                 and not any(dispatch.server is server for dispatch in held.sent)
                 and (not held.sent or self._may_run_on(held, server, now))
             )
 
+        # Guards against a server given back that is never met: nothing is known of it.
+        owed = next((server for server in self._owed if server.owed and fits(server)), None)
+        if owed is not None:
+            return owed
         known = [server for server in self._familiar(now) if fits(server)]
         pool = known or [server for server in self._pool if fits(server)]
         ready = known or self._ready
@@ -735,25 +710,36 @@
             self._odd_probe = not self._odd_probe
             # Every other probe asks a server that is likely to be sent to; the rest keep the design's share.
             asked = (self._familiar(self._host.now()) if self._odd_probe else []) or self._ready
-            server = self._random.choice(asked)
-            server.asked_at = self._host.now()
-            self._host.probe(server.entry.server)
+            self._ask(self._random.choice(asked))
+
+    def _ask(self, server: Server) -> None:
+        server.asked_at = self._host.now()
+        self._host.probe(server.entry.server)
 
     def _enter(self, entry: ServerEntry) -> None:
         known = self._servers.get(entry.server)
-        now = self._host.now()
         if entry.presence is Presence.GONE:
             # Guards against growing with each server that ever was; dispatches there still know its group.
             self._servers.pop(entry.server, None)
         elif known is None or entry.started_at > known.entry.started_at:
             # Guards against judging a restarted server by what it was before.
-            known = Server(entry)
-            self._servers[entry.server] = known
-            if self._is_cold(known, now):
-                known.cold_from, known.cold_due = now, self._random.random()
-                known.warm_take = self._warm_take(now)
+            self._fresh(entry)
         else:
-            known.entry = entry
+            # Guards against word from before it was given back: that it is warm.
+            start = entry.started_at if entry.started_at > known.out_since else known.entry.started_at
+            known.entry = replace(entry, started_at=start)
+
+    def _fresh(self, entry: ServerEntry) -> Server:
+        now = self._host.now()
+        known = self._servers[entry.server] = Server(entry)
+        if self._is_cold(known, now):
+            known.cold_from, known.cold_due = now, self._random.random()
+            known.warm_take = self._warm_take(now)
+        return known
+
+    def _is_open(self, server: Server) -> bool:
+        """Whether anything new may go there: the list has it ready, and no operator has it out."""
+        return server.entry.presence is Presence.READY and server.entry.server not in self._barred
 
     def _past_share(self, operator: int, now: float) -> bool:
         if operator >= len(self._shares) or self._shares[operator] <= 0:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -255,6 +255,25 @@
             return await self._reader.read() == b""
 
 
+def free_address() -> Address:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address: Address = free.getsockname()
+    return address
+
+
+async def call(mgmt: Address, method: str, path: str, body: bytes = b"") -> int:
+    """One operators' call; the status of its answer."""
+    reader, writer = await asyncio.open_connection(*mgmt)
+    writer.write(
+        f"{method} {path} HTTP/1.1\r\nHost: n\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+    )
+    async with asyncio.timeout(5):
+        answer = await reader.read()
+    writer.close()
+    return int(answer.split(b" ")[1])
+
+
 @asynccontextmanager
 async def running(
     *servers: Peer,
@@ -262,12 +281,11 @@
     known: bool = True,
     sockets: int = 1024,
     file: Any = None,
+    mgmt: Address | None = None,
     **terms: Any,
 ) -> AsyncIterator[tuple[Node, Address]]:
     """A node on a free port of the loopback address, with its list remembered or not."""
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        listen: Address = free.getsockname()
+    listen = free_address()
     told = NodeInput(
         name="n",
         listen=listen,
@@ -279,6 +297,7 @@
         connect_within=0.5,
         idle_most=5.0,
         load_path="/health",
+        mgmt=mgmt,
         file=file and str(file),
     )
     node = Node(told)
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -227,3 +227,17 @@
     assert found.profiles[0] == replace(
         PLAIN, contract_time=2.0, revenue=3.0, late_share=0.0, effect=ONCE, group=Group.CELL
     )
+
+
+def test_a_ban_is_on_the_name_and_outlives_the_lists_word() -> None:
+    story = Story()
+    listed = [Listed(f"s{i}", Presence.READY, zone="a", cell=0) for i in range(4)]
+    assert not story.decider.bar("unheard of") and not story.decider.unbar("unheard of")
+    assert story.decider.bar("s1") and story.decider.bar("s1")
+    story.decider.report_list(News.WHOLE, [each for each in listed if each.name != "s1"])
+    story.decider.report_list(News.WHOLE, listed)
+    orders = [order for _ in range(40) for order in story.orders(story.take()) if isinstance(order, Send)]
+    assert orders and "s1" not in {order.server for order in orders}
+    story.decider.report_list(News.WHOLE, [each for each in listed if each.name != "s1"])
+    assert story.decider.unbar("s1") and not story.decider.barred
+    assert story.decider.bar("s1")  # left the list a while ago, and is still a name that operators use
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -719,9 +719,7 @@
         return status, len(node._listed)
 
 
-@pytest.mark.parametrize(
-    ("version", "started", "status"), [(2, 0, 503), (4, 0, 200), (2, 5_000, 200)]
-)
+@pytest.mark.parametrize(("version", "started", "status"), [(2, 0, 503), (4, 0, 200), (2, 5_000, 200)])
 def test_older_word_takes_no_drain_back_unless_the_server_has_started_since(
     version: int, started: int, status: int
 ) -> None:
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,271 @@
+"""Operators' calls on loopback: bans, drains that lead back, and callers that say nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from notchjunction.interface import News
+from notchjunction.net import management
+from notchjunction.net import node as node_module
+from notchjunction.net.discovery import read_list
+from notchjunction.net.node import Node
+from notchjunction.net.servers import Servers
+from notchjunction.net.service_state import TABLE, Effect, Input, ServiceState, State
+from tests.helpers import OK, SILENT, Client, Peer, Reply, call, free_address, rows, running
+from tests.test_net import run
+
+
+@pytest.fixture(autouse=True)
+def _short_spans(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_module, "LISTEN_ON", 0.05)
+    monkeypatch.setattr(node_module, "LOOK_SPAN", 0.005)
+    monkeypatch.setattr(node_module, "LEAD_SPAN", 0.05)
+    monkeypatch.setattr(node_module, "IDLE_LEAST", 0.05)
+    monkeypatch.setattr(node_module, "ANSWER_SHARE", 1.0)
+
+
+async def ask_ready(listen: tuple[str, int]) -> int:
+    client = await Client().open(listen)
+    client.send(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+    return (await client.answer()).status
+
+
+async def until_silent(client: Client) -> None:
+    assert await client.closed()
+
+
+def test_calls_are_answered_by_name_and_what_is_none_is_a_no() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt):
+                for method, path, status in (
+                    ("GET", "/control/ready", 200),
+                    ("PUT", "/control/ready", 405),
+                    ("PUT", "/control/servers/s0/offline", 200),
+                    ("PUT", "/control/servers/s0/offline", 200),
+                    ("GET", "/control/servers/s0/offline", 405),
+                    ("PUT", "/control/servers/s0/online", 200),
+                    ("PUT", "/control/servers/%73%30/online", 200),
+                    ("PUT", "/control/servers/s9/offline", 404),
+                    ("PUT", "/control/servers/s9/online", 404),
+                    ("PUT", "/control/servers//offline", 404),
+                    ("PUT", "/control/in-service", 200),
+                    ("PUT", "/control/out-of-service", 200),
+                    ("PUT", "/control/out-of-service", 200),
+                    ("PUT", "/control/in-service", 200),
+                    ("PUT", "/api", 404),
+                    ("DELETE", "/control/ready", 405),
+                ):
+                    assert await call(mgmt, method, path) == status, path
+                assert await call(mgmt, "PUT", "/control/servers/s0/online", b"a body") == 200
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    "wire", [b"", b"PUT /control/serv", b"PUT /control/in-service HTTP/1.1\r\nHost: n\r\n"]
+)
+def test_callers_that_say_nothing_or_half_a_call_hold_up_no_other(wire: bytes) -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt) as (node, _):
+                silent = []
+                for _ in range(3 * management.CALLS_MOST):
+                    silent.append(await asyncio.open_connection(*mgmt))
+                    silent[-1][1].write(wire)
+                began = time.monotonic()
+                for _ in range(3):
+                    assert await call(mgmt, "GET", "/control/ready") == 200
+                assert time.monotonic() - began < 1.0
+                assert len(node._management._calls) <= management.CALLS_MOST
+                for _, writer in silent:
+                    writer.close()
+
+    run(story())
+
+
+def test_a_call_that_never_ends_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(management, "CALL_WITHIN", 0.05)
+
+    async def story() -> None:
+        async with Peer() as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt) as (node, _):
+                reader, writer = await asyncio.open_connection(*mgmt)
+                writer.write(b"GET /control/ready HTTP/1.1\r\n")
+                assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+                writer.close()
+                assert await call(mgmt, "nonsense\r\n", "") == 400
+                while node._management._calls:
+                    await asyncio.sleep(0)
+
+    run(story())
+
+
+def test_a_call_that_comes_byte_by_byte_is_one_call() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt):
+                reader, writer = await asyncio.open_connection(*mgmt)
+                for byte in b"PUT /control/out-of-service HTTP/1.1\r\nHost: n\r\n\r\n":
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+                    await asyncio.sleep(0)
+                assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+                writer.close()
+
+    run(story())
+
+
+def hear(node: Node, index: int, *servers: Peer, status: str = "active") -> None:
+    endpoints = rows(*servers, status=status)
+    node._hear(read_list({"index": index, "snapshot": True, "endpoints": endpoints}), News.WHOLE)
+
+
+def test_a_server_taken_out_gets_nothing_whatever_the_list_says_until_it_is_given_back() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt) as (node, listen):
+                client = await Client().open(listen)
+                client.ask()
+                assert (await client.answer()).status == 200
+                assert await call(mgmt, "PUT", "/control/servers/s0/offline") == 200
+                assert await call(mgmt, "PUT", "/control/servers/s0/offline") == 200
+                for step in ("banned", "listed anew", "dropped", "back"):
+                    if step != "banned":
+                        hear(node, 5, *([] if step == "dropped" else [peer]))
+                    client.ask(left="60")
+                    assert (await client.answer()).status == 503, step
+                assert len(peer.requests) == 1
+                assert await call(mgmt, "PUT", "/control/servers/s0/online") == 200
+                client.ask()
+                assert (await client.answer()).status == 200
+                assert peer.connections == 2  # what was kept from before the ban is of no use
+
+    run(story())
+
+
+def test_a_server_taken_out_while_a_connection_comes_up_gets_no_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer, Peer() as other:
+            mgmt = free_address()
+            async with running(peer, other, mgmt=mgmt) as (node, listen):
+                opened = Servers._connected
+
+                async def slowly(servers: Servers, server: str, kept: bool) -> object:
+                    found = opened(servers, server, kept)
+                    if server == "s0":
+                        assert await node.take_offline("s0")
+                    return await found
+
+                monkeypatch.setattr(Servers, "_connected", slowly)
+                statuses = []
+                while not other.requests or "s0" not in node._decider.barred:
+                    client = await Client().open(listen)
+                    client.ask()
+                    statuses.append((await client.answer()).status)
+                assert peer.requests == [] and peer.connections <= 1
+                assert set(statuses) <= {200, 503} and statuses.count(503) <= 1
+
+    run(story())
+
+
+def test_a_retry_goes_past_a_server_taken_out_meanwhile() -> None:
+    async def story() -> None:
+        async with Peer() as first, Peer() as second, Peer() as third:
+            peers = [first, second, third]
+            async with running(*peers, max_dispatches=3) as (node, listen):
+                client = await Client().open(listen)
+                for _ in range(20):  # first sends for the retry's budget
+                    client.ask()
+                    assert (await client.answer()).status == 200
+                asked: list[str] = []
+
+                def reset(name: str) -> Reply:
+                    asked.append(name)
+                    if len(asked) == 1:
+                        left = [f"s{i}" for i in range(3) if f"s{i}" != name]
+                        node._decider.bar(left[0])
+                        node._point()
+                        return (b"", "reset")
+                    return OK
+
+                for i, peer in enumerate(peers):
+                    peer.reply = lambda _, name=f"s{i}": reset(name)
+                client.ask()
+                assert (await client.answer()).status == 200
+                assert len(asked) == 2 and asked[1] not in node._decider.barred
+
+    run(story())
+
+
+def test_a_node_led_out_of_service_says_so_parts_with_its_callers_and_comes_back() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt) as (_, listen):
+                idle, busy = await Client().open(listen), await Client().open(listen)
+                assert await ask_ready(listen) == 200
+                assert await call(mgmt, "PUT", "/control/out-of-service") == 200
+                assert await ask_ready(listen) == 503
+                busy.ask()
+                assert (await busy.answer()).status == 200  # served on, also where it comes late
+                assert await idle.closed() and await busy.closed()
+                late = await Client().open(listen)
+                late.ask()
+                answer = await late.answer()
+                assert answer.status == 200 and not answer.keep and await late.closed()
+                assert await call(mgmt, "GET", "/control/ready") == 200
+                assert await call(mgmt, "PUT", "/control/in-service") == 200
+                assert await call(mgmt, "PUT", "/control/in-service") == 200
+                assert await ask_ready(listen) == 200
+                again = await Client().open(listen)
+                for _ in range(2):
+                    again.ask()
+                    assert (await again.answer()).keep
+
+    run(story())
+
+
+def test_a_job_under_way_when_the_node_is_led_away_is_answered() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt) as (node, listen):
+                client = await Client().open(listen)
+                client.ask()
+                await peer.asked.wait()
+                assert await call(mgmt, "PUT", "/control/out-of-service") == 200
+                while node._service.state is not State.PARTING:
+                    await asyncio.sleep(0.01)
+                peer.go_on.set()
+                answer = await client.answer()
+                assert answer.status == 200 and not answer.keep
+                node.stop()
+                assert not await node.in_service()  # nothing leads back from the end
+
+    run(story())
+
+
+@pytest.mark.parametrize("state", list(State))
+@pytest.mark.parametrize("event", list(Input))
+def test_every_state_and_input_has_one_row_or_none(state: State, event: Input) -> None:
+    service = ServiceState()
+    service.state = state
+    effect = service.tell(event)
+    assert sum(1 for row in TABLE if (row.state, row.input) == (state, event)) == (effect is not None)
+    if state is State.ENDING:
+        assert service.state is State.ENDING and effect in (None, Effect.NOTHING)
+    if event is Input.END:
+        assert service.state is State.ENDING
+    if event is Input.IN and state is not State.ENDING:
+        assert service.state is State.SERVING
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -550,3 +550,47 @@
     host.core.listed(News.WHOLE, [ServerEntry(server, Presence.READY) for server in (1, 2)])
     host.core.outcome(Outcome(job, 0, 0, Result.HONOURED, 0.1, True, Load(held=0.0)))
     assert all(host.sent(host.take()) != [0] for _ in range(6))
+
+
+def test_a_server_given_back_is_cold_its_record_void_and_it_is_met_soon() -> None:
+    host = FakeHost(cold_share=0.2, cold_time=10.0, tip_multiple=3.0)
+    host.serve(100)
+    host.core.barred(0, True)
+    host.core.barred(0, True)
+    host.list_servers(0, started_at=0.0)
+    seen, did = len(host.sent_at), len(host.did)
+    host.serve(100)
+    assert 0 not in {server for _, server in host.sent_at[seen:]}
+    assert ("probe", 0) not in host.did[did:]
+    probes = host.count("probe")
+    given_back = host.clock
+    host.core.barred(0, False)
+    assert host.did[-1] == ("probe", 0) and host.count("probe") == probes + 1
+    server = host.core._servers[0]
+    assert not server.last and not server.flights and host.core._is_cold(server, host.clock + 9.0)
+    host.list_servers(0, started_at=0.0)  # word from before the ban
+    assert host.core._is_cold(host.core._servers[0], host.clock + 9.0)
+    host.list_servers(0, started_at=given_back - 2.0)  # it started while it was out: the list tells when
+    assert not host.core._is_cold(host.core._servers[0], given_back + 9.0)
+    host.serve(100)
+    sent = [at for at, server in host.sent_at if server == 0 and at > given_back]
+    assert sent and sent[0] < given_back + 5.0 and len(sent) < 25
+
+
+def test_word_of_a_later_start_voids_the_record_and_keeps_the_ban() -> None:
+    host = FakeHost(cold_time=10.0)
+    host.core.barred(1, True)
+    host.list_servers(1, started_at=host.clock + 1.0)
+    assert [server.entry.server for server in host.core._ready] == [0, 2, 3]
+    host.advance(2.0)
+    host.core.barred(1, False)
+    assert host.core._servers[1].entry.started_at == 1001.0 and len(host.core._ready) == 4
+
+
+def test_a_late_report_of_a_server_taken_out_brings_it_no_job() -> None:
+    host = FakeHost()
+    host.core.barred(2, True)
+    for server in range(4):
+        host.answer(server, held=0.0 if server == 2 else 5.0)
+    host.serve(50)
+    assert 2 not in {server for _, server in host.sent_at}
