SIGHUP takes new settings: checked whole, swapped once, held jobs keep their profile

Change: checks.py (voluptuous), profiles by number in the facade, the module's terms as an input, a job holds its own profile. Ruled out: late reload (all files were read within 0.1 s of the signal).

--- /dev/null
+++ b/notchjunction/checks.py
@@ -0,0 +1,169 @@
+"""Whether a configuration can be taken as it stands: all that is wrong with it, each with its place. Pure."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from voluptuous import (
+    ALLOW_EXTRA,
+    All,
+    In,
+    Invalid,
+    Length,
+    MultipleInvalid,
+    Optional,
+    Range,
+    Required,
+    Schema,
+)
+from voluptuous import (
+    Any as AnyOf,
+)
+
+from notchjunction.terms import EFFECTS, GROUPS
+
+ERRORS_MOST = 20  # named at once; a file with more is another kind of file
+PORT_MOST = 65535
+
+
+class Unfit(Exception):
+    """A configuration that is not taken; `errors` says why, each with its place."""
+
+    def __init__(self, errors: list[str]) -> None:
+        super().__init__("; ".join(errors))
+        self.errors = errors
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise Invalid("expected a finite number")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value != int(_number(value)):
+        raise Invalid("expected a whole number")
+    return int(value)
+
+
+def _address(value: Any) -> str:
+    host, _, port = str(value).rpartition(":")
+    if not isinstance(value, str) or not host or not port.isascii() or not port.isdigit():
+        raise Invalid("expected HOST:PORT")
+    if not 0 < int(port) <= PORT_MOST:
+        raise Invalid(f"expected a port from 1 to {PORT_MOST}")
+    return value
+
+
+def _profiles(value: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    names = [profile["name"] for profile in value]
+    twice = sorted({name for name in names if names.count(name) > 1})
+    if twice:
+        raise Invalid(f"named twice: {', '.join(twice)}")
+    return value
+
+
+ABOVE_0 = All(_number, Range(min=0, min_included=False))
+FROM_0 = All(_number, Range(min=0))
+FLAG = AnyOf(bool, msg="expected true or false")
+WORD = All(str, Length(min=1, msg="expected a name"))
+PROFILE = {
+    Required("name"): WORD,
+    Required("effect"): In(sorted(EFFECTS)),
+    Required("contract_time"): ABOVE_0,
+    Required("abandon_time"): ABOVE_0,
+    Optional("dedup_scope"): In(sorted(GROUPS)),
+    Optional("window"): FROM_0,
+    Optional("revenue"): FROM_0,
+    Optional("tardy_revenue"): FROM_0,
+    Optional("aim_stretch"): FROM_0,
+}
+LIMITS: dict[Any, Any] = {
+    Required("max_dispatches"): All(_whole, Range(min=1)),
+    Optional("max_streams"): All(_whole, Range(min=1)),
+    Optional("conn_idle"): ABOVE_0,
+    Optional("connect_timeout"): ABOVE_0,
+    Optional("max_retry_after"): FROM_0,
+    **{Optional(name): FLAG for name in ("cancel", "probes", "retry_after", "second_copies")},
+}
+SCHEMA = Schema(
+    {
+        Required("name"): WORD,
+        Required("listen"): _address,
+        Required("discovery"): _address,
+        Optional("mgmt"): _address,
+        Required("settings"): {
+            Required("layers"): [WORD],
+            Required("layer"): _whole,
+            Required("limits"): LIMITS,
+            Required("profiles"): All(
+                [PROFILE], Length(min=1, msg="expected one profile at least"), _profiles
+            ),
+            Optional("localities"): [WORD],
+            Optional("zone"): _whole,
+            Optional("group_size"): All(_whole, Range(min=1)),
+            Optional("invariants"): {str: FROM_0},
+            Optional("prices"): {str: FROM_0},
+            Optional("tenants"): [{Required("name"): WORD, Optional("quota_rps"): FROM_0}],
+        },
+    },
+    extra=ALLOW_EXTRA,
+)
+MAY_GO = frozenset(("known", "seed"))  # what a node only starts with
+
+
+def parse(text: str) -> dict[str, Any]:
+    """The file's object; Unfit where it is none, as when it was read in the middle of being written."""
+    try:
+        found = json.loads(text)
+    except json.JSONDecodeError as error:
+        place = f"line {error.lineno}, column {error.colno}"
+        raise Unfit([f"{place}: {error.msg}" if text.strip() else "the file is empty"]) from error
+    except RecursionError as error:
+        raise Unfit(["nested too deeply"]) from error
+    if not isinstance(found, dict):
+        raise Unfit(["no JSON object in the file"])
+    return found
+
+
+def check(found: Mapping[str, Any], before: Mapping[str, Any] | None = None) -> None:
+    """Raises Unfit with all errors; `before` is the one in force, no key of which may be missing."""
+    errors: list[str] = []
+    try:
+        SCHEMA(dict(found))
+    except MultipleInvalid as invalid:
+        errors = [f"{_place(error.path)}: {error.msg}" for error in invalid.errors]
+    for missing in _missing(before or {}, found, ()):
+        # Guards against a file short of a key: what it said would silently fall back to a reading of our own.
+        line = f"{_place(missing)}: in force, and missing"
+        if not any(error.startswith(_place(missing) + ":") for error in errors):
+            errors.append(line)
+    if errors:
+        raise Unfit(errors[:ERRORS_MOST])
+
+
+def _missing(before: Any, found: Any, path: tuple[object, ...]) -> list[tuple[object, ...]]:
+    """Paths of what the one says and the other does not; a list of objects is held to what all of it say."""
+    if isinstance(before, Mapping) and isinstance(found, Mapping):
+        rows: list[tuple[object, ...]] = []
+        for name, value in before.items():
+            if path or name not in MAY_GO:
+                here = (*path, name)
+                rows += _missing(value, found[name], here) if name in found else [here]
+        return rows
+    if isinstance(before, list) and isinstance(found, list) and before and isinstance(before[0], Mapping):
+        shared = set(before[0]).intersection(*before)
+        return [
+            (*path, index, name)
+            for index, item in enumerate(found)
+            if isinstance(item, Mapping)
+            for name in sorted(shared - item.keys())
+        ]
+    return []
+
+
+def _place(path: tuple[object, ...] | list[object]) -> str:
+    return ".".join(str(part) for part in path) or "the file"
--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from typing import NamedTuple
 
 from notchjunction.interface import (
     Decisions,
@@ -24,6 +25,7 @@
     News,
     Outcome,
     Presence,
+    Profile,
     Result,
     ServerEntry,
     Terms,
@@ -31,6 +33,7 @@
 from notchjunction.rules import Balancer
 
 GONE_KEPT = 1024  # names that left the list and that operators may still speak of; a release of a large fleet
+UNKNOWN = -1  # the number of no profile
 LAGS_KEPT = 256  # last delays of timers; some tens of seconds of ordinary traffic
 
 
@@ -75,6 +78,14 @@
     cell: int | None = None
 
 
+class Kind(NamedTuple):
+    """A profile as it is in force, and its numbers."""
+
+    profile: Profile
+    number: int
+    cautious: int
+
+
 # Orders about a job.
 
 
@@ -156,7 +167,8 @@
     ) -> None:
         self._clock = clock
         self._wake = wake
-        self._profiles = {name: index for index, name in enumerate(names.profiles)}
+        self._kinds: dict[str, Kind] = {}
+        self._kinds_made = 0
         self._operators = {name: index for index, name in enumerate(names.operators)}
         self._zones = {name: index for index, name in enumerate(names.zones)}
         self._servers: dict[str, int] = {}
@@ -170,11 +182,8 @@
         self._timers: list[tuple[float, int]] = []
         self._awake_at = math.inf
         self.lags: deque[float] = deque(maxlen=LAGS_KEPT)
-        # A job whose method and key contradict its profile is at-most-once: a copy of the profile says so.
-        self._effects = [profile.effect for profile in terms.profiles]
-        cautious = [replace(profile, effect=Effect.AT_MOST_ONCE) for profile in terms.profiles]
-        terms = replace(terms, profiles=[*terms.profiles, *cautious])
-        self._core: Decisions = Balancer(terms, _Desk(self))
+        self._core: Decisions = Balancer(replace(terms, profiles=[]), _Desk(self))
+        self._core.retuned(terms, self._number_profiles(terms, names))
 
     # What the node calls.
 
@@ -222,6 +231,15 @@
                 ticket.orders.put_nowait(Leave())
                 self._release(ticket)
 
+    def retune(self, terms: Terms, names: Names) -> None:
+        """New terms for what comes from now on; jobs that are held keep the profile they were taken with."""
+        self._operators = {name: index for index, name in enumerate(names.operators)}
+        if terms.zone < len(names.zones):
+            # Guards against a list of zones in another order: servers keep the numbers that they have.
+            name = names.zones[terms.zone]
+            terms = replace(terms, zone=self._zones.setdefault(name, len(self._zones)))
+        self._core.retuned(terms, self._number_profiles(terms, names))
+
     async def errand(self) -> Errand:
         return await self._errands.get()
 
@@ -313,11 +331,30 @@
         if ticket.answered and not ticket.out:
             self._tickets.pop(ticket.number, None)
 
+    def _number_profiles(self, terms: Terms, names: Names) -> dict[int, Profile]:
+        """A number for each profile, and one for its copy that a job gets whose method and key contradict it.
+
+        A profile that has changed is another one: a number never changes its meaning.
+        """
+        kinds: dict[str, Kind] = {}
+        for name, profile in zip(names.profiles, terms.profiles, strict=False):
+            kind = self._kinds.get(name)
+            if kind is None or kind.profile != profile:
+                kind = Kind(profile, self._kinds_made, self._kinds_made + 1)
+                self._kinds_made += 2
+            kinds[name] = kind
+        self._kinds = kinds
+        numbered = {kind.number: kind.profile for kind in kinds.values()}
+        cautious = {
+            kind.cautious: replace(kind.profile, effect=Effect.AT_MOST_ONCE) for kind in kinds.values()
+        }
+        return numbered | cautious
+
     def _profile(self, ask: Ask) -> int:
-        index = self._profiles.get(ask.profile)
-        if index is None or index >= len(self._effects):
-            return 2 * len(self._effects)
-        return index if self._effects[index] is ask.effect else index + len(self._effects)
+        kind = self._kinds.get(ask.profile)
+        if kind is None:
+            return UNKNOWN
+        return kind.number if kind.profile.effect is ask.effect else kind.cautious
 
     def _entry(self, listed: Listed) -> ServerEntry:
         if listed.name not in self._servers:
--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -181,3 +181,5 @@
     def listed(self, news: News, entries: Sequence[ServerEntry]) -> None: ...
 
     def barred(self, server: int, out: bool) -> None: ...
+
+    def retuned(self, terms: Terms, profiles: Mapping[int, Profile]) -> None: ...
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from typing import Any
 
+from notchjunction.checks import Unfit
 from notchjunction.decider import Ask, Decider, Follow, Listed, Probe, SetAside
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
@@ -169,20 +170,34 @@
     # Configuration and end.
 
     def read_again(self) -> None:
-        """Takes a new place of discovery from the file; whatever can't be read leaves all as it was."""
+        """Takes the file's discovery and settings, whole; where anything is wrong, all stays as it was."""
         try:
             told = node_input.read_again(self._told)
-        except (OSError, KeyError, ValueError, TypeError, AttributeError, RecursionError) as error:
+        except (Unfit, OSError, UnicodeDecodeError) as error:
             self.counters.add("reloads_failed")
-            log.error("new configuration unusable", extra=pairs(why=repr(error)))
+            for each in error.errors if isinstance(error, Unfit) else [str(error)]:
+                log.error("new configuration unusable", extra=pairs(why=each))
             return
         self.counters.add("reloads")
-        kept = ",".join(node_input.changed(self._told, told)) or "none"
-        log.info("new configuration", extra=pairs(discovery=text_of(told.discovery), needs_restart=kept))
-        if told.discovery != self._told.discovery:
+        before, self._told = self._told, told
+        self._decider.retune(told.terms, told.names)
+        self._callers.profiles = frozenset(told.names.profiles)
+        self._servers.retune(told.connect_within, told.idle_most, told.load_path)
+        found, had = set(told.names.profiles), set(before.names.profiles)
+        log.info(
+            "new configuration",
+            extra=pairs(
+                discovery=text_of(told.discovery),
+                profiles=",".join(told.names.profiles),
+                new=",".join(sorted(found - had)) or "none",
+                gone=",".join(sorted(had - found)) or "none",
+                attempts=told.terms.max_dispatches,
+                needs_restart=",".join(node_input.changed(before, told)) or "none",
+            ),
+        )
+        if told.discovery != before.discovery:
             self._discovery.move(told.discovery)
             self._list_due.set()  # at once, also in a failed call's pause: a new place has not failed
-        self._told = told
 
     async def _drain(self) -> None:
         log.info("drain", extra=pairs(held=self._decider.held, callers=self._callers.connected))
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from notchjunction import terms
+from notchjunction import checks, terms
 from notchjunction.decider import Names
 from notchjunction.interface import Terms
 from notchjunction.net import words
@@ -18,6 +18,7 @@
 LOOP_TICK = 0.01  # s by which timers of a loop on a shared core come late; 12 ms was the most seen
 SOCKETS = 1024  # descriptors where no limit is told
 CONNECT_WITHIN = 250.0  # ms where no connect time-out is told
+NOWHERE: Address = ("", 0)
 IDLE = 5000.0  # ms that servers keep an idle connection, where that is not told
 
 
@@ -39,14 +40,48 @@
 
 
 def read(environment: Mapping[str, str]) -> NodeInput:
+    """What a node starts with. Read as safely as it can be: one that does not start serves nobody."""
     file = environment.get("GW_CONFIG") or None
     told = _object(file) if file else {}
-    paths = terms.flatten(told.get("settings", {}))
-    found = terms.terms(int(str(told.get("seed", "0")), 16), paths)
-    return NodeInput(
+    return replace(
+        _settled(told),
         name=environment.get("GW_NAME") or told["name"],
         listen=address_of(environment.get("GW_LISTEN") or told["listen"]),
         discovery=address_of(environment.get("GW_DISCOVERY") or told["discovery"]),
+        known=_known(told.get("known")),
+        sockets=int(told.get("limits", {}).get("sockets", SOCKETS)),
+        mgmt=address_of(mgmt) if (mgmt := environment.get("GW_MGMT") or told.get("mgmt")) else None,
+        file=file,
+    )
+
+
+def read_again(told: NodeInput) -> NodeInput:
+    """The same node with the discovery and the settings of its file now; Unfit with all that is wrong."""
+    if told.file is None:
+        raise checks.Unfit(["no file to read"])
+    found = checks.parse(Path(told.file).read_text(encoding="utf-8"))
+    checks.check(found, told.told)
+    settled = _settled(found)
+    return replace(
+        settled,
+        name=told.name,
+        listen=told.listen,
+        discovery=address_of(found["discovery"]),
+        known=told.known,
+        sockets=told.sockets,
+        mgmt=told.mgmt,
+        file=told.file,
+    )
+
+
+def _settled(told: Mapping[str, Any]) -> NodeInput:
+    """What follows from the settings; the rest is blank."""
+    paths = terms.flatten(told.get("settings", {}))
+    found = terms.terms(int(str(told.get("seed", "0")), 16), paths)
+    return NodeInput(
+        name="",
+        listen=NOWHERE,
+        discovery=NOWHERE,
         # On sockets the list must always be asked for.
         terms=replace(found, must_follow=True, tick=max(found.tick, LOOP_TICK)),
         names=Names(
@@ -54,28 +89,18 @@
             operators=terms.named(paths, "tenants"),
             zones=terms.words(paths, "localities"),
         ),
-        known=_known(told.get("known")),
-        sockets=int(told.get("limits", {}).get("sockets", SOCKETS)),
+        known=None,
+        sockets=SOCKETS,
         connect_within=terms.number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
         idle_most=terms.number(paths, "limits.conn_idle", IDLE) / 1000,
         load_path=words.LOAD if terms.words(paths, "report.fields") else words.HEALTH,
-        mgmt=address_of(mgmt) if (mgmt := environment.get("GW_MGMT") or told.get("mgmt")) else None,
-        file=file,
         told=told,
     )
 
 
-def read_again(told: NodeInput) -> NodeInput:
-    """The same node with the discovery that its file names now; the environment can't change under it."""
-    if told.file is None:
-        raise ValueError("no file to read")
-    found = _object(told.file)
-    return replace(told, discovery=address_of(found["discovery"]), told=found)
-
-
 def changed(before: NodeInput, after: NodeInput) -> list[str]:
     """What says something else in the file, but for what a node takes as it runs or only starts with."""
-    names = sorted({*before.told, *after.told} - {"discovery", "known", "seed"})
+    names = sorted({*before.told, *after.told} - {"discovery", "known", "seed", "settings"})
     return [name for name in names if before.told.get(name) != after.told.get(name)]
 
 
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -65,9 +65,7 @@
         counters: Counters,
     ) -> None:
         self._clock = clock
-        self._connect_within = connect_within
-        self._idle_most = idle_most * IDLE_SHARE
-        self._load_path = load_path
+        self.retune(connect_within, idle_most, load_path)
         self._spare_one = spare_one
         self._descriptors = descriptors
         self._counters = counters
@@ -78,6 +76,12 @@
         counters.gauge("connections_idle", lambda: sum(len(kept) for kept in self._idle.values()))
         counters.gauge("servers_known", lambda: len(self._addresses))
 
+    def retune(self, connect_within: float, idle_most: float, load_path: str) -> None:
+        """What the settings say, from now on."""
+        self._connect_within = connect_within
+        self._idle_most = idle_most * IDLE_SHARE
+        self._load_path = load_path
+
     def point(self, ready: Mapping[str, Address]) -> None:
         """The servers that may get new requests, and where; idle connections elsewhere are closed."""
         self._addresses = dict(ready)
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -2,7 +2,7 @@
 
 A host (see `Host` and `Decisions` in interface.py) builds one `Balancer` from the `Terms` it was given and
 calls it for each thing that happens: `take`, `outcome`, `streaming`, `withdrawn`, `probed`, `timer`,
-`listed`, `barred`. The balancer answers through the host: `dispatch`, `recall`, `probe`, `turn_back`, ...
+`listed`, `barred`, `retuned`. It answers through the host: `dispatch`, `recall`, `probe`, `turn_back`, ...
 Each happening becomes an input to a job; TABLE says, by the job's state, what is done; `_step` reads it.
 The design is error ownership on one hop and a probe pool: see docs/design.md.
 """
@@ -12,7 +12,7 @@
 import math
 from bisect import insort
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 from random import Random
@@ -106,7 +106,9 @@
     """A job without its final answer."""
 
     id: int
-    profile: int
+    number: int
+    profile: Profile
+    most: int
     contract_end: float
     abandon_end: float
     past_share: bool
@@ -130,22 +132,6 @@
     def __init__(self, terms: Terms, host: Host) -> None:
         self._host = host
         self._random = Random(terms.seed)
-        self._terms = terms
-        self._profiles = list(terms.profiles)
-        self._deepest = terms.depth is not None and terms.depth == terms.depths - 1
-        tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
-        self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
-        # The first tier alone: what a deeper one turns away has had work spent on it above.
-        self._calm_times = math.inf if terms.depth else CALM_TIMES
-        self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
-        span = 0.0 if terms.depth else SHARE_SPAN  # shares are the first tier's matter
-        self._shares = [quota / terms.nodes * span for quota in terms.operator_quotas]
-        self._near_first = terms.crossing_price > 0
-        self._thrifty = terms.connection_price > 0
-        self._shared_links = terms.connection_jobs > 1
-        self._guard = GUARD_TICKS * terms.tick
-        self._renew_limit = terms.ask_within / 4 or math.inf
-
         self._servers: dict[int, Server] = {}
         self._barred: dict[int, float] = {}
         self._ready: list[Server] = []
@@ -163,9 +149,9 @@
         self._stretch_ends = self._began = host.now()
         self._calm: deque[float] = deque(maxlen=CALM_MOST)
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
-        self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
-        self._spent: list[deque[float]] = [deque(maxlen=16) for _ in self._profiles]
-        self._lefts: list[deque[tuple[float, bool]]] = [deque(maxlen=32) for _ in self._profiles]
+        self._spent: dict[int, deque[float]] = {}
+        self._lefts: dict[int, deque[tuple[float, bool]]] = {}
+        self.retuned(terms, dict(enumerate(terms.profiles)))
         self._unprobed = 0
         self._odd_probe = False
         self._failures = 0
@@ -178,11 +164,32 @@
         self._turn_due = False
         if terms.must_follow:
             host.follow()
-        if self._terms.probes:
-            self._after(self._random.uniform(0, PROBE_SPAN), self._probe_on)
+        self._after(self._random.uniform(0, PROBE_SPAN), self._probe_on)
 
     # What the host calls.
 
+    def retuned(self, terms: Terms, profiles: Mapping[int, Profile]) -> None:
+        """The terms for what comes from now on; what was learned of servers stays."""
+        self._terms = terms
+        self._profiles = dict(profiles)
+        self._deepest = terms.depth is not None and terms.depth == terms.depths - 1
+        tiers_left = terms.depths - terms.depth if terms.depth is not None else 1
+        self._hold_share = HOLD_SHARE * tiers_left / max(1, terms.depths)
+        # The first tier alone: what a deeper one turns away has had work spent on it above.
+        self._calm_times = math.inf if terms.depth else CALM_TIMES
+        self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
+        span = 0.0 if terms.depth else SHARE_SPAN  # shares are the first tier's matter
+        self._shares = [quota / terms.nodes * span for quota in terms.operator_quotas]
+        self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
+        self._near_first = terms.crossing_price > 0
+        self._thrifty = terms.connection_price > 0
+        self._shared_links = terms.connection_jobs > 1
+        self._guard = GUARD_TICKS * terms.tick
+        self._renew_limit = terms.ask_within / 4 or math.inf
+        # What was learned of a profile goes with it; a job that is held still knows its own.
+        self._spent = {index: self._spent.get(index, deque(maxlen=16)) for index in profiles}
+        self._lefts = {index: self._lefts.get(index, deque(maxlen=32)) for index in profiles}
+
     def take(self, job: Job) -> None:
         now = self._host.now()
         profile = self._profile(job.profile)
@@ -190,7 +197,9 @@
         stretch = profile.contract_stretch * (job.work_hint or 0.0)
         held = Held(
             id=job.id,
-            profile=job.profile,
+            number=job.profile,
+            profile=profile,
+            most=self._terms.max_dispatches,
             contract_end=now - age + min(profile.contract_time + stretch, profile.abandon_time),
             abandon_end=now + job.time_left,
             past_share=self._past_share(job.operator, now),
@@ -224,8 +233,8 @@
                 self._stretch, self._stretch_ends = [], now + RATE_SPAN
         held = self._held.get(outcome.job)
         if held is not None:
-            if outcome.result is Result.HONOURED and held.profile < len(self._spent):
-                self._spent[held.profile].append(outcome.seconds)
+            if outcome.result is Result.HONOURED and held.number in self._spent:
+                self._spent[held.number].append(outcome.seconds)
             if outcome.over:
                 self._step(held, Input.OVER)
             else:
@@ -340,10 +349,10 @@
     def _hopeless(self, held: Held) -> bool:
         """No server could answer it in time for any revenue; late answers count only while none waits."""
         now = self._host.now()
-        quick = self._quick(held.profile)
+        quick = self._quick(held.number)
         if held.abandon_end - now - self._guard < quick:
             return True
-        late_earns = self._profile(held.profile).late_share > 0
+        late_earns = held.profile.late_share > 0
         return held.contract_end - now < quick and (not late_earns or self._scarce(now))
 
     def _scarce(self, now: float) -> bool:
@@ -363,8 +372,8 @@
         now = self._host.now()
         ahead = sum(1 for other in self._queue if other.rank() < held.rank())
         wait = (ahead + 1) / max(self._rate(now), 1.0)
-        slack = held.contract_end - now - self._quick(held.profile)
-        return wait <= min(slack, WAIT_SHARE * self._profile(held.profile).contract_time)
+        slack = held.contract_end - now - self._quick(held.number)
+        return wait <= min(slack, WAIT_SHARE * held.profile.contract_time)
 
     def _others_out(self, held: Held) -> bool:
         return any(dispatch.out for dispatch in held.sent)
@@ -376,7 +385,8 @@
         return len(self._retries) + 1 <= RETRY_SHARE * len(self._firsts)
 
     def _may_retry(self, held: Held) -> bool:
-        if not self._budget_left() or len(held.sent) >= self._terms.max_dispatches or self._hopeless(held):
+        most = min(held.most, self._terms.max_dispatches)  # the stricter, if the terms have changed
+        if not self._budget_left() or len(held.sent) >= most or self._hopeless(held):
             return False
         held.choice = self._pick(held)
         return held.choice is not None
@@ -420,7 +430,7 @@
         linked = self._linked(server, now)
         if linked and not self._shared_links:
             server.idle.pop()
-        dispatch = Dispatch(server, now, self._profile(held.profile).contract_time, linked)
+        dispatch = Dispatch(server, now, held.profile.contract_time, linked)
         self._recent.append(dispatch)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
@@ -428,7 +438,7 @@
         if self._is_cold(server, now):
             server.cold_from = now
             server.cold_due = self._random.uniform(1 - COLD_SPREAD, 1 + COLD_SPREAD)
-        late = self._profile(held.profile).late_share
+        late = held.profile.late_share
         end = held.abandon_end if late else min(held.abandon_end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
         if self._terms.second_copies:
@@ -589,7 +599,7 @@
 
     def _may_run_on(self, held: Held, server: Server, now: float) -> bool:
         """Whether a further dispatch there cannot make an effect happen twice."""
-        profile = self._profile(held.profile)
+        profile = held.profile
         if not self._terms.second_copies and self._others_out(held):
             return False
         ran = [dispatch for dispatch in held.sent if dispatch.may_have_run]
@@ -609,7 +619,7 @@
     def _turn_back_is_harmless(self, held: Held) -> bool:
         if not any(dispatch.may_have_run for dispatch in held.sent):
             return True
-        profile = self._profile(held.profile)
+        profile = held.profile
         if profile.effect is Effect.NUMBERED:
             return profile.group is Group.ALL
         return profile.effect is Effect.REISSUABLE
@@ -701,7 +711,8 @@
             self._pool.append(server)
 
     def _probe_on(self) -> None:
-        self._probe()
+        if self._terms.probes:
+            self._probe()
         self._after(PROBE_SPAN, self._probe_on)
 
     def _probe(self) -> None:
@@ -753,9 +764,9 @@
 
     def _age(self, job: Job, profile: Profile, now: float) -> float:
         """How long the client has waited, read off the time left against the longest seen lately."""
-        if job.profile >= len(self._lefts):
+        lefts = self._lefts.get(job.profile)
+        if lefts is None:
             return 0.0
-        lefts = self._lefts[job.profile]
         lefts.append((job.time_left, job.repeat))
         # Guards against first tries passing for old beside a last retry; they yield while room is scarce.
         scarce = any(repeat for _, repeat in lefts) and self._scarce(now)
@@ -766,7 +777,7 @@
         return usual - job.time_left
 
     def _quick(self, profile: int) -> float:
-        spent = self._spent[profile] if profile < len(self._spent) else ()
+        spent = self._spent.get(profile)
         return sorted(spent)[len(spent) // 4] if spent else 0.0
 
     def _advice(self) -> float:
@@ -775,7 +786,7 @@
 
     def _profile(self, index: int) -> Profile:
         # An unknown profile is taken as at-most-once.
-        return self._profiles[index] if index < len(self._profiles) else UNKNOWN_PROFILE
+        return self._profiles.get(index, UNKNOWN_PROFILE)
 
     def _after(self, delay: float, due: Callable[[], None]) -> None:
         self._token += 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -274,6 +274,20 @@
     return int(answer.split(b" ")[1])
 
 
+def configuration(discovery: str = "127.0.0.1:1", **settings: Any) -> dict[str, Any]:
+    """A sound file of a node; settings by their paths' last names replace those here."""
+    plain = {"name": "plain", "effect": "repeatable", "contract_time": 1000, "abandon_time": 2000}
+    told: dict[str, Any] = {
+        "layers": ["web"],
+        "layer": 0,
+        "localities": ["a"],
+        "limits": {"max_dispatches": 5, "cancel": True},
+        "profiles": [{**plain, "tardy_revenue": 0.5}],
+        **settings,
+    }
+    return {"name": "n", "listen": "127.0.0.1:2", "discovery": discovery, "seed": "7", "settings": told}
+
+
 @asynccontextmanager
 async def running(
     *servers: Peer,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -29,7 +29,7 @@
 from notchjunction.net.logs import KeyValueFormatter, pairs
 from notchjunction.net.servers import Exchanged, Servers
 from notchjunction.rules import RENEW_LEAST
-from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, news, rows, running
+from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, configuration, news, rows, running
 
 PROGRAM = [sys.executable, "-m", "notchjunction"]
 JOB = Request(
@@ -932,10 +932,10 @@
                 for text in ("", "[]", "{}", '{"discovery": 5}', '{"discovery": "x:y"}', "[" * 100000):
                     file.write_text(text)
                     node.read_again()
-                file.write_text(json.dumps({"discovery": old.at}))
+                file.write_text(json.dumps(configuration(old.at)))
                 node.read_again()
                 assert len(old.requests) == 1 and not old.left.is_set()
-                file.write_text(json.dumps({"discovery": new.at, "listen": "127.0.0.1:1"}))
+                file.write_text(json.dumps({**configuration(new.at), "listen": "127.0.0.1:1"}))
                 os.kill(os.getpid(), signal.SIGHUP)
                 os.kill(os.getpid(), signal.SIGHUP)
                 while len(new.requests) < 2:
@@ -966,7 +966,7 @@
         async with running(peer, discovery=old, file=file) as (node, _):
             while not node.counters.read().get("list_calls_failed"):
                 await asyncio.sleep(0.001)
-            file.write_text(json.dumps({"discovery": new.at}))
+            file.write_text(json.dumps(configuration(new.at)))
             began = node.now()
             node.read_again()
             await new.asked.wait()
