Upgrades: the listener, the list and bans pass from one process of a node to the next

Change: net/handover.py over a Unix socket in TMPDIR; bans and drains hold in both processes; limits and cold shares are the node's.

--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -182,8 +182,10 @@
         self._timers: list[tuple[float, int]] = []
         self._awake_at = math.inf
         self.lags: deque[float] = deque(maxlen=LAGS_KEPT)
+        self._terms = terms
+        self._number_profiles(terms, names)
         self._core: Decisions = Balancer(replace(terms, profiles=[]), _Desk(self))
-        self._core.retuned(terms, self._number_profiles(terms, names))
+        self._core.retuned(terms, self._numbered())
 
     # What the node calls.
 
@@ -238,7 +240,9 @@
             # Guards against a list of zones in another order: servers keep the numbers that they have.
             name = names.zones[terms.zone]
             terms = replace(terms, zone=self._zones.setdefault(name, len(self._zones)))
-        self._core.retuned(terms, self._number_profiles(terms, names))
+        self._terms = replace(terms, processes=self._terms.processes)
+        self._number_profiles(terms, names)
+        self._core.retuned(self._terms, self._numbered())
 
     async def errand(self) -> Errand:
         return await self._errands.get()
@@ -259,9 +263,9 @@
             self._names.pop(self._servers.pop(name))
             self._gone.append(name)
 
-    def bar(self, server: str) -> bool:
+    def bar(self, server: str, known: bool = False) -> bool:
         """An operator takes a server out of use; false where nobody has heard of it."""
-        if not self._heard_of(server):
+        if not known and not self._heard_of(server):
             return False
         self.barred.add(server)
         if server in self._servers:
@@ -277,6 +281,11 @@
             self._core.barred(self._servers[server], False)
         return True
 
+    def share(self, processes: int) -> None:
+        """So many processes are this one node from now on: each keeps to its part."""
+        self._terms = replace(self._terms, processes=processes)
+        self._core.retuned(self._terms, self._numbered())
+
     def _heard_of(self, server: str) -> bool:
         return server in self._servers or server in self.barred or server in self._gone
 
@@ -331,7 +340,7 @@
         if ticket.answered and not ticket.out:
             self._tickets.pop(ticket.number, None)
 
-    def _number_profiles(self, terms: Terms, names: Names) -> dict[int, Profile]:
+    def _number_profiles(self, terms: Terms, names: Names) -> None:
         """A number for each profile, and one for its copy that a job gets whose method and key contradict it.
 
         A profile that has changed is another one: a number never changes its meaning.
@@ -344,6 +353,9 @@
                 self._kinds_made += 2
             kinds[name] = kind
         self._kinds = kinds
+
+    def _numbered(self) -> dict[int, Profile]:
+        kinds = self._kinds
         numbered = {kind.number: kind.profile for kind in kinds.values()}
         cautious = {
             kind.cautious: replace(kind.profile, effect=Effect.AT_MOST_ONCE) for kind in kinds.values()
--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -79,6 +79,7 @@
     profiles: Sequence[Profile]
     operator_quotas: Sequence[float] = ()
     nodes: int = 1
+    processes: int = 1  # that are this one node together, as during an upgrade
     depth: int | None = None
     depths: int = 0
     zone: int = 0
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -60,7 +60,7 @@
         self.descriptors = descriptors
         self._spare_one = spare_one
         self._loop = asyncio.get_running_loop()
-        self._listeners: list[socket.socket] = []
+        self.listeners: list[socket.socket] = []
         self._callers: dict[Caller, asyncio.Task[None]] = {}
         # Those that have sent nothing yet, and those between two requests; the longest so come first.
         self.silent: dict[Caller, float] = {}
@@ -76,30 +76,39 @@
     def connected(self) -> int:
         return len(self._callers)
 
-    def open(self, address: Address) -> None:
-        self._listeners = bind_sockets(address[1], address[0], backlog=BACKLOG)
-        for listener in self._listeners:
+    def open(self, address: Address, shared: bool = False) -> None:
+        """Lets callers in; where it is shared, another process may bind the same address."""
+        self.adopt(bind_sockets(address[1], address[0], backlog=BACKLOG, reuse_port=shared))
+
+    def adopt(self, listeners: list[socket.socket]) -> None:
+        self.listeners = listeners
+        for listener in listeners:
             self._loop.add_reader(listener.fileno(), self._accept, listener)
 
-    def stop(self) -> None:
-        """Lets nobody in from now on."""
-        while self._listeners:
-            listener = self._listeners.pop()
+    def stop(self, shared_queue: bool = False) -> None:
+        """Lets nobody in from now on but those who wait, unless another process has the same queue."""
+        while self.listeners:
+            listener = self.listeners.pop()
             self._loop.remove_reader(listener.fileno())
+            # Guards against a reset for each that waits: closing a listener ends them unheard.
+            while not shared_queue and self._accept(listener) == ACCEPT_MOST:
+                pass
             listener.close()
 
-    def _accept(self, listener: socket.socket) -> None:
-        for _ in range(ACCEPT_MOST):
+    def _accept(self, listener: socket.socket) -> int:
+        """How many came in at one go."""
+        for count in range(ACCEPT_MOST):
             try:
                 connection, _ = listener.accept()
             except BlockingIOError:
-                return
+                return count
             except OSError as error:
                 # Guards against a caller gone before it was let in, and descriptors that others use up.
                 self.counters.add("accepts_failed")
                 log.warning("accept fails", extra=pairs(why=error))
-                return
+                return count
             self._let_in(connection)
+        return ACCEPT_MOST
 
     def _let_in(self, connection: socket.socket) -> None:
         full = self.descriptors.full_of_callers() and not self._make_room()
--- a/notchjunction/net/descriptors.py
+++ b/notchjunction/net/descriptors.py
@@ -14,12 +14,15 @@
         self._callers_most = self._most - int(self._most * SERVERS_LEAST)
         self.held = 0
         self.callers = 0
+        # What another process of the same node uses, while there is one: the limit is the node's.
+        self.elsewhere = 0
+        self.callers_elsewhere = 0
 
     def full(self) -> bool:
-        return self.held >= self._most
+        return self.held + self.elsewhere >= self._most
 
     def past_callers_share(self) -> bool:
-        return self.callers >= self._callers_most
+        return self.callers + self.callers_elsewhere >= self._callers_most
 
     def full_of_callers(self) -> bool:
         return self.past_callers_share() or self.full()
@@ -27,7 +30,8 @@
     def spent(self) -> bool:
         """Whether half the margin is used too."""
         over = self._margin // 2
-        return self.held >= self._most + over or self.callers >= self._callers_most + over
+        held, callers = self.held + self.elsewhere, self.callers + self.callers_elsewhere
+        return held >= self._most + over or callers >= self._callers_most + over
 
     def take(self) -> None:
         self.held += 1
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -70,11 +70,11 @@
         self._wait_least = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
         self._refused: deque[bool] = deque([False] * REFUSALS_KEPT, maxlen=REFUSALS_KEPT)
         self._connection: Connection | None = None
-        self._version: int | None = None
+        self.version: int | None = None
         self._moves = 0
 
     def remember(self, version: int) -> None:
-        self._version = version
+        self.version = version
 
     def move(self, address: Address) -> None:
         """Asks there from now on, from the last version on; the call that is out at the old place ends."""
@@ -94,12 +94,12 @@
                 continue  # the call was ended by a move: no failure, and the next one is due at once
             if moves != self._moves:
                 continue  # a late answer from the old place, which no longer speaks for the list
-            if self._version is not None and found.version < self._version and not found.whole:
+            if self.version is not None and found.version < self.version and not found.whole:
                 # Guards against a list that is counted anew: its changes would miss all that went before.
-                self._version = None
+                self.version = None
                 continue
-            older = self._version is not None and found.version < self._version
-            self._version = found.version
+            older = self.version is not None and found.version < self.version
+            self.version = found.version
             return replace(found, older=older)
 
     def _wait(self) -> float:
@@ -113,9 +113,9 @@
     async def _ask(self) -> ServerList:
         target = words.LIST
         wait = 0.0
-        if self._version is not None:
+        if self.version is not None:
             wait = self._wait()
-            target += f"?after={self._version}&wait_ms={int(wait * 1000)}"
+            target += f"?after={self.version}&wait_ms={int(wait * 1000)}"
         try:
             async with asyncio.timeout(wait + SLACK):
                 return read_list(await self._call(target))
--- /dev/null
+++ b/notchjunction/net/handover.py
@@ -0,0 +1,321 @@
+"""What passes between two processes of one node: the listener, the list, operators' word.
+
+The serving process listens on a Unix socket in the folder that both share. The next one connects, is given
+the callers' listener itself, so that one queue of connections serves both, and what it needs to be ready. The
+channel stays open while both live; its end says that the other one has gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import socket
+from collections.abc import Coroutine, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+from notchjunction.net.counters import Counters
+from notchjunction.net.logs import pairs
+
+log = logging.getLogger(__name__)
+
+FILE = "notchjunction.handover"  # in the shared folder, which is the node's own
+VERSION = 1  # of what is said on the channel; another one is not followed
+JOINED_WITHIN = (
+    1.5  # s for the handover as a whole; past it a start without one leaves time enough to be ready
+)
+ACKED_WITHIN = 0.6  # s for the other process to do as told; operators wait 1 s at most
+FIRST_MOST = 4096  # bytes of the first line, which comes with the listeners
+LISTENERS_MOST = 8  # descriptors that may come with it; one address has one or two
+LINE_MOST = 8 * 1024 * 1024  # bytes of a line; the list of tens of thousands of servers
+TOLD_EVERY = 0.05  # s between words on what each uses; short against the time in which callers come
+
+
+class Broken(Exception):
+    """The other side is no process of this node, or has gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """What a serving process gave this one."""
+
+    listeners: list[socket.socket]
+    state: Mapping[str, Any]
+
+
+class Sharing(Protocol):
+    """What the handover needs of the node."""
+
+    def listeners(self) -> list[socket.socket]: ...
+
+    def state(self) -> dict[str, Any]: ...
+
+    def usage(self) -> dict[str, int]: ...
+
+    def told(self, word: str, value: Any) -> None: ...
+
+    def others_changed(self) -> None: ...
+
+    def used_elsewhere(self) -> None: ...
+
+
+class Channel:
+    """One other process of the node."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self.usage: Mapping[str, int] = {}
+        self.ready = False  # whether it has said so: it serves on when this process ends
+        self._said = 0
+        self._awaited: dict[int, asyncio.Future[bool]] = {}
+
+    def say(self, **words: Any) -> None:
+        self._writer.write(json.dumps(words).encode() + b"\n")
+
+    async def hear(self) -> dict[str, Any]:
+        try:
+            line = await self._reader.readline()
+            found = json.loads(line)
+        except (OSError, ValueError, asyncio.LimitOverrunError) as error:
+            raise Broken(str(error)) from error
+        if not isinstance(found, dict):
+            raise Broken("no object")
+        return found
+
+    async def tell(self, word: str, value: Any) -> bool:
+        """Says it and waits until it is done there; one that has gone has nothing left to do."""
+        self._said += 1
+        done: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._awaited[self._said] = done
+        self.say(tell=self._said, word=word, value=value)
+        try:
+            async with asyncio.timeout(ACKED_WITHIN):
+                return await done
+        except TimeoutError:
+            return False
+        finally:
+            self._awaited.pop(self._said, None)
+
+    def acked(self, number: int) -> None:
+        done = self._awaited.get(number)
+        if done is not None and not done.done():
+            done.set_result(True)
+
+    def close(self) -> None:
+        self._writer.close()
+        for number in list(self._awaited):
+            self.acked(number)
+
+
+class Handover:
+    def __init__(self, folder: str, identity: Mapping[str, str], node: Sharing, counters: Counters) -> None:
+        self._folder = folder
+        self._identity = {**identity, "version": str(VERSION)}
+        self._node = node
+        self._counters = counters
+        self._loop = asyncio.get_running_loop()
+        self._listener: socket.socket | None = None
+        self._file_is: tuple[int, int] | None = None
+        self._channels: list[Channel] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def others(self) -> int:
+        return len(self._channels)
+
+    @property
+    def followed(self) -> bool:
+        """Whether another process is ready to serve in this one's place."""
+        return any(channel.ready for channel in self._channels)
+
+    def used_elsewhere(self, what: str) -> int:
+        return sum(int(channel.usage.get(what, 0)) for channel in self._channels)
+
+    # The process that comes.
+
+    async def join(self) -> Inherited | None:
+        """What a serving process hands over; None where there is none, or it fails in any way."""
+        try:
+            async with asyncio.timeout(JOINED_WITHIN):
+                return await self._join()
+        except (Broken, OSError, TimeoutError, ValueError) as error:
+            if not isinstance(error, FileNotFoundError):
+                self._counters.add("handovers_failed")
+                log.warning("handover fails", extra=pairs(why=repr(error)))
+            return None
+
+    async def _join(self) -> Inherited:
+        sock = socket.socket(socket.AF_UNIX)
+        listeners: list[socket.socket] = []
+        try:
+            sock.setblocking(False)
+            with _short(self._folder) as folder:
+                await self._loop.sock_connect(sock, f"{folder}/{FILE}")
+            await self._readable(sock)
+            text, descriptors, _, _ = socket.recv_fds(sock, FIRST_MOST, LISTENERS_MOST)
+            listeners = [socket.socket(fileno=descriptor) for descriptor in descriptors]
+            if json.loads(text or b"null") != self._identity or not listeners:
+                raise Broken("another node's, or another version's")
+            reader, writer = await asyncio.open_unix_connection(sock=sock, limit=LINE_MOST)
+            channel = Channel(reader, writer)
+            channel.say(got=True)
+            state = (await channel.hear()).get("state")
+            if not isinstance(state, dict):
+                raise Broken("no state")
+        except BaseException:
+            for listener in listeners:
+                listener.close()
+            sock.close()
+            raise
+        for listener in listeners:
+            listener.setblocking(False)
+        self._keep(channel)
+        self._counters.add("handovers_taken")
+        return Inherited(listeners, state)
+
+    async def _readable(self, sock: socket.socket) -> None:
+        come = asyncio.Event()
+        self._loop.add_reader(sock.fileno(), come.set)
+        try:
+            await come.wait()
+        finally:
+            self._loop.remove_reader(sock.fileno())
+
+    # The process that serves.
+
+    def offer(self) -> None:
+        """From now on the next process finds this one; whatever lay in its place is replaced at one go."""
+        try:
+            self._listener = socket.socket(socket.AF_UNIX)
+            self._listener.setblocking(False)
+            with _short(self._folder) as folder:
+                # A name of its own, renamed: nobody meets a socket that does not listen yet.
+                new = f"{folder}/{FILE}.{os.getpid()}"
+                with suppress(FileNotFoundError):
+                    os.unlink(new)
+                self._listener.bind(new)
+                self._listener.listen()
+                self._file_is = _file(new)
+                os.rename(new, f"{folder}/{FILE}")
+            self._loop.add_reader(self._listener.fileno(), self._accept)
+        except OSError as error:
+            log.warning("handover cannot be offered", extra=pairs(why=error))
+            if self._listener is not None:
+                self._listener.close()
+                self._listener = None
+        for channel in self._channels:
+            channel.say(ready=True)
+
+    def _accept(self) -> None:
+        assert self._listener is not None
+        try:
+            sock, _ = self._listener.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        self._run(self._welcome(sock))
+
+    async def _welcome(self, sock: socket.socket) -> None:
+        try:
+            async with asyncio.timeout(JOINED_WITHIN):
+                descriptors = [listener.fileno() for listener in self._node.listeners()]
+                socket.send_fds(sock, [json.dumps(self._identity).encode()], descriptors)
+                reader, writer = await asyncio.open_unix_connection(sock=sock, limit=LINE_MOST)
+                channel = Channel(reader, writer)
+                await channel.hear()
+        except (Broken, OSError, TimeoutError) as error:
+            log.warning("handover fails", extra=pairs(why=repr(error)))
+            sock.close()
+            return
+        # In one go: word that comes later follows the state on the channel.
+        channel.say(state=self._node.state())
+        self._counters.add("handovers_given")
+        log.info("another process follows", extra=pairs(others=self.others + 1))
+        self._keep(channel)
+
+    # Both.
+
+    async def tell(self, word: str, value: Any) -> bool:
+        """Whether all other processes of the node have done as this one was told."""
+        return all(await asyncio.gather(*(channel.tell(word, value) for channel in self._channels)))
+
+    def _keep(self, channel: Channel) -> None:
+        self._channels.append(channel)
+        self._node.others_changed()
+        self._run(self._listen(channel))
+        self._run(self._talk(channel))
+
+    async def _talk(self, channel: Channel) -> None:
+        while channel in self._channels:
+            channel.say(usage=self._node.usage())
+            await asyncio.sleep(TOLD_EVERY)
+
+    async def _listen(self, channel: Channel) -> None:
+        try:
+            while True:
+                match await channel.hear():
+                    case {"tell": int(number), "word": str(word), "value": value}:
+                        self._node.told(word, value)
+                        channel.say(ack=number)
+                    case {"ack": int(number)}:
+                        channel.acked(number)
+                    case {"usage": dict(usage)}:
+                        channel.usage = {str(name): int(value) for name, value in usage.items()}
+                        self._node.used_elsewhere()
+                    case {"ready": True}:
+                        channel.ready = True
+                        self._node.others_changed()
+        except (Broken, ValueError, TypeError):
+            pass
+        finally:
+            channel.close()
+            if channel in self._channels:
+                self._channels.remove(channel)
+                self._node.others_changed()
+                self._node.used_elsewhere()
+                log.info("the other process has gone", extra=pairs(others=self.others))
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._counters.add_failure("handover failed in the node", error)
+
+    def close(self) -> None:
+        if self._listener is not None:
+            self._loop.remove_reader(self._listener.fileno())
+            self._listener.close()
+            self._listener = None
+            with suppress(OSError), _short(self._folder) as folder:
+                if _file(f"{folder}/{FILE}") == self._file_is:  # else it is the next process's
+                    os.unlink(f"{folder}/{FILE}")
+        for task in self._tasks:
+            task.cancel()
+
+
+class _short:
+    """A name of the folder short enough for a socket's address, however long its own is."""
+
+    def __init__(self, folder: str) -> None:
+        self._folder = folder
+
+    def __enter__(self) -> str:
+        self._descriptor = os.open(Path(self._folder), os.O_RDONLY | os.O_DIRECTORY)
+        return f"/proc/self/fd/{self._descriptor}"
+
+    def __exit__(self, *_: object) -> None:
+        os.close(self._descriptor)
+
+
+def _file(path: str) -> tuple[int, int]:
+    found = os.stat(path)
+    return found.st_dev, found.st_ino
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -6,8 +6,10 @@
 import logging
 import math
 import signal
+import socket
 import time
 from collections.abc import Coroutine
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
@@ -15,12 +17,13 @@
 from notchjunction.decider import Ask, Decider, Follow, Listed, Probe, SetAside
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
-from notchjunction.net import management, node_input
+from notchjunction.net import management, node_input, words
 from notchjunction.net.callers import Callers
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.counters import Counters
-from notchjunction.net.descriptors import Descriptors
-from notchjunction.net.discovery import Discovery, ServerList, Unusable
+from notchjunction.net.descriptors import OWN, Descriptors
+from notchjunction.net.discovery import Discovery, ServerList, Unusable, read_list
+from notchjunction.net.handover import Handover, Inherited
 from notchjunction.net.jobs import Job
 from notchjunction.net.logs import pairs
 from notchjunction.net.management import Management
@@ -38,6 +41,7 @@
 ANSWER_SHARE = 0.5  # of what is left kept for answers; until then callers that stay are served on
 LOOK_SPAN = 0.05  # s between looks whether a draining node has answered all
 LEAD_SPAN = 0.4  # s from a node's "not ready" until callers are parted with; they come for 0.3 s more
+PART_SPAN = 0.6  # s of a drain's end in which callers that have just stood idle are left to part on an answer
 IDLE_LEAST = 0.5  # s that a caller may stand idle while it is led away: its next request brings its end
 
 
@@ -70,10 +74,12 @@
         )
         self._management = Management(self, counters)
         self._service = ServiceState()
+        self._handover: Handover | None = None
         self._leading: asyncio.Task[None] | None = None
         self._addresses: dict[str, Address] = {}
         self._listed: dict[str, Listed] = {}
         self._ready = False
+        self._ready_now = asyncio.Event()
         self._list_fails = False
         self._list_due = asyncio.Event()
         self._stopping = asyncio.Event()
@@ -103,11 +109,17 @@
             self._loop.add_signal_handler(number, handler)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         log.info("start", extra=pairs(node=told.name, listen=text_of(told.listen), depth=told.terms.depth))
-        self._callers.open(told.listen)
+        inherited = await self._join()
+        if inherited is not None:
+            self._inherit(inherited)
+        else:
+            self._callers.open(told.listen, shared=told.shared is not None)
         if told.mgmt is not None:
             self._management.open(told.mgmt)
         self.listening.set()
-        if told.known is not None:
+        if self._handover is not None:
+            self._start(self._offer())
+        if told.known is not None and not self._ready:
             self._discovery.remember(told.known.version)
             self._hear(told.known, News.REMEMBERED)
         self._start(self._run_errands())
@@ -121,6 +133,82 @@
         if self._service.tell(Input.END) is Effect.CEASE:
             self._stopping.set()
 
+    # Another process of this node, before or after this one.
+
+    async def _join(self) -> Inherited | None:
+        told = self._told
+        if told.shared is None:
+            return None
+        identity = {"node": told.name, "listen": text_of(told.listen)}
+        self._handover = Handover(told.shared, identity, self, self.counters)
+        return await self._handover.join()
+
+    def _inherit(self, inherited: Inherited) -> None:
+        """Goes on where the serving process stands: its list, operators' word, and then its callers."""
+        state = inherited.state
+        for server in state.get("barred", ()):
+            self._decider.bar(server, known=True)
+        with suppress(Unusable):
+            known = read_list(state.get("list"))
+            if known.servers:
+                self._discovery.remember(known.version)
+                self._hear(known, News.REMEMBERED)
+        if state.get("out"):
+            self._led(Input.OUT)
+        self._start(self._adopt(inherited.listeners))
+        log.info("takes over", extra=pairs(servers=len(self._listed), barred=len(self._decider.barred)))
+
+    async def _adopt(self, listeners: list[socket.socket]) -> None:
+        # Guards against letting in callers for whom there is no list yet; the other process has them.
+        await self._ready_now.wait()
+        self._callers.adopt(listeners)
+
+    async def _offer(self) -> None:
+        """The next process is sent to this one as soon as it can serve."""
+        await self._ready_now.wait()
+        assert self._handover is not None
+        self._handover.offer()
+
+    def listeners(self) -> list[socket.socket]:
+        return self._callers.listeners
+
+    def state(self) -> dict[str, Any]:
+        endpoints = [
+            words.row(server, text_of(self._addresses[name]) if name in self._addresses else None)
+            for name, server in self._listed.items()
+        ]
+        out = self._service.state in (State.LEADING, State.PARTING)
+        version = self._discovery.version
+        listed = {"index": version, "snapshot": True, "endpoints": endpoints} if version is not None else None
+        return {"barred": sorted(self._decider.barred), "out": out, "list": listed}
+
+    def usage(self) -> dict[str, int]:
+        return {"held": self._descriptors.held, "callers": self._descriptors.callers}
+
+    def told(self, word: str, value: Any) -> None:
+        """An operator's word to the other process, which is word to the node."""
+        match word:
+            case "bar":
+                self._decider.bar(str(value), known=True)
+            case "unbar":
+                self._decider.unbar(str(value))
+            case "out":
+                self._led(Input.OUT if value else Input.IN)
+        self._point()
+
+    def others_changed(self) -> None:
+        assert self._handover is not None
+        self._decider.share(1 + self._handover.others)
+
+    def used_elsewhere(self) -> None:
+        if self._handover is not None:
+            others = self._handover.others * (OWN + management.DESCRIPTORS)
+            self._descriptors.elsewhere = self._handover.used_elsewhere("held") + others
+            self._descriptors.callers_elsewhere = self._handover.used_elsewhere("callers")
+
+    async def _tell_others(self, word: str, value: Any) -> bool:
+        return self._handover is None or await self._handover.tell(word, value)
+
     # What operators ask.
 
     def control_ready(self) -> bool:
@@ -129,18 +217,18 @@
     async def take_offline(self, server: str) -> bool:
         known = self._decider.bar(server)
         self._point()
-        return known
+        return known and await self._tell_others("bar", server)
 
     async def bring_online(self, server: str) -> bool:
         known = self._decider.unbar(server)
         self._point()
-        return known
+        return known and await self._tell_others("unbar", server)
 
     async def out_of_service(self) -> bool:
-        return self._led(Input.OUT)
+        return self._led(Input.OUT) and await self._tell_others("out", True)
 
     async def in_service(self) -> bool:
-        return self._led(Input.IN)
+        return self._led(Input.IN) and await self._tell_others("out", False)
 
     def _led(self, event: Input) -> bool:
         effect = self._service.tell(event)
@@ -205,21 +293,29 @@
         span = KILL_AFTER - KILL_MARGIN + min(longest, LONGEST_MOST)
         self._end_at = self.now() + span
         self._stop_leading()
-        self._callers.drain()
-        await asyncio.sleep(LISTEN_ON)
-        self._callers.stop()
-        # Guards against callers that have nowhere to go yet, as where another node is still starting.
-        serve_until = self._end_at - span * ANSWER_SHARE
+        if self._handover is not None and self._handover.followed:
+            # The node stays ready: the process that follows has the same queue of callers.
+            self._callers.stop(shared_queue=True)
+            serve_until = self.now()
+        else:
+            self._callers.drain()
+            await asyncio.sleep(LISTEN_ON)
+            self._callers.stop()
+            # Guards against callers that have nowhere to go yet, as where another node is still starting.
+            serve_until = self._end_at - span * ANSWER_SHARE
         while self._callers.connected and self.now() < serve_until:
             await asyncio.sleep(LOOK_SPAN)
         self._callers.part()
+        part_until = self.now() + PART_SPAN
         while self._callers.connected:
-            self._callers.close_idle()
+            self._callers.close_idle(IDLE_LEAST if self.now() < part_until else 0.0)
             await asyncio.sleep(LOOK_SPAN)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._management.close()
+        if self._handover is not None:
+            self._handover.close()
         self._discovery.close()
         self._servers.close()
         self._print_counters()
@@ -315,6 +411,7 @@
         self._decider.report_list(kind, news.servers)
         if not self._ready:
             self._ready = True
+            self._ready_now.set()
             log.info("ready", extra=pairs(servers=ready, version=news.version))
 
     def _point(self) -> int:
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -35,6 +35,7 @@
     idle_most: float
     load_path: str
     mgmt: Address | None = None  # where operators call; none: nowhere
+    shared: str | None = None  # the folder in which a later process of the node finds this one; none: nowhere
     file: str | None = None
     told: Mapping[str, Any] = field(default_factory=dict)
 
@@ -43,6 +44,7 @@
     """What a node starts with. Read as safely as it can be: one that does not start serves nobody."""
     file = environment.get("GW_CONFIG") or None
     told = _object(file) if file else {}
+    mgmt = environment.get("GW_MGMT") or told.get("mgmt")
     return replace(
         _settled(told),
         name=environment.get("GW_NAME") or told["name"],
@@ -50,7 +52,9 @@
         discovery=address_of(environment.get("GW_DISCOVERY") or told["discovery"]),
         known=_known(told.get("known")),
         sockets=int(told.get("limits", {}).get("sockets", SOCKETS)),
-        mgmt=address_of(mgmt) if (mgmt := environment.get("GW_MGMT") or told.get("mgmt")) else None,
+        mgmt=address_of(mgmt) if mgmt else None,
+        # Upgrades are asked for by operators; without a folder of the node's own another's might be met.
+        shared=environment.get("TMPDIR") if mgmt else None,
         file=file,
     )
 
@@ -70,6 +74,7 @@
         known=told.known,
         sockets=told.sockets,
         mgmt=told.mgmt,
+        shared=told.shared,
         file=told.file,
     )
 
--- a/notchjunction/net/words.py
+++ b/notchjunction/net/words.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from notchjunction.decider import Listed
 from notchjunction.interface import Effect, Presence
 
 JOBS = "/api"
@@ -28,6 +29,19 @@
 BACK = frozenset(("content-type",))
 
 PRESENCES = {"active": Presence.READY, "leaving": Presence.DRAINING, "left": Presence.GONE}
+STATUSES = {presence: status for status, presence in PRESENCES.items()}
+
+
+def row(server: Listed, address: str | None) -> dict[str, object]:
+    """A server in the list's own form."""
+    return {
+        "name": server.name,
+        "address": address,
+        "zone": server.zone,
+        "group": server.cell,
+        "status": STATUSES[server.presence],
+        "since_ms": server.started_at * 1000,
+    }
 
 
 def effect(method: str, numbered: bool) -> Effect:
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -179,7 +179,7 @@
         self._calm_times = math.inf if terms.depth else CALM_TIMES
         self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
         span = 0.0 if terms.depth else SHARE_SPAN  # shares are the first tier's matter
-        self._shares = [quota / terms.nodes * span for quota in terms.operator_quotas]
+        self._shares = [quota / terms.nodes / terms.processes * span for quota in terms.operator_quotas]
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._near_first = terms.crossing_price > 0
         self._thrifty = terms.connection_price > 0
@@ -632,7 +632,10 @@
         self._usual()  # counts the warm servers anew
         warm = self._warm or len(self._ready) or 1
         self._prune(self._firsts, now - RETRY_SPAN)
-        return max(len(self._firsts) / RETRY_SPAN / warm, 1.0 / (COLD_SPAN * self._terms.nodes))
+        return max(
+            len(self._firsts) / RETRY_SPAN / warm,
+            1.0 / (COLD_SPAN * self._terms.nodes * self._terms.processes),
+        )
 
     def _cold_left(self, server: Server, now: float) -> float:
         """Sends that this node's part of the cold budget has come to since the last one there."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -296,10 +296,12 @@
     sockets: int = 1024,
     file: Any = None,
     mgmt: Address | None = None,
+    shared: Any = None,
+    listen: Address | None = None,
     **terms: Any,
 ) -> AsyncIterator[tuple[Node, Address]]:
     """A node on a free port of the loopback address, with its list remembered or not."""
-    listen = free_address()
+    listen = listen or free_address()
     told = NodeInput(
         name="n",
         listen=listen,
@@ -312,6 +314,7 @@
         idle_most=5.0,
         load_path="/health",
         mgmt=mgmt,
+        shared=shared and str(shared),
         file=file and str(file),
     )
     node = Node(told)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1039,7 +1039,7 @@
         async with Peer() as peer, running(peer) as (node, address):
             client = await Client().open(address)
             node.stop()
-            while node._callers._listeners:
+            while node._callers.listeners:
                 await asyncio.sleep(0.001)
             with pytest.raises(ConnectionRefusedError):
                 await Client().open(address)
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,369 @@
+"""One process of a node follows another: waiting callers, the list, bans, limits, deaths at each step."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from notchjunction.net import handover
+from notchjunction.net import node as node_module
+from notchjunction.net.connections import Address
+from notchjunction.net.descriptors import OWN
+from notchjunction.net.node import Node
+from tests.helpers import SILENT, Client, Peer, call, configuration, free_address, rows, running
+from tests.test_net import run
+from tests.test_operations import ask_ready
+
+FILE = handover.FILE
+
+
+@pytest.fixture(autouse=True)
+def _short_spans(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, span in {"LISTEN_ON": 0.05, "LOOK_SPAN": 0.005, "PART_SPAN": 0.05, "IDLE_LEAST": 0.02}.items():
+        monkeypatch.setattr(node_module, name, span)
+    monkeypatch.setattr(node_module, "ANSWER_SHARE", 1.0)
+    monkeypatch.setattr(handover, "TOLD_EVERY", 0.005)
+
+
+async def until(node: Node, what: str, value: object) -> None:
+    while getattr(node._handover, what) != value:
+        await asyncio.sleep(0.001)
+
+
+async def offered(node: Node) -> None:
+    while node._handover is None or node._handover._listener is None:
+        await asyncio.sleep(0.001)
+
+
+async def served(client: Client) -> None:
+    client.ask()
+    assert (await client.answer()).status == 200
+
+
+def test_no_connection_is_refused_or_closed_unread_over_many_upgrades(tmp_path: Path) -> None:
+    """Callers connect without a pause, and some wait in the queue while the one process ends."""
+
+    async def story() -> None:
+        async with Peer() as peer, AsyncExitStack() as last:
+            opened = await last.enter_async_context(running(peer, shared=tmp_path))
+            node, listen = opened
+            going = True
+            answered = 0
+
+            async def callers() -> None:
+                nonlocal answered
+                while going:
+                    client = await Client().open(listen)
+                    for _ in range(2):
+                        client.ask()
+                        answer = await client.answer()
+                        assert answer.status in (200, 503)  # one server has not always room
+                        answered += 1
+                        if not answer.keep:
+                            break
+                    client.writer.close()
+
+            work = [asyncio.create_task(callers()) for _ in range(8)]
+            for _ in range(12):
+                before = answered
+                new = AsyncExitStack()
+                follower, _ = await new.enter_async_context(
+                    running(peer, shared=tmp_path, listen=listen, known=False)
+                )
+                await until(node, "followed", True)
+                while answered < before + 20:
+                    await asyncio.sleep(0.001)
+                await last.aclose()
+                last.push_async_exit(new.pop_all())
+                node = follower
+            going = False
+            await asyncio.gather(*work)
+            assert answered >= 240
+
+    run(story())
+
+
+def test_a_follower_has_the_list_and_operators_word_and_tells_back(tmp_path: Path) -> None:
+    async def story() -> None:
+        mgmt, mgmt2 = free_address(), free_address()
+        async with (
+            Peer() as a,
+            Peer() as b,
+            running(a, b, shared=tmp_path, mgmt=mgmt) as (old, listen),
+        ):
+            assert await call(mgmt, "PUT", "/control/servers/s0/offline") == 200
+            async with running(shared=tmp_path, listen=listen, mgmt=mgmt2, known=False) as (new, _):
+                await until(old, "followed", True)
+                assert await call(mgmt2, "GET", "/control/ready") == 200
+                assert new._decider.barred == {"s0"}
+                # A yes holds in both, whichever was asked; an unknown one is a no.
+                assert await call(mgmt2, "PUT", "/control/servers/s1/offline") == 200
+                assert old._decider.barred == {"s0", "s1"}
+                assert await call(mgmt, "PUT", "/control/servers/s0/online") == 200
+                assert new._decider.barred == {"s1"} == old._decider.barred
+                assert await call(mgmt2, "PUT", "/control/servers/s7/offline") == 404
+                for _ in range(6):
+                    await served(await Client().open(listen))
+                assert not b.requests and len(a.requests) == 6
+                assert await call(mgmt, "PUT", "/control/out-of-service") == 200
+                assert await ask_ready(listen) == 503
+                assert new._service.state is old._service.state
+                assert await call(mgmt2, "PUT", "/control/in-service") == 200
+                assert await ask_ready(listen) == 200
+
+    run(story())
+
+
+def test_a_drain_and_bans_outlast_the_process_that_heard_of_them(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer() as a, Peer() as b, AsyncExitStack() as stack:
+            first = AsyncExitStack()
+            old, listen = await first.enter_async_context(running(a, b, shared=tmp_path))
+            assert await old.take_offline("s0") and await old.out_of_service()
+            new, _ = await stack.enter_async_context(running(shared=tmp_path, listen=listen, known=False))
+            await until(old, "followed", True)
+            await first.aclose()
+            assert await ask_ready(listen) == 503
+            assert await new.in_service() and await ask_ready(listen) == 200
+            for _ in range(4):
+                await served(await Client().open(listen))
+            assert not a.requests
+
+    run(story())
+
+
+def test_jobs_under_way_are_answered_by_the_process_that_took_them(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer:
+            first = AsyncExitStack()
+            old, listen = await first.enter_async_context(running(peer, shared=tmp_path))
+            client, idle = await Client().open(listen), await Client().open(listen)
+            client.ask()
+            await peer.asked.wait()
+            async with running(shared=tmp_path, listen=listen, known=False):
+                await until(old, "followed", True)
+                ends = asyncio.create_task(first.aclose())
+                assert await idle.closed()
+                peer.go_on.set()
+                answer = await client.answer()
+                assert answer.status == 200 and not answer.keep
+                await ends
+                await served(await Client().open(listen))
+
+    run(story())
+
+
+def test_both_are_within_one_nodes_limits_and_the_one_that_stays_has_them_whole(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            first = AsyncExitStack()
+            old, listen = await first.enter_async_context(running(peer, shared=tmp_path, sockets=64))
+            clients = [await Client().open(listen) for _ in range(10)]
+            for client in clients:
+                await served(client)
+            async with running(shared=tmp_path, listen=listen, known=False, sockets=64) as (new, _):
+                held = old._descriptors.held
+                assert held > 10
+                while new._descriptors.elsewhere < held + OWN:
+                    await asyncio.sleep(0.001)
+                assert new._descriptors.callers_elsewhere == 10
+                assert new._decider._terms.processes == old._decider._terms.processes == 2
+                await first.aclose()
+                while new._descriptors.elsewhere or new._decider._terms.processes != 1:
+                    await asyncio.sleep(0.001)
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    "left", ["nothing", "a dead socket", "a plain file", "a folder", "another node", "noise"]
+)
+def test_whatever_lies_in_the_place_of_a_process_a_node_starts(
+    left: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(handover, "JOINED_WITHIN", 0.2)
+
+    async def story() -> None:
+        place = tmp_path / FILE
+        server: Any = None
+        if left in ("a dead socket", "noise", "another node"):
+            sock = socket.socket(socket.AF_UNIX)
+            sock.bind(str(place))
+            if left == "a dead socket":
+                sock.close()
+            else:
+                text = b"\xff" if left == "noise" else b'{"node": "m", "listen": "h:1", "version": "1"}'
+
+                async def other(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                    with socket.socket() as sent:
+                        raw = writer.get_extra_info("socket")
+                        socket.send_fds(raw._sock, [text], [sent.fileno()])
+
+                sock.listen()
+                server = await asyncio.start_unix_server(other, sock=sock)
+        elif left == "a plain file":
+            place.write_text("what")
+        elif left == "a folder":
+            place.mkdir()
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, listen):
+            await served(await Client().open(listen))
+            assert ("handovers_failed" in node.counters.read()) == (left != "nothing")
+            if left != "a folder":  # which can't be replaced: the next process starts without a handover
+                async with running(shared=tmp_path, listen=listen, known=False):
+                    await until(node, "followed", True)
+        if server is not None:
+            server.close()
+
+    run(story())
+
+
+def test_without_a_handover_the_address_is_shared_and_who_waits_is_let_in(tmp_path: Path) -> None:
+    async def story() -> None:
+        one, other = tmp_path / "one", tmp_path / "other"
+        one.mkdir()
+        other.mkdir()
+        async with Peer() as peer:
+            first = AsyncExitStack()
+            old, listen = await first.enter_async_context(running(peer, shared=one))
+            old._loop.remove_reader(old._callers.listeners[0].fileno())  # so that they wait in its queue
+            waiting = [await Client().open(listen) for _ in range(40)]
+            async with running(peer, shared=other, listen=listen):
+                for client in waiting:
+                    client.ask()
+                ends = asyncio.create_task(first.aclose())
+                for client in waiting:
+                    assert (await client.answer()).status in (200, 503)  # one server has no room for all
+                await ends
+                await served(await Client().open(listen))
+
+    run(story())
+
+
+def test_a_folder_with_a_long_name_serves_as_well(tmp_path: Path) -> None:
+    folder = tmp_path / ("long" * 40)
+    folder.mkdir()
+
+    async def story() -> None:
+        async with (
+            Peer() as peer,
+            running(peer, shared=folder) as (old, listen),
+            running(shared=folder, listen=listen, known=False),
+        ):
+            await until(old, "followed", True)
+
+    run(story())
+
+
+@pytest.mark.parametrize("step", ["connected", "given", "got"])
+def test_a_follower_that_dies_before_its_yes_leaves_the_node_as_it_was(step: str, tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, listen):
+            with socket.socket(socket.AF_UNIX) as sock:
+                sock.setblocking(False)
+                await offered(node)
+                await node._loop.sock_connect(sock, str(tmp_path / FILE))
+                if step != "connected":
+                    while True:
+                        try:
+                            _, descriptors, _, _ = socket.recv_fds(sock, 4096, 8)
+                            break
+                        except BlockingIOError:
+                            await asyncio.sleep(0.001)
+                    for descriptor in descriptors:
+                        os.close(descriptor)
+                if step == "got":
+                    sock.send(b'{"got": true}\n')
+                    await until(node, "others", 1)
+            await until(node, "others", 0)
+            assert not node._handover.followed and node._decider._terms.processes == 1  # type: ignore[union-attr]
+            await served(await Client().open(listen))
+            assert await node.take_offline("s0")
+
+    run(story())
+
+
+def test_a_follower_that_hangs_is_no_yes_and_delays_no_operator_for_long(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(handover, "ACKED_WITHIN", 0.05)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            with socket.socket(socket.AF_UNIX) as sock:
+                sock.setblocking(False)
+                await offered(node)
+                await node._loop.sock_connect(sock, str(tmp_path / FILE))
+                sock.send(b'{"got": true}\n')
+                await until(node, "others", 1)
+                assert not await node.take_offline("s0") and node._decider.barred == {"s0"}
+
+    run(story())
+
+
+PROGRAM = [sys.executable, "-m", "notchjunction"]
+
+
+def start(folder: Path, listen: Address, mgmt: Address) -> subprocess.Popen[bytes]:
+    environment = {
+        **os.environ,
+        "GW_CONFIG": str(folder / "told.json"),
+        "GW_LISTEN": f"{listen[0]}:{listen[1]}",
+        "GW_MGMT": f"{mgmt[0]}:{mgmt[1]}",
+        "TMPDIR": str(folder),
+    }
+    return subprocess.Popen(PROGRAM, env=environment, stderr=subprocess.DEVNULL)
+
+
+async def until_yes(mgmt: Address) -> None:
+    while True:
+        try:
+            if await call(mgmt, "GET", "/control/ready") == 200:
+                return
+        except OSError:
+            pass
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("killed", ["old, ready", "old, in its drain", "new, ready", "new, starting"])
+def test_a_process_killed_at_any_step_leaves_a_node_that_serves(killed: str, tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer() as peer, Peer(SILENT) as place:
+            told = configuration(place.at)
+            told["known"] = {"index": 1, "snapshot": True, "endpoints": rows(peer)}
+            (tmp_path / "told.json").write_text(json.dumps(told))
+            listen, mgmt, mgmt2, mgmt3 = (free_address() for _ in range(4))
+            processes = [start(tmp_path, listen, mgmt)]
+            try:
+                await until_yes(mgmt)
+                processes.append(start(tmp_path, listen, mgmt2))
+                old, new = processes
+                if killed != "new, starting":
+                    await until_yes(mgmt2)
+                if killed == "old, in its drain":
+                    old.send_signal(signal.SIGTERM)
+                dead, left = (new, mgmt) if killed.startswith("new") else (old, mgmt2)
+                dead.kill()
+                await asyncio.to_thread(dead.wait)
+                assert await call(left, "PUT", "/control/servers/s0/offline") == 200
+                assert await call(left, "PUT", "/control/servers/s0/online") == 200
+                await served(await Client().open(listen))
+                # And it can be upgraded again.
+                processes.append(start(tmp_path, listen, mgmt3))
+                await until_yes(mgmt3)
+                await served(await Client().open(listen))
+            finally:
+                for process in processes:
+                    process.kill()
+                    await asyncio.to_thread(process.wait)
+
+    run(story())
