A request's time counts from its last byte; slow heads and bodies are served by their pace

Need: PROTOCOL counts a request's time from its last byte, the node took what passed since the first off it; a head may take 2 s. Change: net/callers.py: a head has 2.6 s, a body 48 kB/s and a second; time from the last byte read. Ruled out by counting heads in the logs: slow small requests cut off (none).

--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -52,6 +52,16 @@
         """Bytes that came and are not yet read."""
         return len(self._bytes)
 
+    @property
+    def in_body(self) -> bool:
+        """Whether the head is whole and the body is not."""
+        return self._framed
+
+    @property
+    def body_come(self) -> int:
+        """Bytes of a body under way that have come, its framing among them."""
+        return len(self._body) + len(self._bytes)
+
     def feed(self, piece: bytes) -> None:
         self._bytes += piece
 
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -28,7 +28,9 @@
 
 BACKLOG = 1024  # connections that wait to be accepted; a burst of callers, also after a restart
 ACCEPT_MOST = 16  # connections accepted at one go; jobs get their turn in between, however many knock
-REQUEST_WITHIN = 2.0  # s from connecting, or from a later request's first byte, until a request is whole
+HEAD_WITHIN = 2.6  # s from connecting, or a later request's first byte, to a whole head; some take 2 s
+BODY_PACE = 48 * 1024  # bytes a second that a body comes with at least; slow callers send 64 kB
+BODY_SLACK = 1.0  # s that it may lag behind; pieces come unevenly, and loops are late
 WRITTEN_WITHIN = 10.0  # s that a caller may take to read its answer; then it counts as gone
 REFUSED_WITHIN = 1.0  # s that a caller over the limit has for the one request that is refused
 LINGER_WITHIN = 0.5  # s of reading on after an error, so that a reset does not destroy it on its way
@@ -186,10 +188,12 @@
         self._reading: asyncio.Future[bytes] | None = None
         self._open = True
         self._busy = False
-        self._first_at = callers.clock()
-        callers.silent[self] = self._first_at
+        # When the request's last byte was read; of one that came ahead of its turn, the first.
+        self._came_at = callers.clock()
+        self._body_at = 0.0
+        callers.silent[self] = self._came_at
         # The first request is due by the time of connecting: bytes that drip in do not renew it.
-        self._due = self._first_at + (REFUSED_WITHIN if full else REQUEST_WITHIN)
+        self._due = self._came_at + (REFUSED_WITHIN if full else HEAD_WITHIN)
 
     async def converse(self) -> None:
         self._stream.set_nodelay(True)
@@ -244,8 +248,9 @@
     def _rest(self) -> None:
         """Between two requests, unless the next one has begun to come."""
         now = self._callers.clock()
+        self._body_at = 0.0
         if self._requests.begun:
-            self._due = now + REQUEST_WITHIN
+            self._due = now + HEAD_WITHIN
         else:
             self._due = now + IDLE_MOST
             self._callers.idle[self] = now
@@ -265,6 +270,7 @@
             reading = self._read()
             if self._requests.awaits_go_ahead():
                 await self._stream.write(GO_AHEAD)
+            self._set_due()
             await asyncio.wait({reading}, timeout=max(0.0, self._due - self._callers.clock()))
             # Guards against a busy loop's delay being put down to the caller: what has come is read first.
             late = self._callers.clock() >= self._due
@@ -272,6 +278,14 @@
                 self._feed()
         return request
 
+    def _set_due(self) -> None:
+        """A body is due by its pace: guards against callers that hold a connection for nothing."""
+        if not self._requests.in_body:
+            self._body_at = 0.0
+        elif not self._full:
+            self._body_at = self._body_at or self._callers.clock()
+            self._due = self._body_at + BODY_SLACK + self._requests.body_come / BODY_PACE
+
     async def _answer(self, request: Request) -> Answer | None:
         if request.path == words.READY and request.method == "GET":
             return Answer(200 if self._callers.ready() and not self._callers.draining else 503)
@@ -279,7 +293,7 @@
             return self._bad(404)
         if request.method not in ("GET", "POST"):
             return self._bad(405)
-        ask = ask_of(request, self._callers.clock() - self._first_at, self._callers.profiles)
+        ask = ask_of(request, self._callers.clock() - self._came_at, self._callers.profiles)
         if ask is None:
             return self._bad(400)
         job_id = request.headers[words.JOB_ID]
@@ -330,10 +344,13 @@
         assert self._reading is not None
         reading, self._reading = self._reading, None
         piece = reading.result()
+        now = self._callers.clock()
+        # A request's time counts from its last byte; of one that came ahead only the first is known for sure.
+        if not self._busy or not self._requests.begun:
+            self._came_at = now
         if not self._requests.begun:
-            self._first_at = self._callers.clock()
             if self in self._callers.idle:
-                self._due = self._first_at + REQUEST_WITHIN
+                self._due = now + HEAD_WITHIN
             self._stir()
         self._requests.feed(piece)
 
