--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -56,6 +56,7 @@
     operator: str = ""
     repeat: bool = False
     work_hint: float | None = None
+    whole: bool = True  # whether its last byte has come; else `whole` tells of it
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,7 @@
     result: Result
     seconds: float
     load: Load | None = None
+    spent: bool = False  # more of the request was sent on than is kept: there is no other dispatch
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,13 @@
     dispatch: int
 
 
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """That dispatch's answer has begun to come and is the final one, whatever becomes of it."""
+
+    dispatch: int
+
+
 @dataclass(frozen=True, slots=True)
 class PassOn:
     """That dispatch's answer is the final one."""
@@ -144,7 +153,7 @@
     seconds: float
 
 
-Order = Send | Stop | PassOn | TurnBack | WriteOff | Leave
+Order = Send | Stop | Begin | PassOn | TurnBack | WriteOff | Leave
 Errand = Probe | Follow | SetAside
 
 
@@ -156,6 +165,7 @@
     orders: asyncio.Queue[Order] = field(default_factory=asyncio.Queue)
     servers: list[int] = field(default_factory=list)  # by dispatch
     out: set[int] = field(default_factory=set)
+    begun: bool = False  # a large answer is on its way
     answered: bool = False
 
 
@@ -200,6 +210,7 @@
             time_left=ask.time_left,
             repeat=ask.repeat,
             work_hint=ask.work_hint,
+            whole=ask.whole,
         )
         try:
             self._core.take(job)
@@ -216,13 +227,30 @@
         first = ended.result is Result.HONOURED and not ticket.answered
         ticket.answered = ticket.answered or first
         server = ticket.servers[dispatch]
+        over = ticket.answered
         self._core.outcome(
-            Outcome(ticket.number, dispatch, server, ended.result, ended.seconds, ticket.answered, ended.load)
+            Outcome(
+                ticket.number, dispatch, server, ended.result, ended.seconds, over, ended.load, ended.spent
+            )
         )
         if first:
             ticket.orders.put_nowait(PassOn(dispatch))
         self._release(ticket)
 
+    def whole(self, ticket: Ticket) -> None:
+        """The job's last byte has come: its time counts from now."""
+        if not ticket.answered:
+            self._core.whole(ticket.number)
+
+    def begun(self, ticket: Ticket, dispatch: int) -> bool:
+        """A large answer has begun to come; false where the job has its answer already."""
+        if ticket.answered or ticket.begun:
+            return False
+        ticket.begun = True
+        ticket.orders.put_nowait(Begin(dispatch))
+        self._core.streaming(ticket.number, dispatch)
+        return True
+
     def withdraw(self, ticket: Ticket) -> None:
         """The caller has gone, or the node itself failed the job."""
         if not ticket.answered:
--- a/notchjunction/http1/messages.py
+++ b/notchjunction/http1/messages.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 HEAD_MOST = 16 * 1024  # bytes of a message's head; far over what a caller sends
-BODY_MOST = 64 * 1024  # bytes of a body; the protocol's bound
+BODY_MOST = 64 * 1024  # bytes of a body that is whole before it goes on; longer ones go on in pieces
+LARGE_MOST = 32 * 1024 * 1024  # bytes of a body at all; the protocol's bound
 
 
 def connection_options(headers: Mapping[str, str]) -> set[str]:
@@ -28,10 +29,17 @@
     headers: Mapping[str, str] = field(default_factory=dict)  # names in lower case
     body: bytes = b""
     keep: bool = True
+    more: bool = False  # the body goes on: what is here is its beginning
+    length: int | None = None  # of a body that goes on, where the head tells it
+    chunks: bool = True  # whether the other side reads chunks: a caller of HTTP/1.0 does not
 
     @property
     def path(self) -> str:
-        return self.target.partition("?")[0]
+        path = self.target.partition("?")[0]
+        if path.startswith(("http://", "https://")):
+            # A target may name the place too (RFC 9112, 3.2.2).
+            path = "/" + path.partition("://")[2].partition("/")[2]
+        return path
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,3 +48,5 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
     keep: bool = True
+    more: bool = False
+    length: int | None = None
--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -5,11 +5,20 @@
 import re
 from enum import Enum, auto
 
-from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Malformed, Request, connection_options
+from notchjunction.http1.messages import (
+    BODY_MOST,
+    HEAD_MOST,
+    LARGE_MOST,
+    Answer,
+    Malformed,
+    Request,
+    connection_options,
+)
 
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 SOUND = re.compile(r"[\t\x20-\x7e\x80-\xff]*")  # a header's value without control bytes
 TARGET = re.compile(r"[\x21-\x7e]+")
+BLANK_MOST = 8  # empty lines ahead of a message (RFC 9112, 2.2); more never end
 INTERIM_MOST = 16  # interim answers (1xx) ahead of one answer; a sound server sends a few
 TRAILERS_MOST = 32  # lines after the last chunk; more never end
 CHUNK_LINE_MOST = 256  # bytes of a chunk's size line; extensions are rare and short
@@ -26,11 +35,12 @@
 
     VALUE = SOUND
 
-    def __init__(self, body_most: int = BODY_MOST) -> None:
+    def __init__(self, body_most: int = BODY_MOST, large_most: int = LARGE_MOST) -> None:
         self._bytes = bytearray()
         self._body_most = body_most
+        self._large_most = max(body_most, large_most)
         self._searched = 0
-        self._blank = False
+        self._blank = 0
         self._interim = 0
         self._start: tuple[str, str, str] | None = None
         self._headers: dict[str, str] = {}
@@ -38,6 +48,8 @@
         self._framing = Framing.LENGTH
         self._wanted = 0
         self._body = bytearray()
+        self._come = 0
+        self._going = False
         self._in_trailer = False
         self._trailers = 0
         self._chunk_left = -1
@@ -59,8 +71,26 @@
 
     @property
     def body_come(self) -> int:
-        """Bytes of a body under way that have come, its framing among them."""
-        return len(self._body) + len(self._bytes)
+        """Bytes of a body under way that have come."""
+        return self._come + len(self._bytes)
+
+    @property
+    def going(self) -> bool:
+        """Whether a body goes on: its beginning was given out, and `piece` gives the rest."""
+        return self._going
+
+    @property
+    def length(self) -> int | None:
+        """The body's length, where the head tells it."""
+        return self._wanted if self._framing is Framing.LENGTH else None
+
+    def piece(self) -> tuple[bytes, bool]:
+        """What has come of a body that goes on, and whether that was its end."""
+        ended = self._body_read()
+        found = self._take_body()
+        if ended:
+            self._end_message()
+        return found, ended
 
     def feed(self, piece: bytes) -> None:
         self._bytes += piece
@@ -69,10 +99,9 @@
         """Reads the head once it is whole."""
         if self._start is not None:
             return True
-        if not self._blank and self._bytes[:2] == b"\r\n":
-            # An empty line before a message is passed over (RFC 9112, 2.2); more would never end.
+        while self._blank < BLANK_MOST and self._bytes[:2] == b"\r\n":
             del self._bytes[:2]
-            self._blank = True
+            self._blank += 1
         end = self._bytes.find(b"\r\n\r\n", self._searched)
         if end < 0 or end > HEAD_MOST:
             if len(self._bytes) > HEAD_MOST:
@@ -95,12 +124,13 @@
                 raise Malformed(400, f"two headers {name}")
             self._headers[name] = f"{self._headers[name]}, {value}" if name in self._headers else value
         self._start = (start[0], start[1], start[2] if len(start) > 2 else "")
-        self._blank = False
+        self._blank = 0
         return True
 
     def _frame(self, without: Framing) -> None:
         """How the body ends, by the head; `without` holds where the head does not say."""
         self._body = bytearray()
+        self._come = 0
         self._chunk_left = -1
         self._in_trailer = False
         self._trailers = 0
@@ -117,7 +147,7 @@
         elif length is not None:
             if not (length.isascii() and length.isdigit()):
                 raise Malformed(400, "malformed length")
-            if len(length) > 9 or int(length) > self._body_most:
+            if len(length) > 9 or int(length) > self._large_most:
                 raise Malformed(413, "body too large")
             self._framing = Framing.LENGTH
             self._wanted = int(length)
@@ -126,25 +156,33 @@
         self._framed = True
 
     def _end_message(self) -> None:
-        self._start, self._framed = None, False
+        self._start, self._framed, self._going = None, False, False
+
+    def _take_body(self) -> bytes:
+        found = bytes(self._body)
+        self._body.clear()
+        return found
 
     def _body_read(self) -> bool:
+        """Reads what has come of the body; whether that was its end."""
         if self._framing is Framing.LENGTH:
-            if len(self._bytes) < self._wanted:
-                return False
-            self._body = self._bytes[: self._wanted]
-            del self._bytes[: self._wanted]
-            return True
+            self._add(min(self._wanted - self._come, len(self._bytes)))
+            return self._come == self._wanted
         if self._framing is Framing.CHUNKS:
             return self._chunks_read()
         self._add(len(self._bytes))
         return False
 
     def _add(self, count: int) -> None:
-        if len(self._body) + count > self._body_most:
+        if self._come + count > self._large_most:
             raise Malformed(413, "body too large")
-        self._body += self._bytes[:count]
-        del self._bytes[:count]
+        self._come += count
+        if count == len(self._bytes) and not self._body:
+            # The usual case of a body that goes on: nothing is copied.
+            self._body, self._bytes = self._bytes, self._body
+        else:
+            self._body += self._bytes[:count]
+            del self._bytes[:count]
 
     def _line(self) -> str | None:
         end = self._bytes.find(b"\r\n")
@@ -176,12 +214,19 @@
                     raise Malformed(400, "malformed chunk")
                 self._chunk_left = int(size, 16)
                 self._in_trailer = self._chunk_left == 0
-            else:
-                if len(self._body) + self._chunk_left > self._body_most:
+                if self._in_trailer:
+                    self._chunk_left = -1
+            elif self._chunk_left > 0:
+                if self._come + self._chunk_left > self._large_most:
                     raise Malformed(413, "body too large")
-                if len(self._bytes) < self._chunk_left + 2:
+                count = min(self._chunk_left, len(self._bytes))
+                self._add(count)
+                self._chunk_left -= count
+                if self._chunk_left:
+                    return False
+            else:
+                if len(self._bytes) < 2 and b"\r\n".startswith(self._bytes):
                     return False
-                self._add(self._chunk_left)
                 if self._bytes[:2] != b"\r\n":
                     raise Malformed(400, "malformed chunk")
                 del self._bytes[:2]
@@ -201,8 +246,8 @@
         return awaited
 
     def next(self) -> Request | None:
-        """The next whole request; None while it is not whole."""
-        if not self._head_read():
+        """The next request, whole or, where it is large, its beginning; None while neither is there."""
+        if self._going or not self._head_read():
             return None
         assert self._start is not None
         method, target, version = self._start
@@ -212,18 +257,26 @@
             if not TOKEN.fullmatch(method) or not TARGET.fullmatch(target):
                 raise Malformed(400, "malformed request line")
             self._frame(without=Framing.LENGTH)
-        if not self._body_read():
+        more = not self._body_read()
+        if more and len(self._body) <= self._body_most:
             return None
-        request = Request(method, target, self._headers, bytes(self._body), self._keeps(version))
-        self._end_message()
+        self._going = more
+        chunks = version != "HTTP/1.0"
+        body, keep = self._take_body(), self._keeps(version)
+        request = Request(method, target, self._headers, body, keep, more, self.length, chunks)
+        if not more:
+            self._end_message()
         return request
 
 
 class AnswerReader(Reader):
+    _keep = False
     VALUE = re.compile(r"[^\r\n]*")  # an odd header spoils no answer: none but the named ones is looked at
 
     def next(self) -> Answer | None:
-        """The whole answer; None while it is not whole. Interim answers (1xx) are passed over."""
+        """The answer, whole or, where it is large, its beginning; interim ones (1xx) are passed over."""
+        if self._going:
+            return None
         while self._head_read():
             assert self._start is not None
             version, status, _ = self._start
@@ -237,20 +290,42 @@
                         raise Malformed(502, "unexpected interim answer")
                     self._end_message()
                     continue
+                self._keep = self._keeps(version)
                 self._frame(without=Framing.LENGTH if status in ("204", "304") else Framing.TO_THE_END)
-            return self._whole(keep=True) if self._body_read() else None
+            if self._body_read():
+                return self._whole(keep=True)
+            return self.open() if len(self._body) > self._body_most else None
         return None
 
+    def may_open(self) -> bool:
+        """Whether what has come may be a large answer's beginning."""
+        if not self._framed or not self._body or self._large_most <= self._body_most:
+            return False
+        return self.length is None or self.length > self._body_most
+
+    def open(self) -> Answer:
+        """Its beginning, as it stands; the rest goes on in pieces."""
+        assert self._start is not None
+        self._going = True
+        # Whether the connection is kept is seen at the end.
+        return Answer(int(self._start[1]), self._headers, self._take_body(), False, True, self.length)
+
+    def sound_end(self) -> bool:
+        """Whether the end of the connection is that of the body under way."""
+        return self._framed and self._framing is Framing.TO_THE_END
+
+    def kept(self) -> bool:
+        """After a large answer's end: whether the connection can be used again."""
+        return self._keep and not self._bytes
+
     def end(self) -> Answer | None:
         """The connection has ended: the answer, if its end was to be the end of the connection."""
-        if not self._framed or self._framing is not Framing.TO_THE_END:
-            return None
-        return self._whole(keep=False)
+        return self._whole(keep=False) if self.sound_end() else None
 
     def _whole(self, keep: bool) -> Answer:
         assert self._start is not None
-        version, status, _ = self._start
+        status = self._start[1]
         # Guards against reading a leftover as the next answer: with bytes to spare the connection is unfit.
-        keep = keep and self._keeps(version) and not self._bytes
+        keep = keep and self.kept()
         self._end_message()
-        return Answer(int(status), self._headers, bytes(self._body), keep)
+        return Answer(int(status), self._headers, self._take_body(), keep)
--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -108,6 +108,7 @@
     time_left: float
     repeat: bool = False
     work_hint: float | None = None
+    whole: bool = True  # whether its last byte has come; its time counts from then
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +141,7 @@
     seconds: float
     over: bool = False
     load: Load | None = None
+    spent: bool = False  # the request can't be sent again: more of it was sent on than the host keeps
 
 
 class Host(Protocol):
@@ -171,6 +173,8 @@
 
     def outcome(self, outcome: Outcome) -> None: ...
 
+    def whole(self, job: int) -> None: ...
+
     def streaming(self, job: int, dispatch: int) -> None: ...
 
     def withdrawn(self, job: int) -> None: ...
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -5,8 +5,10 @@
 import asyncio
 import logging
 import socket
+import struct
 from collections.abc import Callable, Collection
 from contextlib import suppress
+from dataclasses import replace
 from itertools import islice
 from typing import Any
 
@@ -14,15 +16,16 @@
 from tornado.netutil import bind_sockets
 
 from notchjunction.decider import Ask
-from notchjunction.http1.encoder import encode_answer
+from notchjunction.http1.encoder import encode_answer, encode_end, encode_piece
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import RequestReader
 from notchjunction.net import words
-from notchjunction.net.connections import BUFFER_MOST, PIECE, Address, read_piece
+from notchjunction.net.connections import BUFFER_MOST, PIECE, Address, Cut, read_piece
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
-from notchjunction.net.jobs import Job, ask_of, own_failure
+from notchjunction.net.jobs import Job, ask_of, own_failure, passed_on
 from notchjunction.net.logs import pairs
+from notchjunction.net.relay import Download, Streams, Upload
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +34,7 @@
 HEAD_WITHIN = 2.6  # s from connecting, or a later request's first byte, to a whole head; some take 2 s
 BODY_PACE = 48 * 1024  # bytes a second that a body comes with at least; slow callers send 64 kB
 BODY_SLACK = 1.0  # s that it may lag behind; pieces come unevenly, and loops are late
-WRITTEN_WITHIN = 10.0  # s that a caller may take to read its answer; then it counts as gone
+WRITTEN_WITHIN = 10.0  # s that a caller may take to read its answer, or a piece of it; then it counts as gone
 REFUSED_WITHIN = 1.0  # s that a caller over the limit has for the one request that is refused
 LINGER_WITHIN = 0.5  # s of reading on after an error, so that a reset does not destroy it on its way
 LINGER_MOST = 1024 * 1024  # bytes thrown away in that time; more costs too much for politeness
@@ -47,14 +50,16 @@
     def __init__(
         self,
         clock: Callable[[], float],
-        take: Callable[[Ask, Request], Job],
+        take: Callable[[Ask, Request, Upload | None], Job],
         ready: Callable[[], bool],
         spare_one: Callable[[], bool],
         profiles: Collection[str],
         descriptors: Descriptors,
         counters: Counters,
+        streams: Streams,
     ) -> None:
         self.clock = clock
+        self.streams = streams
         self.take = take
         self.ready = ready
         self.profiles = profiles
@@ -190,7 +195,7 @@
         self._busy = False
         # When the request's last byte was read; of one that came ahead of its turn, the first.
         self._came_at = callers.clock()
-        self._body_at = 0.0
+        self._waited = 0.0  # s so far for the body under way
         callers.silent[self] = self._came_at
         # The first request is due by the time of connecting: bytes that drip in do not renew it.
         self._due = self._came_at + (REFUSED_WITHIN if full else HEAD_WITHIN)
@@ -202,26 +207,40 @@
             try:
                 request = await self._request()
             except Malformed as error:
-                await self._write(self._bad(error.status))
+                await self._write(encode_answer(self._bad(error.status)))
                 await self._linger()
                 return
             if request is None:
                 return
             self._busy = True
-            answer = await self._answer(request)
-            if answer is None:
-                return
-            # Guards against closing over a request that came with this one, drain or not.
-            parts = self._callers.parting and not self._requests.begun
-            keep = answer.keep and request.keep and not self._full and not parts
-            await self._write(Answer(answer.status, answer.headers, answer.body, keep))
+            keep = await self._respond(request)
+            if self._requests.going:
+                await self._discard()
             self._busy = False
             self._rest()
             if self._requests.begun:
                 await asyncio.sleep(0)  # guards against a caller of many requests at once taking all turns
-        if self._requests.unread:
+        if self._requests.unread or self._requests.going:
             await self._linger()
 
+    async def _respond(self, request: Request) -> bool:
+        """Serves one request; whether the connection can be used again."""
+        job: Job | None = None
+        answer: Answer | Download | None = self._misplaced(request)
+        if answer is None:
+            job, answer = await self._job(request)
+        if answer is None:
+            return False
+        # Guards against closing over a request that came with this one, drain or not.
+        parts = self._callers.parting and (self._requests.going or not self._requests.begun)
+        keep = request.keep and not self._full and not parts
+        if isinstance(answer, Download):
+            assert job is not None
+            return await self._pass_on(request, job, answer, keep)
+        keep = keep and answer.keep
+        await self._write(encode_answer(replace(answer, keep=keep)))
+        return keep
+
     def close(self) -> None:
         """The one place where a caller's descriptor is given back."""
         if self._open:
@@ -233,8 +252,7 @@
 
     def close_if_idle(self) -> bool:
         """Guards against closing over a request that has come and is not yet read."""
-        reading = self._reading is not None and self._reading.done()
-        if self._busy or self._requests.begun or reading or self._stream.closed():
+        if self._busy or self._requests.begun or self._has_read() or self._stream.closed():
             return False
         try:
             self._stream.socket.recv(1, socket.MSG_PEEK)
@@ -248,7 +266,7 @@
     def _rest(self) -> None:
         """Between two requests, unless the next one has begun to come."""
         now = self._callers.clock()
-        self._body_at = 0.0
+        self._waited = 0.0
         if self._requests.begun:
             self._due = now + HEAD_WITHIN
         else:
@@ -270,76 +288,158 @@
             reading = self._read()
             if self._requests.awaits_go_ahead():
                 await self._stream.write(GO_AHEAD)
-            self._set_due()
-            await asyncio.wait({reading}, timeout=max(0.0, self._due - self._callers.clock()))
-            # Guards against a busy loop's delay being put down to the caller: what has come is read first.
-            late = self._callers.clock() >= self._due
+            late = await self._wait(reading)
             if reading.done():
                 self._feed()
         return request
 
-    def _set_due(self) -> None:
-        """A body is due by its pace: guards against callers that hold a connection for nothing."""
-        if not self._requests.in_body:
-            self._body_at = 0.0
-        elif not self._full:
-            self._body_at = self._body_at or self._callers.clock()
-            self._due = self._body_at + BODY_SLACK + self._requests.body_come / BODY_PACE
+    async def _wait(self, *waiting: asyncio.Future[Any]) -> bool:
+        """Waits for any of these while the caller's next bytes are due; whether they are late.
+
+        A body is due by its pace, over the time that was spent waiting for it: guards against callers that
+        hold a connection for nothing.
+        """
+        began = self._callers.clock()
+        in_body = self._requests.in_body and not self._full
+        if in_body:
+            self._due = began + BODY_SLACK + self._requests.body_come / BODY_PACE - self._waited
+        await asyncio.wait(waiting, timeout=max(0.0, self._due - began), return_when=asyncio.FIRST_COMPLETED)
+        now = self._callers.clock()
+        if in_body:
+            self._waited += now - began
+        # Guards against a busy loop's delay being put down to the caller: what has come is read first.
+        return now >= self._due
 
-    async def _answer(self, request: Request) -> Answer | None:
+    def _misplaced(self, request: Request) -> Answer | None:
         if request.path == words.READY and request.method == "GET":
             return Answer(200 if self._callers.ready() and not self._callers.draining else 503)
         if request.path != words.JOBS and not request.path.startswith(words.JOBS + "/"):
             return self._bad(404)
-        if request.method not in ("GET", "POST"):
-            return self._bad(405)
-        ask = ask_of(request, self._callers.clock() - self._came_at, self._callers.profiles)
+        return self._bad(405) if request.method not in ("GET", "POST") else None
+
+    async def _job(self, request: Request) -> tuple[Job | None, Answer | Download | None]:
+        """The job and its final answer; no answer once the caller has gone."""
+        waited = 0.0 if request.more else self._callers.clock() - self._came_at
+        ask = ask_of(request, waited, self._callers.profiles)
         if ask is None:
-            return self._bad(400)
+            return None, self._bad(400)
         job_id = request.headers[words.JOB_ID]
         if job_id in self._callers.ids:
             # Guards against one job's answer and end being mistaken for another's, here and at servers.
-            return self._bad(409)
+            return None, self._bad(409)
         self._callers.counters.add("taken")
         if self._full:
             self._callers.counters.add("answered_turned_back")
-            return Answer(503)
+            return None, Answer(503)
         self._callers.ids.add(job_id)
+        upload = Upload(self._callers.streams, request.length) if request.more else None
         try:
-            job = self._callers.take(ask, request)
-            return await self._job(job)
+            job = self._callers.take(ask, request, upload)
+            return job, await self._answer(job, upload)
         except StreamClosedError:
             raise
         except Exception as error:
             self._callers.counters.add_failure("job failed in the node", error)
-            return own_failure(self._callers.counters)
+            return None, own_failure(self._callers.counters)
         finally:
             self._callers.ids.discard(job_id)
+            if upload is not None:
+                upload.close()
 
-    async def _job(self, job: Job) -> Answer | None:
-        """Waits for the job's answer, and reads on so that a caller who goes is noticed."""
+    async def _answer(self, job: Job, upload: Upload | None) -> Answer | Download | None:
+        """Waits for the job's answer, and reads on: the rest of its body, or whether the caller goes."""
         work = asyncio.create_task(job.answer())
+        error: Answer | None = None
         while not work.done():
             waiting: set[asyncio.Future[Any]] = {work}
-            if self._requests.unread < PIECE:  # bounds what a caller can send ahead
-                waiting.add(self._read())
-            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-            if self._reading is not None and self._reading.done() and not work.done():
+            if upload is not None and not upload.ended:
+                if upload.wants_more():
+                    late = await self._wait(work, self._read(self._callers.streams.piece()))
+                    if late and not self._has_read():
+                        error = self._bad(408)
+                else:
+                    room = asyncio.create_task(upload.room())
+                    await asyncio.wait({work, room}, return_when=asyncio.FIRST_COMPLETED)
+                    room.cancel()
+            else:
+                if self._requests.unread < PIECE:  # bounds what a caller can send ahead
+                    waiting.add(self._read())
+                await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            if self._has_read() and not work.done():
                 try:
                     self._feed()
+                    if upload is not None and not upload.ended:
+                        upload.put(*self._requests.piece())
+                        if upload.ended:
+                            job.whole()
                 except StreamClosedError:
                     job.withdraw()
                     break
+                except Malformed as malformed:
+                    error = self._bad(malformed.status)
+            if error is not None:
+                job.withdraw()
+                break
         answer = await work
         if answer is None:
             self._callers.counters.add("withdrawn")
-        return answer
+        if error is not None and isinstance(answer, Download):
+            answer.close()
+        return answer if error is None else error
+
+    async def _pass_on(self, request: Request, job: Job, download: Download, keep: bool) -> bool:
+        """A large answer, piece by piece as it comes and as the caller reads."""
+        beginning = passed_on(download.beginning)
+        length, chunks = beginning.length, request.chunks
+        keep = keep and (length is not None or chunks)
+        try:
+            await self._write(encode_answer(replace(beginning, keep=keep), chunks))
+            while piece := await download.piece():
+                await self._write(encode_piece(piece, length, chunks))
+                await asyncio.sleep(0)  # guards against one body taking all turns
+            if end := encode_end(length, chunks):
+                await self._write(end)
+        except (Cut, Malformed) as error:
+            # Not whole through no fault of the node's: the caller can tell, by the end that is missing.
+            download.close(error)
+            if length is None and not chunks:
+                self._reset()
+            raise StreamClosedError from error
+        except BaseException:
+            job.withdraw()
+            raise
+        finally:
+            download.close()
+        return keep
+
+    def _reset(self) -> None:
+        with suppress(OSError):
+            self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def _cast_off(self) -> bool:
+        try:
+            return self._requests.piece()[1]
+        except Malformed as error:
+            raise StreamClosedError from error
 
-    def _read(self) -> asyncio.Future[bytes]:
+    async def _discard(self) -> None:
+        """Reads the rest of a body whose job has its answer, and throws it away."""
+        while not self._cast_off():
+            reading = self._read(self._callers.streams.piece())
+            late = await self._wait(reading)
+            if not reading.done() and late:
+                raise StreamClosedError
+            if reading.done():
+                self._feed()
+
+    def _read(self, most: int = PIECE) -> asyncio.Future[bytes]:
         if self._reading is None:
-            self._reading = read_piece(self._stream)
+            self._reading = read_piece(self._stream, most)
         return self._reading
 
+    def _has_read(self) -> bool:
+        return self._reading is not None and self._reading.done()
+
     def _feed(self) -> None:
         assert self._reading is not None
         reading, self._reading = self._reading, None
@@ -359,10 +459,10 @@
         self._callers.counters.add("bad_requests")
         return Answer(status, keep=False)
 
-    async def _write(self, answer: Answer) -> None:
+    async def _write(self, wire: bytes) -> None:
         try:
             async with asyncio.timeout(WRITTEN_WITHIN):
-                await self._stream.write(encode_answer(answer))
+                await self._stream.write(wire)
         except TimeoutError as error:
             # Guards against a caller that reads nothing: a drain would wait for it.
             raise StreamClosedError from error
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -4,23 +4,31 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
 from functools import partial
+from typing import Any, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from notchjunction.http1.encoder import encode_request
+from notchjunction.http1.encoder import encode_end, encode_piece, encode_request
 from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Request
 from notchjunction.http1.parser import AnswerReader
 
 Address = tuple[str, int]
 PIECE = 64 * 1024  # bytes read at once
+HOLD_SPAN = (
+    0.3  # s after its head for which an answer that may be large is held, to be whole or known as spoilt
+)
 BUFFER_MOST = 2 * (BODY_MOST + HEAD_MOST)  # bytes kept of either direction; a message and some of the next
 
 
-def read_piece(stream: IOStream) -> asyncio.Future[bytes]:
+def read_piece(stream: IOStream, most: int = PIECE) -> asyncio.Future[bytes]:
     """A read that goes on; it also notices the end of the connection, and never fails at once."""
+    stream.read_chunk_size = most
     try:
-        return asyncio.ensure_future(stream.read_bytes(PIECE, partial=True))
+        return asyncio.ensure_future(stream.read_bytes(most, partial=True))
     except StreamClosedError as error:
         # Guards against a peer whose last bytes and end come together: the stream is closed before this read.
         ended: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
@@ -40,6 +48,16 @@
 class Cut(Exception):
     """The connection ended after the request was written and before its answer was whole."""
 
+    def __init__(self, why: str, clean: bool = False) -> None:
+        super().__init__(why)
+        self.clean = clean  # whether the other side ended it as one ends a connection, without a reset
+
+
+class Body(Protocol):
+    """The rest of a request's body."""
+
+    async def get(self) -> bytes: ...
+
 
 def address_of(text: str) -> Address:
     host, _, port = text.rpartition(":")
@@ -77,24 +95,78 @@
             raise NotSent(_cause(error)) from error
         self._stream.set_nodelay(True)
 
-    async def exchange(self, request: Request, answers: AnswerReader) -> Answer:
-        """Writes the request in one piece and waits for its whole answer."""
+    async def exchange(
+        self,
+        request: Request,
+        answers: AnswerReader,
+        rest: Body | None = None,
+        written: Callable[[], None] = lambda: None,
+    ) -> Answer:
+        """Writes the request and waits for its answer, whole or, where it is large, its beginning.
+
+        `written` is called once the last byte is written; the rest of a body is taken in pieces until then.
+        """
         try:
             await self._stream.write(encode_request(request))
+            if rest is not None:
+                early = await self._write_rest(request, rest, answers)
+                if early is not None:
+                    return early
         except StreamClosedError as error:
             raise NotSent(_cause(error)) from error
-        while True:
+        written()
+        opened: float | None = None
+        while (answer := answers.next()) is None:
+            # What still comes a while after its head is large, and its first bytes go on.
+            now = asyncio.get_running_loop().time()
+            if opened is not None and now - opened >= HOLD_SPAN and answers.may_open():
+                return answers.open()
+            if opened is None and answers.in_body:
+                opened = now
             try:
-                piece = await self._read()
-            except StreamClosedError as error:
-                answer = answers.end() if error.real_error is None else None
-                if answer is None:
-                    raise Cut(_cause(error)) from error
-                return answer
-            answers.feed(piece)
-            answer = answers.next()
-            if answer is not None:
-                return answer
+                answers.feed(await self.read())
+            except Cut as cut:
+                last = answers.end() if cut.clean else None
+                if last is None:
+                    raise
+                return last
+        return answer
+
+    async def _write_rest(self, request: Request, rest: Body, answers: AnswerReader) -> Answer | None:
+        """The body's pieces; the answer, if one comes before the body's end, which ends the writing."""
+        if self._reading is None:
+            self._reading = read_piece(self._stream)
+        step: asyncio.Task[bool] | None = None
+        try:
+            while True:
+                step = step or asyncio.create_task(self._write_piece(request, rest))
+                either: set[asyncio.Future[Any]] = {step, self._reading}
+                await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+                if step.done():
+                    more, step = step.result(), None
+                    if not more:
+                        return None
+                    await asyncio.sleep(0)  # guards against one body taking all turns
+                    continue
+                answers.feed(await self.read())
+                early = answers.next()
+                if early is not None:
+                    return replace(early, keep=False)
+                self._reading = read_piece(self._stream)
+        except Cut as error:
+            raise NotSent(str(error)) from error
+        finally:
+            if step is not None:
+                step.cancel()
+                with suppress(asyncio.CancelledError, StreamClosedError):
+                    await step
+
+    async def _write_piece(self, request: Request, rest: Body) -> bool:
+        piece = await rest.get()
+        out = encode_piece(piece, request.length) if piece else encode_end(request.length)
+        if out:
+            await self._stream.write(out)
+        return bool(piece)
 
     def rest(self, now: float) -> None:
         """Stands idle from now on; a read goes on, so that an end is noticed."""
@@ -125,6 +197,10 @@
         if self._reading is not None and self._reading.done() and not self._reading.cancelled():
             self._reading.exception()  # seen: an idle connection's end is no failure
 
-    async def _read(self) -> bytes:
+    async def read(self, most: int = PIECE) -> bytes:
+        """What comes next; Cut at the end of the connection."""
         reading, self._reading = self._reading, None
-        return await (reading if reading is not None else read_piece(self._stream))
+        try:
+            return await (reading if reading is not None else read_piece(self._stream, most))
+        except StreamClosedError as error:
+            raise Cut(_cause(error), clean=error.real_error is None) from error
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -138,7 +138,7 @@
             connection = self._connection = Connection(self._address)
             await connection.open()
         request = Request("GET", target, {"host": text_of(self._address)})
-        answer = await connection.exchange(request, AnswerReader(LIST_MOST))
+        answer = await connection.exchange(request, AnswerReader(LIST_MOST, LIST_MOST))
         if answer.keep:
             connection.rest(0.0)
         else:
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -5,9 +5,12 @@
 import asyncio
 import re
 from collections.abc import Collection
+from dataclasses import replace
+from functools import partial
 
 from notchjunction.decider import (
     Ask,
+    Begin,
     Decider,
     Ended,
     Leave,
@@ -20,7 +23,9 @@
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.interface import Result
 from notchjunction.net import words
+from notchjunction.net.connections import Cut
 from notchjunction.net.counters import Counters
+from notchjunction.net.relay import Download, Upload
 from notchjunction.net.servers import Exchanged, Servers
 
 WORD = re.compile(r"[!-~]{1,128}")  # an id or a number: what is longer or not printable is none
@@ -37,28 +42,45 @@
     return OWN_FAILURE
 
 
+def passed_on(answer: Answer) -> Answer:
+    """Guards against a server's oddities: its body and what that is are the caller's alone."""
+    back = {name: value for name, value in answer.headers.items() if name in words.BACK}
+    return replace(answer, headers=back, keep=True)
+
+
 def turned_back(come_back_in: float) -> Answer:
     return Answer(503, {"retry-after": f"{come_back_in:.3f}"} if come_back_in > 0 else {})
 
 
 class Job:
     def __init__(
-        self, decider: Decider, servers: Servers, counters: Counters, ask: Ask, request: Request
+        self,
+        decider: Decider,
+        servers: Servers,
+        counters: Counters,
+        ask: Ask,
+        request: Request,
+        upload: Upload | None = None,
     ) -> None:
         self._decider = decider
         self._servers = servers
         self._counters = counters
         self._request = request
+        self._upload = upload
+        self._downloads: dict[int, Download] = {}
+        self._after: asyncio.Task[None] | None = None
+        self._limit: asyncio.Timeout | None = None
         self._tasks: dict[int, asyncio.Task[Exchanged]] = {}
         self._answers: dict[int, Answer] = {}
         self._broken = False
         self._answer_within = max(0.0, ask.time_left) + LOST_AFTER
         self._ticket = decider.take(ask)
 
-    async def answer(self) -> Answer | None:
-        """The final answer; None once the caller has gone."""
+    async def answer(self) -> Answer | Download | None:
+        """The final answer, whole or as it comes; None once the caller has gone."""
         try:
-            async with asyncio.timeout(self._answer_within):
+            waits = self._upload is not None and not self._upload.ended
+            async with asyncio.timeout(None if waits else self._answer_within) as self._limit:
                 return await self._follow_orders()
         except Exception as error:
             self._fail(error)
@@ -66,19 +88,29 @@
                 self._stop(dispatch)
             return own_failure(self._counters)
 
-    async def _follow_orders(self) -> Answer | None:
+    def whole(self) -> None:
+        """Its last byte has come: its time counts from now."""
+        if self._limit is not None:
+            self._limit.reschedule(asyncio.get_running_loop().time() + self._answer_within)
+        try:
+            self._decider.whole(self._ticket)
+        except Exception as error:
+            self._fail(error)
+
+    async def _follow_orders(self) -> Answer | Download | None:
         while True:
             match await self._decider.pick(self._ticket):
                 case Send() as order:
                     self._send(order)
                 case Stop(dispatch):
                     self._stop(dispatch)
+                case Begin(dispatch):
+                    self._counters.add("answers_streamed")
+                    self._after = asyncio.create_task(self._follow_on())
+                    return self._downloads[dispatch]
                 case PassOn(dispatch):
                     self._counters.add("answered_honoured")
-                    honoured = self._answers[dispatch]
-                    # Guards against a server's oddities: its body and what that is are the caller's alone.
-                    back = {name: value for name, value in honoured.headers.items() if name in words.BACK}
-                    return Answer(200, back, honoured.body)
+                    return passed_on(self._answers[dispatch])
                 case TurnBack(come_back_in):
                     self._counters.add("answered_turned_back")
                     return turned_back(come_back_in)
@@ -88,6 +120,19 @@
                 case Leave():
                     return own_failure(self._counters) if self._broken else None
 
+    async def _follow_on(self) -> None:
+        """What is still ordered once the answer goes on its way; how that ends is the final answer."""
+        while True:
+            match await self._decider.pick(self._ticket):
+                case Stop(dispatch):
+                    self._stop(dispatch)
+                case PassOn():
+                    return self._counters.add("answered_honoured")
+                case TurnBack() | WriteOff():
+                    return self._counters.add("answered_cut")
+                case Leave():
+                    return self._counters.add("withdrawn")
+
     def withdraw(self) -> None:
         """The caller has gone, or the node failed: no orders but the last will come."""
         try:
@@ -97,12 +142,19 @@
 
     def _send(self, order: Send) -> None:
         self._counters.add("dispatches_first" if order.dispatch == 0 else "dispatches_again")
-        work = self._servers.dispatch(order.server, self._request, order.within)
+        work = self._servers.dispatch(
+            order.server, self._request, order.within, self._upload, partial(self._begun, order.dispatch)
+        )
         task = asyncio.create_task(work)
         self._tasks[order.dispatch] = task
         # Told here and not inside the task: one that is stopped before its first step runs no code.
         task.add_done_callback(lambda _: self._ended(order.dispatch, task))
 
+    def _begun(self, dispatch: int, download: Download) -> None:
+        self._downloads[dispatch] = download
+        if not self._decider.begun(self._ticket, dispatch):
+            download.close(Cut("another answer was first"))
+
     def _stop(self, dispatch: int) -> None:
         if dispatch in self._tasks:
             self._tasks[dispatch].cancel()
@@ -148,6 +200,7 @@
     return Ask(
         profile=headers.get(words.PROFILE, ""),
         time_left=left / 1000 - waited,
+        whole=not request.more,
         effect=words.effect(request.method, words.NUMBER in headers),
         operator=headers.get(words.OPERATOR, ""),
         repeat=headers.get(words.REPEAT) == "1",
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -28,6 +28,7 @@
 from notchjunction.net.logs import pairs
 from notchjunction.net.management import Management
 from notchjunction.net.node_input import NodeInput
+from notchjunction.net.relay import Streams, Upload
 from notchjunction.net.servers import Servers
 from notchjunction.net.service_state import Effect, Input, ServiceState, State
 
@@ -53,6 +54,7 @@
         self.counters = counters = Counters()
         kept_back = management.DESCRIPTORS if told.mgmt else 0
         self._descriptors = descriptors = Descriptors(told.sockets, kept_back)
+        streams = Streams()
         self._discovery = Discovery(told.discovery, told.terms.ask_within)
         self._servers = Servers(
             self.now,
@@ -62,6 +64,7 @@
             lambda: self._callers.close_oldest(),
             descriptors,
             counters,
+            streams,
         )
         self._callers = Callers(
             self.now,
@@ -71,6 +74,7 @@
             frozenset(told.names.profiles),
             descriptors,
             counters,
+            streams,
         )
         self._management = Management(self, counters)
         self._service = ServiceState()
@@ -90,6 +94,7 @@
         self._decider = Decider(told.terms, told.names, self.now, self._wake)
         counters.gauge("held", lambda: self._decider.held)
         counters.gauge("jobs_kept", lambda: self._decider.kept)
+        counters.gauge("streams_open", lambda: streams.open)
         counters.gauge("descriptors_held", lambda: descriptors.held)
         counters.gauge("loop_lag_most", lambda: max(self._decider.lags, default=0.0))
 
@@ -321,10 +326,10 @@
         self._print_counters()
         log.info("exit", extra=pairs(held=self._decider.held))
 
-    def _take(self, ask: Ask, request: Request) -> Job:
+    def _take(self, ask: Ask, request: Request, upload: Upload | None) -> Job:
         # Guards against a job that the end of the node would leave unanswered.
         ask = replace(ask, time_left=min(ask.time_left, self._end_at - self.now()))
-        return Job(self._decider, self._servers, self.counters, ask, request)
+        return Job(self._decider, self._servers, self.counters, ask, request, upload)
 
     # Timers.
 
--- /dev/null
+++ b/notchjunction/net/relay.py
@@ -0,0 +1,123 @@
+"""Bodies that pass through the node in pieces: a caller's to a server, a server's to a caller."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+from notchjunction.http1.messages import Answer, Malformed
+from notchjunction.http1.parser import AnswerReader
+from notchjunction.net.connections import PIECE, Connection, Cut
+
+STEPS = ((32, PIECE), (128, 16 * 1024))  # streams up to which a piece has so many bytes
+PIECE_LEAST = 4 * 1024  # bytes of one past those; memory then depends on the number of descriptors alone
+STALL_MOST = 10.0  # s in which the other side gives or takes nothing; over any pause of a slow one
+
+
+class Streams:
+    """How many bodies pass through, which bounds what each may hold."""
+
+    def __init__(self) -> None:
+        self.open = 0
+
+    def piece(self) -> int:
+        return next((size for most, size in STEPS if self.open <= most), PIECE_LEAST)
+
+
+class Upload:
+    """A request's body that goes on. Its beginning is kept; the rest is held only until it is sent on."""
+
+    def __init__(self, streams: Streams, length: int | None) -> None:
+        self.length = length
+        self.spent = False  # whether more than the beginning was given out: it can't be sent again
+        self.ended = False  # whether the caller's last byte has come
+        self._streams = streams
+        self._pieces: deque[bytes] = deque()
+        self._held = 0
+        self._news = asyncio.Event()
+        self._taken = asyncio.Event()
+        self._open = True
+        streams.open += 1
+
+    def wants_more(self) -> bool:
+        """Whether there is room for a further piece; a server that does not read leaves none."""
+        return not self.ended and self._held < self._streams.piece()
+
+    async def room(self) -> None:
+        while not self.wants_more():
+            self._taken.clear()
+            await self._taken.wait()
+
+    def put(self, piece: bytes, ended: bool) -> None:
+        if piece:
+            self._pieces.append(piece)
+            self._held += len(piece)
+        self.ended = ended
+        self._news.set()
+
+    async def get(self) -> bytes:
+        """The next piece; an empty one at the end."""
+        while not self._pieces:
+            if self.ended:
+                return b""
+            self._news.clear()
+            await self._news.wait()
+        self.spent = True
+        piece = self._pieces.popleft()
+        self._held -= len(piece)
+        self._taken.set()
+        return piece
+
+    def close(self) -> None:
+        if self._open:
+            self._open = False
+            self._streams.open -= 1
+            self._pieces.clear()
+
+
+class Download:
+    """An answer that has begun to come and goes on; whoever passes it on pulls its pieces."""
+
+    def __init__(
+        self, streams: Streams, connection: Connection, answers: AnswerReader, beginning: Answer
+    ) -> None:
+        self.beginning = beginning
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._streams = streams
+        self._connection = connection
+        self._answers = answers
+        self._over = False
+        self._open = True
+        streams.open += 1
+
+    async def piece(self) -> bytes:
+        """The next piece; an empty one at the end. Cut or Malformed where there is no such end."""
+        while not self._over:
+            piece, self._over = self._answers.piece()
+            if piece:
+                return piece
+            if not self._over:
+                await self._more()
+        return b""
+
+    async def _more(self) -> None:
+        try:
+            async with asyncio.timeout(STALL_MOST):
+                self._answers.feed(await self._connection.read(self._streams.piece()))
+        except TimeoutError as error:
+            raise Cut("nothing more comes") from error
+        except Cut as error:
+            if not error.clean or not self._answers.sound_end():
+                raise
+            self._over = True
+
+    def close(self, error: Cut | Malformed | None = None) -> None:
+        """Nothing more will be pulled: the answer is over, or was given up for this error."""
+        if self._open:
+            self._open = False
+            self._streams.open -= 1
+        if not self.ended.done():
+            if error is None:
+                self.ended.set_result(None)
+            else:
+                self.ended.set_exception(error)
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -7,17 +7,18 @@
 import math
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from statistics import median_high
 
 from notchjunction.decider import Ended
-from notchjunction.http1.messages import Answer, Malformed, Request
+from notchjunction.http1.messages import BODY_MOST, LARGE_MOST, Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Load, Result
 from notchjunction.net import words
 from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
+from notchjunction.net.relay import Download, Streams, Upload
 from notchjunction.terms import load
 
 IDLE_SHARE = (
@@ -63,8 +64,10 @@
         spare_one: Callable[[], bool],
         descriptors: Descriptors,
         counters: Counters,
+        streams: Streams | None = None,
     ) -> None:
         self._clock = clock
+        self._streams = streams or Streams()
         self.retune(connect_within, idle_most, load_path)
         self._spare_one = spare_one
         self._descriptors = descriptors
@@ -88,14 +91,26 @@
         self._lives = {server: lives for server, lives in self._lives.items() if server in ready}
         self._retire(lambda server, connection: not self._current(server, connection))
 
-    async def dispatch(self, server: str, request: Request, within: float) -> Exchanged:
+    async def dispatch(
+        self,
+        server: str,
+        request: Request,
+        within: float,
+        rest: Upload | None = None,
+        begun: Callable[[Download], None] | None = None,
+    ) -> Exchanged:
+        """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer."""
+        if rest is not None and rest.spent:
+            # Guards against a body without its middle: what was sent on before is not kept.
+            return Exchanged(Ended(Result.NEVER_SENT, 0.0, spent=True))
         # Guards against a caller's oddities, on which a server would close the connection.
         headers = {
             name: value for name, value in request.headers.items() if name in words.ONWARD and value.isascii()
         }
         headers[words.TIME_LEFT] = str(max(1, int(within * 1000)))
-        onward = Request(request.method, request.target, headers, request.body)
-        return await self._exchange(server, onward, within)
+        onward = replace(request, headers=headers)
+        exchanged = await self._exchange(server, onward, within, rest, begun)
+        return replace(exchanged, ended=replace(exchanged.ended, spent=rest is not None and rest.spent))
 
     async def probe(self, server: str) -> Ended:
         request = Request("GET", self._load_path, {"host": "probe"})
@@ -120,17 +135,42 @@
     def close(self) -> None:
         self.point({})
 
-    async def _exchange(self, server: str, request: Request, within: float) -> Exchanged:
+    async def _exchange(
+        self,
+        server: str,
+        request: Request,
+        within: float,
+        rest: Upload | None = None,
+        begun: Callable[[Download], None] | None = None,
+    ) -> Exchanged:
         began = self._clock()
         connection: Connection | None = None
-        written = False
+        written = keep = False
         answer: Answer | None = None
+        answers = AnswerReader(large_most=BODY_MOST if begun is None else LARGE_MOST)
+        first_after: float | None = None
+        loop = asyncio.get_running_loop()
+
+        def all_written() -> None:
+            nonlocal began, written
+            written = True
+            if rest is not None:
+                began = self._clock()
+                limit.reschedule(loop.time() + within)
+
         try:
-            async with asyncio.timeout(within):
+            # A body under way is bounded by its caller's pace; the wait for the answer counts from its end.
+            async with asyncio.timeout(None if rest is not None else within) as limit:
                 connection = await self._connected(server, kept=self._may_be_kept(request))
-                written = True
-                answer = await connection.exchange(request, AnswerReader())
+                answer = await connection.exchange(request, answers, rest, all_written)
             result = read_result(answer)
+            keep = answer.keep
+            if answer.more and result is Result.HONOURED and begun is not None:
+                first_after = self._clock() - began
+                download = Download(self._streams, connection, answers, answer)
+                begun(download)
+                await download.ended
+                keep = answers.kept()
         except NoDescriptor:
             result = Result.NEVER_SENT
         except NotSent:
@@ -146,9 +186,11 @@
             result = Result.TIMED_OUT if written else Result.NO_CONNECTION
         finally:
             if connection is not None:
-                self._give_back(server, connection, keep=answer is not None and answer.keep)
+                self._give_back(server, connection, keep)
         report = answer.headers.get(words.SERVER_LOAD) if answer is not None else None
-        ended = Ended(result, self._clock() - began, read_load(report) if report else None)
+        # A large answer's time is that of its first bytes.
+        seconds = self._clock() - began if first_after is None else first_after
+        ended = Ended(result, seconds, read_load(report) if report else None)
         return Exchanged(ended, answer)
 
     def _may_be_kept(self, request: Request) -> bool:
--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -1,4 +1,4 @@
-"""What the decisions remember of dispatches, servers and outcomes; plain records, nothing decided here."""
+"""What the decisions remember of jobs, dispatches, servers and outcomes; plain records."""
 
 from __future__ import annotations
 
@@ -6,14 +6,35 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import NamedTuple
 
-from notchjunction.interface import Load, ServerEntry
+from notchjunction.interface import Load, Profile, ServerEntry
 
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
 IDLE_MOST = 32  # idle connections remembered of a server; a node rarely has more jobs there at once
 
 
+class State(Enum):
+    NEW = auto()
+    WAITING = auto()  # nothing out, room awaited
+    OUT = auto()  # at least one dispatch out
+    STREAMING = auto()  # the answer has begun and belongs to the client
+    ENDED = auto()
+
+
+class Input(Enum):
+    ARRIVED = auto()
+    TURN = auto()  # room may have come
+    OWNED = auto()  # a dispatch failed by its server's own fault
+    PASSED_ALONG = auto()  # a dispatch failed, not or not surely by its server's fault
+    OVER = auto()  # the client has its answer
+    BEGUN = auto()
+    OVERDUE = auto()  # a dispatch is out for several usual times
+    LAST_CALL = auto()
+    WITHDRAWN = auto()
+
+
 @dataclass(slots=True, eq=False)
 class Dispatch:
     server: Server
@@ -21,6 +42,7 @@
     contract_time: float
     linked: bool
     out: bool = True
+    begun: bool = False  # its answer has begun to come, and goes on its way
     may_have_run: bool = True
 
 
@@ -47,6 +69,27 @@
     owed: bool = False  # given back and not yet sent to
 
 
+@dataclass(slots=True, eq=False)
+class Held:
+    """A job without its final answer."""
+
+    id: int
+    number: int
+    profile: Profile
+    most: int
+    taken_at: float
+    contract_end: float
+    abandon_end: float
+    past_share: bool
+    whole: bool  # whether its last byte has come; its time counts from then
+    state: State = State.NEW
+    sent: list[Dispatch] = field(default_factory=list)
+    choice: Server | None = None
+
+    def rank(self) -> tuple[bool, float]:
+        return (self.past_share, self.contract_end)
+
+
 class End(NamedTuple):
     """One of the last outcomes of all servers."""
 
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -13,8 +13,7 @@
 from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
-from enum import Enum, auto
+from dataclasses import replace
 from random import Random
 from typing import Any, NamedTuple
 
@@ -32,7 +31,7 @@
     ServerEntry,
     Terms,
 )
-from notchjunction.records import LAST_FEW, Dispatch, End, Server, Usual, middle
+from notchjunction.records import LAST_FEW, Dispatch, End, Held, Input, Server, State, Usual, middle
 
 # Constants: unit, and why this size.
 RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
@@ -81,45 +80,6 @@
 ADVICE_LEAST = 0.25  # s a turned back client is asked to wait at least
 
 
-class State(Enum):
-    NEW = auto()
-    WAITING = auto()  # nothing out, room awaited
-    OUT = auto()  # at least one dispatch out
-    STREAMING = auto()  # the answer has begun and belongs to the client
-    ENDED = auto()
-
-
-class Input(Enum):
-    ARRIVED = auto()
-    TURN = auto()  # room may have come
-    OWNED = auto()  # a dispatch failed by its server's own fault
-    PASSED_ALONG = auto()  # a dispatch failed, not or not surely by its server's fault
-    OVER = auto()  # the client has its answer
-    BEGUN = auto()
-    OVERDUE = auto()  # a dispatch is out for several usual times
-    LAST_CALL = auto()
-    WITHDRAWN = auto()
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """A job without its final answer."""
-
-    id: int
-    number: int
-    profile: Profile
-    most: int
-    contract_end: float
-    abandon_end: float
-    past_share: bool
-    state: State = State.NEW
-    sent: list[Dispatch] = field(default_factory=list)
-    choice: Server | None = None
-
-    def rank(self) -> tuple[bool, float]:
-        return (self.past_share, self.contract_end)
-
-
 class Row(NamedTuple):
     state: State
     input: Input
@@ -200,17 +160,34 @@
             number=job.profile,
             profile=profile,
             most=self._terms.max_dispatches,
+            taken_at=now,
             contract_end=now - age + min(profile.contract_time + stretch, profile.abandon_time),
             abandon_end=now + job.time_left,
             past_share=self._past_share(job.operator, now),
+            whole=job.whole,
         )
         self._held[job.id] = held
-        # Guards against a job left unanswered when nothing else happens before its abandon time.
-        self._after(
-            max(job.time_left - self._guard, job.time_left / 2), lambda: self._tell(job.id, Input.LAST_CALL)
-        )
+        if job.whole:
+            self._count_time(held, now)
         self._step(held, Input.ARRIVED)
 
+    def _count_time(self, held: Held, now: float) -> None:
+        # Guards against a job left unanswered when nothing else happens before its abandon time.
+        left = held.abandon_end - now
+        self._after(max(left - self._guard, left / 2), lambda: self._tell(held.id, Input.LAST_CALL))
+
+    def whole(self, job: int) -> None:
+        """A large job's last byte has come: its time and load count from now, and it is not sent again."""
+        held, now = self._held.get(job), self._host.now()
+        if held is not None and not held.whole:
+            held.contract_end += now - held.taken_at
+            held.abandon_end += now - held.taken_at
+            held.whole, held.most = True, 0
+            for dispatch in held.sent:
+                if dispatch.out:
+                    self._fly(dispatch, now)
+            self._count_time(held, now)
+
     def outcome(self, outcome: Outcome) -> None:
         dispatch = self._flying.pop((outcome.job, outcome.dispatch), None)
         if dispatch is None:
@@ -218,23 +195,19 @@
         now = self._host.now()
         dispatch.out = False
         dispatch.may_have_run = outcome.result not in NEVER_RAN
-        dispatch.server.flights.remove(dispatch)
+        if dispatch in dispatch.server.flights:
+            dispatch.server.flights.remove(dispatch)
         if outcome.result is not Result.RECALLED and outcome.result is not Result.TIMED_OUT:
             dispatch.server.heard_at = now
         self._noted_link(dispatch, outcome.result, now)
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
         self._judge(dispatch.server, outcome, now)
-        if outcome.result is Result.HONOURED:
-            self._answers.append((now, dispatch.contract_time))
-            self._stretch.append(outcome.seconds)
-            if len(self._stretch) >= STRETCH_LEAST and now >= self._stretch_ends:
-                self._calm.append(middle(self._stretch, 1.0))
-                self._stretch, self._stretch_ends = [], now + RATE_SPAN
         held = self._held.get(outcome.job)
+        if outcome.result is Result.HONOURED and not dispatch.begun:
+            self._cleared(held, dispatch, outcome.seconds, now)
         if held is not None:
-            if outcome.result is Result.HONOURED and held.number in self._spent:
-                self._spent[held.number].append(outcome.seconds)
+            held.most = 0 if outcome.spent else held.most
             if outcome.over:
                 self._step(held, Input.OVER)
             else:
@@ -242,7 +215,28 @@
                 self._step(held, Input.OWNED if outcome.result in owned else Input.PASSED_ALONG)
         self._turn()
 
+    def _cleared(self, held: Held | None, dispatch: Dispatch, seconds: float, now: float) -> None:
+        """A server has done a job: what the room and the usual times are worked out from."""
+        self._answers.append((now, dispatch.contract_time))
+        self._stretch.append(seconds)
+        if len(self._stretch) >= STRETCH_LEAST and now >= self._stretch_ends:
+            self._calm.append(middle(self._stretch, 1.0))
+            self._stretch, self._stretch_ends = [], now + RATE_SPAN
+        if held is not None and held.number in self._spent:
+            self._spent[held.number].append(seconds)
+
     def streaming(self, job: int, dispatch: int) -> None:
+        held, flight, now = self._held.get(job), self._flying.get((job, dispatch)), self._host.now()
+        if flight is not None and not flight.begun:
+            # Its server has done the job: what remains is the way, as slow as the caller reads.
+            flight.begun, flight.server.heard_at = True, now
+            if flight in flight.server.flights:
+                flight.server.flights.remove(flight)
+            self._cleared(held, flight, now - flight.at, now)
+        for number, other in enumerate(held.sent if held is not None and self._terms.recalls else ()):
+            # Guards against servers working on for nobody: the answer that has begun is the final one.
+            if other.out and number != dispatch:
+                self._host.recall(job, number)
         self._tell(job, Input.BEGUN)
 
     def withdrawn(self, job: int) -> None:
@@ -397,7 +391,12 @@
         Guards against jobs lost in servers that take work and answer none. Acts at any tier, in the budget.
         """
         last = held.sent[-1]
-        return last.out and last.server in self._silent(self._host.now()) and self._may_retry(held)
+        return (
+            held.whole
+            and last.out
+            and last.server in self._silent(self._host.now())
+            and self._may_retry(held)
+        )
 
     # Effects: what the table does.
 
@@ -431,10 +430,10 @@
         if linked and not self._shared_links:
             server.idle.pop()
         dispatch = Dispatch(server, now, held.profile.contract_time, linked)
-        self._recent.append(dispatch)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
-        server.flights.append(dispatch)
+        if held.whole:
+            self._fly(dispatch, now)
         if self._is_cold(server, now):
             server.cold_from = now
             server.cold_due = self._random.uniform(1 - COLD_SPREAD, 1 + COLD_SPREAD)
@@ -444,6 +443,11 @@
         if self._terms.second_copies:
             self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._step(held, Input.OVERDUE))
 
+    def _fly(self, dispatch: Dispatch, now: float) -> None:
+        dispatch.at = now
+        self._recent.append(dispatch)
+        dispatch.server.flights.append(dispatch)
+
     def _give_up(self, held: Held) -> None:
         """The final answer: a turn-back where trying again is surely harmless, else a write-off."""
         self._leave(held)
@@ -670,10 +674,12 @@
         """
         while self._recent and (
             not self._recent[0].out
+            or self._recent[0].begun
             or now - self._recent[0].at > self._young_share * self._recent[0].contract_time
         ):
             self._recent.popleft()
-        return sum(1 for dispatch in self._recent if dispatch.out and self._takes_more(dispatch.server, now))
+        pressing = (dispatch.server for dispatch in self._recent if dispatch.out and not dispatch.begun)
+        return sum(1 for server in pressing if self._takes_more(server, now))
 
     def _server_room(self) -> float:
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready)))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,18 @@
+"""Spans of the node shortened for all stories, so that none waits for a drain."""
+
+from __future__ import annotations
+
+import pytest
+
+from notchjunction.net import handover
+from notchjunction.net import node as node_module
+
+SPANS = {"LISTEN_ON": 0.05, "LOOK_SPAN": 0.005, "LEAD_SPAN": 0.05, "PART_SPAN": 0.05, "IDLE_LEAST": 0.03}
+
+
+@pytest.fixture(autouse=True)
+def _short_spans(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, span in SPANS.items():
+        monkeypatch.setattr(node_module, name, span)
+    monkeypatch.setattr(node_module, "ANSWER_SHARE", 1.0)
+    monkeypatch.setattr(handover, "TOLD_EVERY", 0.005)
