--- /dev/null
+++ b/notchjunction/clearing.py
@@ -0,0 +1,66 @@
+"""How fast servers clear a node's jobs, and what passes of it to the next process of the node. Pure."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from typing import Any
+
+from notchjunction.records import middle
+
+RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
+RATE_LEAST = 0.1  # s that count as passed at least; the first answers would make a rate without bound
+SLOWER_TIMES = 1.5  # times the calmest middle time up to which answers are calm; less is chance
+CALM_MOST = 32  # stretches of answers remembered to find the calmest; a minute or more, longer than troubles
+STRETCH_LEAST = 16  # answers in a stretch; fewer make a middle by chance
+
+
+class Clearing:
+    def __init__(self, now: float) -> None:
+        self._began = self._stretch_ends = now
+        self._answers: deque[tuple[float, float]] = deque()  # when, and the job's contract time
+        self._stretch: list[float] = []
+        self._calm: deque[float] = deque(maxlen=CALM_MOST)
+
+    def note(self, contract_time: float, seconds: float, now: float) -> None:
+        """A server has done a job in so many seconds."""
+        self._answers.append((now, contract_time))
+        self._stretch.append(seconds)
+        if len(self._stretch) >= STRETCH_LEAST and now >= self._stretch_ends:
+            self._calm.append(middle(self._stretch, 1.0))
+            self._stretch, self._stretch_ends = [], now + RATE_SPAN
+
+    def rate(self, now: float) -> float:
+        """Jobs cleared in a second."""
+        self._prune(now)
+        return len(self._answers) / RATE_SPAN
+
+    def clears(self, hold_share: float, calm_times: float, now: float) -> float:
+        """Jobs out that this rate clears within so much of their contract time, or so many calm times."""
+        self._prune(now)
+        span = min(RATE_SPAN, max(now - self._began, RATE_LEAST))
+        # Guards against servers that turn slow from holding too much, long before the contract time is full.
+        most = calm_times * min(self._calm, default=math.inf)
+        return sum(min(contract * hold_share, most) for _, contract in self._answers) / span
+
+    def is_calm(self) -> bool:
+        return len(self._calm) > 1 and self._calm[-1] <= SLOWER_TIMES * min(self._calm)
+
+    def lessons(self, now: float) -> dict[str, Any]:
+        """What another process of the node may go on from; times are seconds ago."""
+        self._prune(now)
+        return {
+            "began": now - self._began,
+            "answers": [[now - at, contract] for at, contract in self._answers],
+            "calm": list(self._calm),
+        }
+
+    def learn(self, lessons: Mapping[str, Any], now: float) -> None:
+        self._began = now - float(lessons["began"])
+        self._answers.extend((now - float(ago), float(contract)) for ago, contract in lessons["answers"])
+        self._calm.extend(float(seconds) for seconds in lessons["calm"])
+
+    def _prune(self, now: float) -> None:
+        while self._answers and self._answers[0][0] < now - RATE_SPAN:
+            self._answers.popleft()
--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -13,9 +13,9 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from notchjunction.interface import (
     Decisions,
@@ -309,6 +309,25 @@
             self._core.barred(self._servers[server], False)
         return True
 
+    def lessons(self) -> dict[str, Any]:
+        """What was learned so far, by names: for a process that follows this one."""
+        found = self._core.lessons()
+        return {
+            "clearing": found["clearing"],
+            "servers": {self._names[index]: known for index, known in found["servers"].items()},
+            "spent": {name: found["spent"][kind.number] for name, kind in self._kinds.items()},
+        }
+
+    def learn(self, lessons: Mapping[str, Any]) -> None:
+        """Takes over what another process learned, of servers and profiles that are known here too."""
+        servers, spent = lessons["servers"], lessons["spent"]
+        known = {
+            "clearing": lessons["clearing"],
+            "servers": {index: servers[name] for index, name in self._names.items() if name in servers},
+            "spent": {kind.number: spent[name] for name, kind in self._kinds.items() if name in spent},
+        }
+        self._core.learn(known)
+
     def share(self, processes: int) -> None:
         """So many processes are this one node from now on: each keeps to its part."""
         self._terms = replace(self._terms, processes=processes)
--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 
 class Effect(Enum):
@@ -188,3 +188,7 @@
     def barred(self, server: int, out: bool) -> None: ...
 
     def retuned(self, terms: Terms, profiles: Mapping[int, Profile]) -> None: ...
+
+    def lessons(self) -> dict[str, Any]: ...
+
+    def learn(self, lessons: Mapping[str, Any]) -> None: ...
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -158,6 +158,10 @@
             if known.servers:
                 self._discovery.remember(known.version)
                 self._hear(known, News.REMEMBERED)
+        try:
+            self._decider.learn(state["lessons"])
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning("nothing learned from the other process", extra=pairs(why=repr(error)))
         if state.get("out"):
             self._led(Input.OUT)
         self._start(self._adopt(inherited.listeners))
@@ -185,7 +189,8 @@
         out = self._service.state in (State.LEADING, State.PARTING)
         version = self._discovery.version
         listed = {"index": version, "snapshot": True, "endpoints": endpoints} if version is not None else None
-        return {"barred": sorted(self._decider.barred), "out": out, "list": listed}
+        barred = sorted(self._decider.barred)
+        return {"barred": barred, "out": out, "list": listed, "lessons": self._decider.lessons()}
 
     def usage(self) -> dict[str, int]:
         return {"held": self._descriptors.held, "callers": self._descriptors.callers}
--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -4,14 +4,15 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from notchjunction.interface import Load, Profile, ServerEntry
 
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
+LONG_AGO = 3600.0  # s after which a thing is as good as never
 IDLE_MOST = 32  # idle connections remembered of a server; a node rarely has more jobs there at once
 
 
@@ -68,6 +69,22 @@
     out_since: float = -math.inf  # since when an operator had it out, if it was given back
     owed: bool = False  # given back and not yet sent to
 
+    def lessons(self, now: float) -> dict[str, Any]:
+        """What another process of the node may go on from; times are seconds ago, or to come."""
+        return {
+            "last": list(self.last),
+            "seconds": list(self.seconds),
+            "back_in": max(0.0, self.back_at - now),
+            "wait": [self.wait, min(now - self.waited_at, LONG_AGO)],
+        }
+
+    def learn(self, lessons: Mapping[str, Any], now: float) -> None:
+        self.last.extend(bool(good) for good in lessons["last"])
+        self.seconds.extend(float(seconds) for seconds in lessons["seconds"])
+        self.back_at = max(self.back_at, now + float(lessons["back_in"]))
+        wait, ago = lessons["wait"]
+        self.wait, self.waited_at = float(wait), now - float(ago)
+
 
 @dataclass(slots=True, eq=False)
 class Held:
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -17,6 +17,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from notchjunction.clearing import Clearing
 from notchjunction.interface import (
     Effect,
     Group,
@@ -53,17 +54,13 @@
 ASIDE_SPAN = 2.0  # s set aside at least; short against troubles of many seconds, long against a blip
 ASIDE_RANDOM = 2.0  # s more at most, at random, so that nodes do not return together
 ASIDE_MOST = 0.5  # share of ready servers set aside at most; more failing is a trouble common to all
-RATE_SPAN = 2.0  # s of answers from which the clearing rate is worked out
 HOLD_SHARE = 0.5  # of the contract time that jobs out may take to clear; the rest is slack for chance
 YOUNG_SHARE = 0.75  # of the contract time after which a dispatch counts as stuck and takes up no room
 TURN_SPAN = 0.05  # s between looks at waiting jobs without an outcome; short against any contract time
 WAIT_SHARE = 0.25  # of the contract time that a job may expect to wait at the node
 CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
-CALM_MOST = 32  # stretches of answers remembered to find the calmest; a minute or more, longer than troubles
-STRETCH_LEAST = 16  # answers in a stretch; fewer make a middle by chance
 FLOOR_EACH = 6.0  # jobs that all nodes send an able server before anything is learned: a small machine's
 FLOOR_CALM = 9.0  # the same while answers come in calm times; servers that do well hold more
-SLOWER_TIMES = 1.5  # times the calmest middle time up to which they do; less is chance
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
@@ -103,11 +100,8 @@
         self._queue: list[Held] = []
         self._firsts: deque[tuple[float]] = deque()
         self._retries: deque[tuple[float]] = deque()
-        self._answers: deque[tuple[float, float]] = deque()
         self._recent: deque[Dispatch] = deque()
-        self._stretch: list[float] = []
-        self._stretch_ends = self._began = host.now()
-        self._calm: deque[float] = deque(maxlen=CALM_MOST)
+        self._clearing = Clearing(host.now())
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._spent: dict[int, deque[float]] = {}
         self._lefts: dict[int, deque[tuple[float, bool]]] = {}
@@ -217,11 +211,7 @@
 
     def _cleared(self, held: Held | None, dispatch: Dispatch, seconds: float, now: float) -> None:
         """A server has done a job: what the room and the usual times are worked out from."""
-        self._answers.append((now, dispatch.contract_time))
-        self._stretch.append(seconds)
-        if len(self._stretch) >= STRETCH_LEAST and now >= self._stretch_ends:
-            self._calm.append(middle(self._stretch, 1.0))
-            self._stretch, self._stretch_ends = [], now + RATE_SPAN
+        self._clearing.note(dispatch.contract_time, seconds, now)
         if held is not None and held.number in self._spent:
             self._spent[held.number].append(seconds)
 
@@ -292,6 +282,21 @@
                 self._ask(known)
         self._count_ready()
 
+    def lessons(self) -> dict[str, Any]:
+        """What was learned so far, for a process that follows this one; servers and profiles by number."""
+        now = self._host.now()
+        servers = {index: server.lessons(now) for index, server in self._servers.items()}
+        spent = {index: list(times) for index, times in self._spent.items()}
+        return {"clearing": self._clearing.lessons(now), "servers": servers, "spent": spent}
+
+    def learn(self, lessons: Mapping[str, Any]) -> None:
+        now = self._host.now()
+        self._clearing.learn(lessons["clearing"], now)
+        for index, known in lessons["servers"].items():
+            self._servers[index].learn(known, now)
+        for index, times in lessons["spent"].items():
+            self._spent[index].extend(float(seconds) for seconds in times)
+
     def _count_ready(self) -> None:
         self._usual_until = -math.inf  # its counts are of the servers before this news
         # Kept between news: going through a large fleet for each job costs more than all its decisions.
@@ -365,7 +370,7 @@
             return False
         now = self._host.now()
         ahead = sum(1 for other in self._queue if other.rank() < held.rank())
-        wait = (ahead + 1) / max(self._rate(now), 1.0)
+        wait = (ahead + 1) / max(self._clearing.rate(now), 1.0)
         slack = held.contract_end - now - self._quick(held.number)
         return wait <= min(slack, WAIT_SHARE * held.profile.contract_time)
 
@@ -655,16 +660,10 @@
 
     def _room(self) -> float:
         """Jobs out at most: what the last answers' rate clears within a part of the contract time."""
-        now = self._host.now()
-        self._prune(self._answers, now - RATE_SPAN)
-        span = min(RATE_SPAN, max(now - self._began, 0.1))
-        # Guards against servers that turn slow from holding too much, long before the contract time is full.
-        most = self._calm_times * min(self._calm, default=math.inf)
-        learned = sum(min(contract * self._hold_share, most) for _, contract in self._answers) / span
+        learned = self._clearing.clears(self._hold_share, self._calm_times, self._host.now())
         self._usual()  # counts the able servers anew
         # Guards small machines, which the higher floor overdrives: it holds while answers are calm.
-        calm = len(self._calm) > 1 and self._calm[-1] <= SLOWER_TIMES * min(self._calm)
-        floor = FLOOR_CALM if calm else FLOOR_EACH
+        floor = FLOOR_CALM if self._clearing.is_calm() else FLOOR_EACH
         return max(2.0, floor * self._able / self._terms.nodes, learned)
 
     def _pressing(self, now: float) -> int:
@@ -684,10 +683,6 @@
     def _server_room(self) -> float:
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready)))
 
-    def _rate(self, now: float) -> float:
-        self._prune(self._answers, now - RATE_SPAN)
-        return len(self._answers) / RATE_SPAN
-
     def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
         """Sets a server aside when its last few outcomes trail the others'."""
         good = outcome.result is Result.HONOURED
@@ -790,7 +785,7 @@
         return sorted(spent)[len(spent) // 4] if spent else 0.0
 
     def _advice(self) -> float:
-        wait = ADVICE_LEAST + len(self._queue) / max(self._rate(self._host.now()), 1.0)
+        wait = ADVICE_LEAST + len(self._queue) / max(self._clearing.rate(self._host.now()), 1.0)
         return min(wait * self._random.uniform(1.0, 2.0), self._terms.advice_limit)
 
     def _profile(self, index: int) -> Profile:
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -26,6 +27,7 @@
     WriteOff,
 )
 from notchjunction.interface import Effect, Group, News, Presence, Result, Terms
+from notchjunction.rules import Balancer
 from tests.helpers import PLAIN, TERMS, profile
 
 SAFE, NUMBERED, ONCE = Effect.REISSUABLE, Effect.NUMBERED, Effect.AT_MOST_ONCE
@@ -241,3 +243,41 @@
     story.decider.report_list(News.WHOLE, [each for each in listed if each.name != "s1"])
     assert story.decider.unbar("s1") and not story.decider.barred
     assert story.decider.bar("s1")  # left the list a while ago, and is still a name that operators use
+
+
+def test_what_was_learned_passes_to_the_next_process_by_names() -> None:
+    old, new = Story(), Story()
+    for _ in range(20):
+        ticket = old.take()
+        old.orders(ticket)
+        old.clock += 0.02
+        old.end(ticket, Result.HONOURED)
+    listed = [
+        Listed(f"s{i}", Presence.READY, zone="a", cell=0) for i in (3, 2, 9)
+    ]  # other numbers, one unknown
+    new.decider.report_list(News.WHOLE, listed)
+    new.clock = old.clock + 0.1
+    lessons = json.loads(json.dumps(old.decider.lessons()))
+    new.decider.learn(lessons)
+    before, after = old.decider._core, new.decider._core
+    assert isinstance(before, Balancer) and isinstance(after, Balancer)
+    assert after._clearing.rate(new.clock) == before._clearing.rate(old.clock) == 10.0
+    assert after._room() == pytest.approx(before._room(), rel=0.3)
+    assert after._quick(0) == before._quick(0) > 0
+    records = {name: after._servers[number] for name, number in new.decider._servers.items()}
+    assert not records["s9"].last
+    for name in ("s2", "s3"):
+        assert records[name].last == before._servers[old.decider._servers[name]].last
+    for broken in ({}, {**lessons, "clearing": {}}, {**lessons, "spent": 5}):
+        with pytest.raises((KeyError, TypeError, ValueError)):
+            new.decider.learn(broken)
+
+
+def test_a_server_set_aside_stays_so_in_the_next_process() -> None:
+    old, new = Story(), Story()
+    core = old.decider._core
+    assert isinstance(core, Balancer)
+    core._servers[1].back_at = old.clock + 2.0
+    new.decider.learn(old.decider.lessons())
+    sent = [order.server for _ in range(20) for order in new.orders(new.take()) if isinstance(order, Send)]
+    assert sent and old.decider._names[1] not in sent
