--- a/notchjunction/__main__.py
+++ b/notchjunction/__main__.py
@@ -8,7 +8,9 @@
 import os
 import signal
 import sys
+from pathlib import Path
 
+from notchjunction import checks
 from notchjunction.net import logs, node_input
 from notchjunction.net.node import Node
 
@@ -19,6 +21,21 @@
     await Node(told).run()
 
 
+def check(file: str) -> int:
+    """Whether a node in service would take the file at SIGHUP, as far as the file alone tells."""
+    try:
+        checks.check(checks.parse(Path(file).read_text(encoding="utf-8")))
+    except checks.Unfit as unfit:
+        for error in unfit.errors:
+            print(f"{file}: {error}")
+        return 1
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{file}: {error}")
+        return 1
+    print(f"{file}: sound")
+    return 0
+
+
 def main() -> int:
     # Guards against being ended by a request that comes before the node can answer it. One for new
     # configuration is kept until then.
@@ -26,7 +43,11 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     parser = argparse.ArgumentParser(prog="notchjunction", description=__doc__)
     parser.add_argument("--log-level", default="INFO", help="of the standard error log (default: INFO)")
-    logs.start(parser.parse_args().log_level.upper())
+    parser.add_argument("--check", metavar="FILE", help="say what is wrong with a configuration, and end")
+    asked = parser.parse_args()
+    logs.start(asked.log_level.upper())
+    if asked.check is not None:
+        return check(asked.check)
     try:
         told = node_input.read(os.environ)
     except (OSError, KeyError, ValueError, TypeError, AttributeError) as error:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -25,7 +25,7 @@
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
 from notchjunction.net.relay import Streams
-from tests.helpers import Client, FakeHost, Peer, configuration, free_address, rows, running
+from tests.helpers import Client, FakeHost, Peer, call, configuration, free_address, rows, running
 from tests.test_net import run
 from tests.test_upgrade import until_yes
 
@@ -681,3 +681,39 @@
     assert not host.finals(job) and len(host.sent(job)) == 2
     host.core.outcome(Outcome(job, 1, second, Result.HONOURED, 0.1, over=True))
     assert not host.finals(job) and job not in host.core._held
+
+
+def test_operators_are_answered_at_once_while_bodies_pass() -> None:
+    async def story() -> None:
+        async def endless(talk: Talk) -> None:
+            while True:
+                await talk.request()
+                await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (16 * MB))
+                for _ in range(16):
+                    await talk.send(BODY)
+
+        mgmt = free_address()
+        async with served(*[endless] * 4, mgmt=mgmt) as (node, address, _):
+            going = True
+
+            async def reads() -> int:
+                total = 0
+                while going:
+                    caller = await Caller().open(address)
+                    caller.begin()
+                    total += len((await caller.whole())[1])
+                return total
+
+            work = [asyncio.create_task(reads()) for _ in range(4)]
+            while node.counters.read()["streams_open"] < 2:
+                await asyncio.sleep(0.002)
+            loop = asyncio.get_running_loop()
+            for _ in range(10):
+                began = loop.time()
+                assert await call(mgmt, "GET", "/control/ready") == 200
+                assert loop.time() - began < 1.0
+            going = False
+            assert sum(await asyncio.gather(*work)) >= 16 * MB
+            await nothing_left(node)
+
+    run(story())
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,6 +9,7 @@
 
 from notchjunction.interface import News
 from notchjunction.net import management
+from notchjunction.net.descriptors import OWN
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
 from notchjunction.net.servers import Servers
@@ -259,3 +260,59 @@
         assert service.state is State.ENDING
     if event is Input.IN and state is not State.ENDING:
         assert service.state is State.SERVING
+
+
+def test_calls_are_answered_while_descriptors_are_short() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt, sockets=64) as (node, listen):
+                clients = [await Client().open(listen) for _ in range(60)]
+                for client in clients[:20]:
+                    client.ask()
+                while "callers_refused" not in node.counters.read():
+                    await asyncio.sleep(0.005)
+                assert await call(mgmt, "GET", "/control/ready") == 200
+                assert await call(mgmt, "PUT", "/control/servers/s0/offline") == 200
+                held = node._descriptors.held + len(node._management._calls)
+                assert held <= 64 - OWN
+                for client in clients:
+                    client.writer.close()
+
+    run(story())
+
+
+def test_a_drain_ends_in_time_though_callers_go_on_asking_and_new_ones_come() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            mgmt = free_address()
+            async with running(peer, mgmt=mgmt) as (node, listen):
+                going = True
+                led_away: list[float] = []
+
+                async def stays() -> None:
+                    """Asks on one connection for as long as it is open, and then on another."""
+                    while going:
+                        client = await Client().open(listen)
+                        keep = True
+                        while keep and going:
+                            client.ask()
+                            keep = (await client.answer()).keep
+                            await asyncio.sleep(0.005)
+                        client.writer.close()
+                        led_away.append(time.monotonic())
+                        if node._service.state is State.PARTING:
+                            return
+
+                work = [asyncio.create_task(stays()) for _ in range(3)]
+                silent = [await Client().open(listen) for _ in range(10)]
+                assert await call(mgmt, "PUT", "/control/out-of-service") == 200
+                for client in silent:
+                    assert await client.closed()
+                await asyncio.gather(*work)
+                while node._callers.connected:
+                    await asyncio.sleep(0.005)
+                going = False
+                assert len(led_away) >= 3
+
+    run(story())
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -13,6 +13,7 @@
 import pytest
 
 from notchjunction import checks
+from notchjunction.__main__ import main
 from notchjunction.decider import Names, Send, TurnBack, WriteOff
 from notchjunction.interface import Effect, Result
 from tests.helpers import (
@@ -258,3 +259,22 @@
     assert core._terms.zone == 0
     ticket = story.take()
     assert isinstance(story.orders(ticket)[0], Send)
+
+
+def test_a_file_can_be_checked_before_it_is_put_in_place(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "told.json"
+    monkeypatch.setattr("sys.argv", ["notchjunction", "--check", str(file)])
+    assert main() == 1 and "No such file" in capsys.readouterr().out
+    told = configuration()
+    file.write_text(json.dumps(told))
+    assert main() == 0 and capsys.readouterr().out == f"{file}: sound\n"
+    first(told)["abandon_time"] = 0
+    del told["settings"]["limits"]["max_dispatches"]
+    file.write_text(json.dumps(told))
+    assert main() == 1
+    assert [line.split(": ")[1] for line in capsys.readouterr().out.splitlines()] == [
+        "settings.limits.max_dispatches",
+        "settings.profiles.0.abandon_time",
+    ]
