--- a/notchjunction/checks.py
+++ b/notchjunction/checks.py
@@ -43,7 +43,7 @@
     return value
 
 
-def _whole(value: Any) -> int:
+def whole_number(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float) or value != int(_number(value)):
         raise Invalid("expected a whole number")
     return int(value)
@@ -82,8 +82,8 @@
     Optional("aim_stretch"): FROM_0,
 }
 LIMITS: dict[Any, Any] = {
-    Required("max_dispatches"): All(_whole, Range(min=1)),
-    Optional("max_streams"): All(_whole, Range(min=1)),
+    Required("max_dispatches"): All(whole_number, Range(min=1)),
+    Optional("max_streams"): All(whole_number, Range(min=1)),
     Optional("conn_idle"): ABOVE_0,
     Optional("connect_timeout"): ABOVE_0,
     Optional("max_retry_after"): FROM_0,
@@ -97,14 +97,14 @@
         Optional("mgmt"): _address,
         Required("settings"): {
             Required("layers"): [WORD],
-            Required("layer"): _whole,
+            Required("layer"): whole_number,
             Required("limits"): LIMITS,
             Required("profiles"): All(
                 [PROFILE], Length(min=1, msg="expected one profile at least"), _profiles
             ),
             Optional("localities"): [WORD],
-            Optional("zone"): _whole,
-            Optional("group_size"): All(_whole, Range(min=1)),
+            Optional("zone"): whole_number,
+            Optional("group_size"): All(whole_number, Range(min=1)),
             Optional("invariants"): {str: FROM_0},
             Optional("prices"): {str: FROM_0},
             Optional("tenants"): [{Required("name"): WORD, Optional("quota_rps"): FROM_0}],
@@ -135,11 +135,11 @@
     try:
         SCHEMA(dict(found))
     except MultipleInvalid as invalid:
-        errors = [f"{_place(error.path)}: {error.msg}" for error in invalid.errors]
+        errors = [f"{place(error.path)}: {error.msg}" for error in invalid.errors]
     for missing in _missing(before or {}, found, ()):
         # Guards against a file short of a key: what it said would silently fall back to a reading of our own.
-        line = f"{_place(missing)}: in force, and missing"
-        if not any(error.startswith(_place(missing) + ":") for error in errors):
+        line = f"{place(missing)}: in force, and missing"
+        if not any(error.startswith(place(missing) + ":") for error in errors):
             errors.append(line)
     if errors:
         raise Unfit(errors[:ERRORS_MOST])
@@ -165,5 +165,5 @@
     return []
 
 
-def _place(path: tuple[object, ...] | list[object]) -> str:
+def place(path: tuple[object, ...] | list[object]) -> str:
     return ".".join(str(part) for part in path) or "the file"
--- a/notchjunction/emulator/world.py
+++ b/notchjunction/emulator/world.py
@@ -160,7 +160,7 @@
 
     # Servers.
 
-    def _warmth(self, server: Server) -> float:
+    def warmth(self, server: Server) -> float:
         if server.started_at == 0.0:
             return 1.0
         warmed = min((self.now - server.started_at) / self.scenario.cold_time, 1.0)
@@ -188,7 +188,7 @@
         server.pushed.append((self.now, work.seconds, told))
         while server.pushed[0][0] < self.now - span:
             server.pushed.popleft()
-        most = self.scenario.tip_multiple * server.speed * self.scenario.workers * span * self._warmth(server)
+        most = self.scenario.tip_multiple * server.speed * self.scenario.workers * span * self.warmth(server)
         total = sum(seconds for _, seconds, _ in server.pushed)
         if total > most:
             knowing = sum(seconds for _, seconds, told in server.pushed if told)
@@ -206,7 +206,7 @@
             self.rows.append(Ran(self.now, work.node.number, work.job, work.dispatch, server.number))
             crowd = 1 + self.scenario.thrash * len(server.waiting)
             self.after(
-                work.seconds * server.slow * crowd / (server.speed * self._warmth(server)),
+                work.seconds * server.slow * crowd / (server.speed * self.warmth(server)),
                 partial(self._finish, server, work),
             )
 
@@ -226,7 +226,7 @@
             return None
         held = len(server.running) + len(server.waiting)
         crowd = max(1.0, held / self.scenario.workers)
-        return 2 * self.hop() + PROBE_WORK * crowd * server.slow / (server.speed * self._warmth(server))
+        return 2 * self.hop() + PROBE_WORK * crowd * server.slow / (server.speed * self.warmth(server))
 
 
 class Discovery:
@@ -313,6 +313,10 @@
         self._core = make(terms, self)
         self._hear(News.REMEMBERED, [world.discovery.entry(server) for server in world.servers])
 
+    @property
+    def world(self) -> World:
+        return self._world
+
     # What the world calls.
 
     def take(self, stream: Stream, first: int, began: float, tries: int, left: float, work: float) -> None:
--- /dev/null
+++ b/notchjunction/lab/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m notchjunction.lab`."""
+
+from notchjunction.lab.cli import main
+
+main()
--- /dev/null
+++ b/notchjunction/lab/cli.py
@@ -0,0 +1,194 @@
+"""The laboratory's command line: run a node, emulate, load, experiment, report, check a file."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from notchjunction import checks
+from notchjunction.lab import report as reports
+from notchjunction.lab.baselines import VARIANTS
+from notchjunction.lab.files import Experiment, read_experiment
+from notchjunction.lab.load import Load, Send, Shape, read_trace, schedule
+from notchjunction.lab.runs import Run, kept, play, run_all, runs_of
+from notchjunction.net.connections import address_of
+
+
+def refuse(file: Path, unfit: checks.Unfit) -> click.ClickException:
+    """All errors at once, each with file and place; exit code 1."""
+    return click.ClickException("\n".join(f"{file}: {error}" for error in unfit.errors))
+
+
+def revision() -> str:
+    """Of the code that runs; with a plus where files differ from it."""
+    here = Path(__file__).parent
+    try:
+        asked = ["git", "describe", "--always", "--dirty=+"]
+        return subprocess.run(asked, cwd=here, capture_output=True, text=True, check=True).stdout.strip()
+    except (OSError, subprocess.CalledProcessError):
+        return "unknown"
+
+
+def experiment_in(file: Path) -> Experiment:
+    try:
+        return read_experiment(file)
+    except checks.Unfit as unfit:
+        raise refuse(file, unfit) from unfit
+
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.group()
+def main() -> None:
+    """Experiments with notchjunction. Servers in the emulator are simulated."""
+
+
+@main.command()
+@click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+def node(arguments: tuple[str, ...]) -> None:
+    """Run one node, by its environment (see the README)."""
+    os.execv(sys.executable, [sys.executable, "-m", "notchjunction", *arguments])
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def check(file: Path) -> None:
+    """Say all that is wrong with an experiment (.toml), a trace (.csv) or a node's file (.json)."""
+    try:
+        if file.suffix == ".toml":
+            read_experiment(file)
+        elif file.suffix == ".csv":
+            read_trace(file)
+        else:
+            checks.check(checks.parse(file.read_text(encoding="utf-8")))
+    except checks.Unfit as unfit:
+        raise refuse(file, unfit) from unfit
+    click.echo(f"{file}: sound")
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--scenario", help="Its name; the first one if not given.")
+@click.option("--variant", type=click.Choice(sorted(VARIANTS)), default="module", show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def emulate(file: Path, scenario: str | None, variant: str, seed: int) -> None:
+    """Play one scenario once, and print its figures as JSON; exit code 3 if a rule breaks."""
+    scenarios = {each.name: each for each in experiment_in(file).scenarios}
+    chosen = scenarios.get(scenario) if scenario else next(iter(scenarios.values()))
+    if chosen is None:
+        raise click.BadParameter(f"none of {', '.join(scenarios)}", param_hint="--scenario")
+    result = play(Run(chosen, variant, seed, revision()))
+    del result["course"]
+    click.echo(json.dumps(result, indent=1))
+    if result["breaches"]:
+        sys.exit(3)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.option(
+    "--into", type=click.Path(file_okay=False, path_type=Path), required=True, help="Folder of results."
+)
+@click.option("--workers", default=os.cpu_count() or 1, show_default=True)
+def experiment(file: Path, into: Path, workers: int) -> None:
+    """Play all runs of an experiment that the folder does not hold yet; exit code 2 if one died."""
+    found = experiment_in(file)
+    runs = list(runs_of(found, revision()))
+    there = sum(1 for run in runs if kept(into, run) is not None)
+    click.echo(f"{found.name}: {len(runs)} runs, {there} there already")
+
+    def said(result: dict[str, Any]) -> None:
+        figure = f"died: {result['died']}" if result["died"] else f"{result['in_time']:.3f} in time"
+        click.echo(f"{result['scenario']}, {result['variant']}, seed {result['seed']}: {figure}")
+
+    if run_all(runs, into, workers, said):
+        sys.exit(2)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--results", type=click.Path(exists=True, file_okay=False, path_type=Path), required=True)
+@click.option("--into", type=click.Path(file_okay=False, path_type=Path), required=True)
+def report(file: Path, results: Path, into: Path) -> None:
+    """Make tables and charts of an experiment's results; runs that are missing are said, not made up."""
+    found = experiment_in(file)
+    wanted = {(s.name, v, n) for s in found.scenarios for v in found.variants for n in found.seeds}
+    rows = [json.loads(each.read_text(encoding="utf-8")) for each in sorted(results.glob("*.json"))]
+    rows = [row for row in rows if (row["scenario"], row["variant"], row["seed"]) in wanted]
+    revisions = sorted({row["revision"] for row in rows})
+    if len(revisions) > 1:
+        raise click.ClickException(
+            f"results of {len(revisions)} revisions in one folder: {', '.join(revisions)}"
+        )
+    if not rows:
+        raise click.ClickException(f"no results of {found.name} in {results}")
+    into.mkdir(parents=True, exist_ok=True)
+    (into / "runs.csv").write_text(reports.table(rows), encoding="utf-8")
+    (into / "summary.md").write_text(reports.summary(found.name, rows), encoding="utf-8")
+    made = reports.charts(found.name, rows, into)
+    click.echo(f"{len(rows)} of {len(wanted)} runs, revision {revisions[0]}; {2 + len(made)} files in {into}")
+
+
+@main.command()
+@click.option("--to", "address", required=True, help="HOST:PORT of a node, on this machine.")
+@click.option("--profile", default="lookup", show_default=True)
+@click.option("--within", default=2.0, show_default=True, help="s that each request is waited for")
+@click.option("--rate", default=50.0, show_default=True, help="requests a second")
+@click.option("--rate-end", type=float, help="requests a second at the end: a ramp")
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--flush", default=0.0, show_default=True, help="requests a second in one second after that")
+@click.option("--trace", type=FILE, help="a recorded trace in place of these")
+@click.option(
+    "--tries", default=1, show_default=True, help="tries a client makes of itself after a turn-back"
+)
+@click.option("--seed", default=1, show_default=True)
+def load(
+    address: str,
+    profile: str,
+    within: float,
+    rate: float,
+    rate_end: float | None,
+    seconds: float,
+    flush: float,
+    trace: Path | None,
+    tries: int,
+    seed: int,
+) -> None:
+    """Send open-loop load, and print what came of it as JSON; latency counts from the intended send time."""
+    if not address.startswith("127."):
+        raise click.BadParameter("load goes to addresses of this machine alone", param_hint="--to")
+    sends: list[Send]
+    if trace is not None:
+        try:
+            sends = read_trace(trace)
+        except checks.Unfit as unfit:
+            raise refuse(trace, unfit) from unfit
+    else:
+        shapes = [Shape(rate, seconds, rate_end), *([Shape(flush, 1.0)] if flush else [])]
+        sends = list(schedule(shapes, profile, within, seed))
+    outcome = asyncio.run(Load(address_of(address), tries, seed).play(sends))
+    shares = (50.0, 90.0, 99.0, 99.9)
+    click.echo(
+        json.dumps(
+            {
+                "first_tries": outcome.first_tries,
+                "tries": outcome.tries,
+                "finals": dict(outcome.finals),
+                "latency_s": {str(share): outcome.percentile(share) for share in shares},
+                "sent_late_s": outcome.lateness.get_max_value() / 1e6,
+            },
+            indent=1,
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/notchjunction/lab/files.py
@@ -0,0 +1,149 @@
+"""Experiments as TOML files, checked whole: every error at once, with its place. Times in seconds."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from pathlib import Path
+from typing import Any
+
+from voluptuous import All, In, Length, MultipleInvalid, Optional, Range, Required, Schema
+
+from notchjunction.checks import ABOVE_0, FROM_0, WORD, Unfit, place, whole_number
+from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream
+from notchjunction.interface import Effect, Group, Profile
+from notchjunction.lab.baselines import VARIANTS
+
+VERSION = 1  # of the files; another one is refused
+RUNS_MOST = 10_000  # of one experiment; more is a slip of the pen
+COUNT = All(whole_number, Range(min=1))
+SHARE = All(FROM_0, Range(max=1))
+PROFILE = {
+    Required("contract_time"): ABOVE_0,
+    Required("abandon_time"): ABOVE_0,
+    Optional("revenue"): FROM_0,
+    Optional("late_share"): SHARE,
+    Optional("effect"): In([effect.value for effect in Effect]),
+    Optional("group"): In([group.value for group in Group]),
+    Optional("window"): FROM_0,
+}
+STREAM = {
+    Required("profile"): All(whole_number, Range(min=0)),
+    Required("rate"): ABOVE_0,
+    Optional("at"): FROM_0,
+    Optional("until"): ABOVE_0,
+    Optional("work"): ABOVE_0,
+}
+FAULT = {
+    Required("kind"): In([kind.value for kind in Kind]),
+    Required("at"): FROM_0,
+    Required("until"): ABOVE_0,
+    Optional("servers"): [All(whole_number, Range(min=0))],
+    Optional("size"): ABOVE_0,
+}
+COUNTS = ("nodes", "servers", "zones", "workers", "queue_most", "client_tries")
+DEFAULT = Scenario("")
+SCENARIO: dict[Any, Any] = {
+    Required("name"): WORD,
+    Optional("profiles"): All([PROFILE], Length(min=1)),
+    Optional("streams"): All([STREAM], Length(min=1)),
+    Optional("faults"): [FAULT],
+    **{Optional(name): COUNT for name in COUNTS},
+    **{Optional(name): ABOVE_0 for name in ("length", "cold_time", "tip_span", "list_rate")},
+    **{
+        Optional(name): FROM_0
+        for name in ("thrash", "latency", "jitter", "tip_multiple", "list_delay", "list_wait", "client_pause")
+    },
+    Optional("cold_share"): SHARE,
+}
+EXPERIMENT = Schema(
+    {
+        Required("version"): In([VERSION]),
+        Required("name"): WORD,
+        Required("seeds"): All([whole_number], Length(min=1)),
+        Required("variants"): All([In(sorted(VARIANTS))], Length(min=1)),
+        Required("scenarios"): All([SCENARIO], Length(min=1)),
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    name: str
+    seeds: tuple[int, ...]
+    variants: tuple[str, ...]
+    scenarios: tuple[Scenario, ...]
+
+
+def read_experiment(file: Path) -> Experiment:
+    """The experiment in a file; Unfit with all that is wrong with it."""
+    try:
+        told = tomllib.loads(file.read_text(encoding="utf-8"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise Unfit([str(error)]) from error
+    try:
+        EXPERIMENT(told)
+    except MultipleInvalid as invalid:
+        raise Unfit([f"{place(error.path)}: {error.msg}" for error in invalid.errors]) from invalid
+    errors = [
+        error for i, row in enumerate(told["scenarios"]) for error in _contradictions(f"scenarios.{i}", row)
+    ]
+    names = [row["name"] for row in told["scenarios"]]
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        errors.append(f"scenarios: {name} is named twice")
+    for what in ("seeds", "variants"):
+        if len(set(told[what])) < len(told[what]):
+            errors.append(f"{what}: one is named twice, and its runs would count twice")
+    if len(names) * len(told["seeds"]) * len(told["variants"]) > RUNS_MOST:
+        errors.append(f"seeds: more than {RUNS_MOST} runs")
+    if errors:
+        raise Unfit(errors)
+    scenarios = tuple(_scenario(row) for row in told["scenarios"])
+    return Experiment(told["name"], tuple(told["seeds"]), tuple(told["variants"]), scenarios)
+
+
+def _contradictions(stem: str, row: Mapping[str, Any]) -> list[str]:
+    found = []
+    servers = row.get("servers", DEFAULT.servers)
+    profiles = row.get("profiles", DEFAULT.profiles)
+    if row.get("zones", 1) > servers:
+        found.append(f"{stem}.zones: more zones than servers")
+    for i, profile in enumerate(row.get("profiles", ())):
+        if profile["abandon_time"] < profile["contract_time"]:
+            found.append(f"{stem}.profiles.{i}.abandon_time: under the contract time")
+        if profile.get("window", 0) and profile.get("effect") != Effect.NUMBERED.value:
+            found.append(f"{stem}.profiles.{i}.window: repeats are dropped of numbered profiles alone")
+    for i, stream in enumerate(row.get("streams", ())):
+        if stream["profile"] >= len(profiles):
+            found.append(f"{stem}.streams.{i}.profile: no such profile")
+        if stream.get("until", float("inf")) <= stream.get("at", 0.0):
+            found.append(f"{stem}.streams.{i}.until: not after its beginning")
+    for i, fault in enumerate(row.get("faults", ())):
+        if fault["until"] <= fault["at"]:
+            found.append(f"{stem}.faults.{i}.until: not after its beginning")
+        if any(server >= servers for server in fault.get("servers", ())):
+            found.append(f"{stem}.faults.{i}.servers: no such server")
+    return found
+
+
+def _scenario(row: Mapping[str, Any]) -> Scenario:
+    told = dict(row)
+    if "profiles" in told:
+        told["profiles"] = tuple(_profile(profile) for profile in told["profiles"])
+    if "streams" in told:
+        told["streams"] = tuple(Stream(**stream) for stream in told["streams"])
+    told["faults"] = tuple(
+        Fault(**{**fault, "kind": Kind(fault["kind"]), "servers": tuple(fault.get("servers", ()))})
+        for fault in told.get("faults", ())
+    )
+    return Scenario(**{field.name: told[field.name] for field in fields(Scenario) if field.name in told})
+
+
+def _profile(row: Mapping[str, Any]) -> Profile:
+    told = dict(row)
+    if "effect" in told:
+        told["effect"] = Effect(told["effect"])
+    if "group" in told:
+        told["group"] = Group(told["group"])
+    return Profile(**told)
