Answers under way move to the process that follows, with both of their connections

Ruled out: a close by the node (no drain ended), the new process. Lines at fault: node.py, the end of _drain waits for callers without bound. Change: connections and the reader's state pass on, between two pieces or with what of one is unsent; bodies not whole by the node's end are turned back; a whole job's time is bounded by that end.

--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -237,10 +237,10 @@
             ticket.orders.put_nowait(PassOn(dispatch))
         self._release(ticket)
 
-    def whole(self, ticket: Ticket) -> None:
-        """The job's last byte has come: its time counts from now."""
+    def whole(self, ticket: Ticket, most: float = math.inf) -> None:
+        """The job's last byte has come: its time counts from now, and is so many seconds at most."""
         if not ticket.answered:
-            self._core.whole(ticket.number)
+            self._core.whole(ticket.number, most)
 
     def begun(self, ticket: Ticket, dispatch: int) -> bool:
         """A large answer has begun to come; false where the job has its answer already."""
--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import re
+from base64 import b64decode, b64encode
+from collections.abc import Mapping
 from enum import Enum, auto
+from typing import Any
 
 from notchjunction.http1.messages import (
     BODY_MOST,
@@ -92,6 +95,26 @@
             self._end_message()
         return found, ended
 
+    def state(self) -> dict[str, Any]:
+        """Where a body that goes on stands, for another process to read it on from."""
+        return {
+            "unread": b64encode(self._bytes).decode(),
+            "framing": self._framing.name,
+            "wanted": self._wanted,
+            "come": self._come,
+            "trailers": self._trailers,
+            "in_trailer": self._in_trailer,
+            "chunk_left": self._chunk_left,
+        }
+
+    def go_on(self, state: Mapping[str, Any]) -> None:
+        self._bytes = bytearray(b64decode(state["unread"]))
+        self._framing = Framing[state["framing"]]
+        self._wanted, self._come = int(state["wanted"]), int(state["come"])
+        self._trailers, self._in_trailer = int(state["trailers"]), bool(state["in_trailer"])
+        self._chunk_left = int(state["chunk_left"])
+        self._framed = self._going = True
+
     def feed(self, piece: bytes) -> None:
         self._bytes += piece
 
--- a/notchjunction/lab/baselines.py
+++ b/notchjunction/lab/baselines.py
@@ -99,7 +99,7 @@
 
     # What makes no difference to these.
 
-    def whole(self, job: int) -> None:
+    def whole(self, job: int, most: float = 0.0) -> None:
         pass
 
     def streaming(self, job: int, dispatch: int) -> None:
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -6,11 +6,12 @@
 import logging
 import socket
 import struct
-from collections.abc import Callable, Collection
+from base64 import b64decode, b64encode
+from collections.abc import Callable, Collection, Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import replace
 from itertools import islice
-from typing import Any
+from typing import Any, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
@@ -43,9 +44,27 @@
 SILENT_SPARED = 0.5  # s from connecting after which one that said nothing is; sound ones send at once
 TRIED_MOST = 4  # callers looked at to make room for one; the longest idle are rarely about to send
 
+MOVE_PAUSE = 0.02  # s until an answer that could not move yet is tried again
+
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+class CallerStream(IOStream):
+    """Knows how much of what was written the operating system has taken."""
+
+    taken = 0
+
+    def write_to_fd(self, data: memoryview) -> int:
+        count = super().write_to_fd(data)
+        self.taken += count
+        return count
+
+
+class Mover(Protocol):
+    def __call__(self, state: Mapping[str, Any], caller: socket.socket, server: socket.socket) -> bool:
+        """Hands an answer under way to another process; whether that was done."""
+
+
 class Callers:
     def __init__(
         self,
@@ -76,6 +95,8 @@
         self._limited = False
         self.draining = False
         self.parting = False
+        self.mover: Mover | None = None
+        self.moving = asyncio.Event()
         counters.gauge("callers_connected", lambda: descriptors.callers)
         counters.gauge("callers_idle", lambda: len(self.idle))
 
@@ -131,9 +152,9 @@
         if full and not self._limited:
             log.warning("limit reached", extra=pairs(limit="descriptors", held=self.descriptors.held))
         self._limited = full
-        stream = IOStream(connection, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+        stream = CallerStream(connection, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
         caller = Caller(self, stream, full)
-        self._callers[caller] = self._loop.create_task(self._serve(caller))
+        self._callers[caller] = self._loop.create_task(self._serve(caller, caller.converse()))
 
     def _make_room(self) -> bool:
         """Closes an idle caller; else an idle connection to a server, if callers are within their share."""
@@ -151,9 +172,9 @@
                     return True
         return False
 
-    async def _serve(self, caller: Caller) -> None:
+    async def _serve(self, caller: Caller, work: Coroutine[Any, Any, None]) -> None:
         try:
-            await caller.converse()
+            await work
         except StreamClosedError:
             pass
         except Exception as error:
@@ -170,6 +191,24 @@
         """Answers say from now on that the connection closes."""
         self.parting = True
 
+    def move_streams(self, mover: Mover) -> None:
+        """From now on answers under way go to another process of the node, between two of their pieces."""
+        self.mover = mover
+        self.moving.set()
+
+    def turn_back_uploads(self) -> None:
+        """What is not whole by the node's end never ran."""
+        for caller in list(self._callers):
+            caller.turn_back_upload()
+
+    def adopt_stream(self, state: Mapping[str, Any], caller_sock: socket.socket, download: Download) -> None:
+        """A caller whose answer another process of this node began to pass on."""
+        self.descriptors.take_caller()
+        self.counters.add("streams_adopted")
+        stream = CallerStream(caller_sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+        caller = Caller(self, stream, full=False)
+        self._callers[caller] = self._loop.create_task(self._serve(caller, caller.resume(state, download)))
+
     def serve(self) -> None:
         """Takes both back: the node is ready for more, and connections are kept."""
         self.draining = self.parting = False
@@ -185,7 +224,7 @@
 class Caller:
     """One connection; requests on it are served one after another."""
 
-    def __init__(self, callers: Callers, stream: IOStream, full: bool) -> None:
+    def __init__(self, callers: Callers, stream: CallerStream, full: bool) -> None:
         self._callers = callers
         self._stream = stream
         self._full = full
@@ -196,6 +235,11 @@
         # When the request's last byte was read; of one that came ahead of its turn, the first.
         self._came_at = callers.clock()
         self._waited = 0.0  # s so far for the body under way
+        self._job: Job | None = None
+        self._upload: Upload | None = None
+        self._queued = 0  # bytes written so far, whether or not the operating system has taken them
+        self._stays = False  # whether its answer can't move to another process
+        self._turned_back = False  # as the node ends before its body is whole
         callers.silent[self] = self._came_at
         # The first request is due by the time of connecting: bytes that drip in do not renew it.
         self._due = self._came_at + (REFUSED_WITHIN if full else HEAD_WITHIN)
@@ -214,7 +258,7 @@
                 return
             self._busy = True
             keep = await self._respond(request)
-            if self._requests.going:
+            if self._requests.going and keep:
                 await self._discard()
             self._busy = False
             self._rest()
@@ -228,7 +272,7 @@
         job: Job | None = None
         answer: Answer | Download | None = self._misplaced(request)
         if answer is None:
-            job, answer = await self._job(request)
+            job, answer = await self._take(request)
         if answer is None:
             return False
         # Guards against closing over a request that came with this one, drain or not.
@@ -287,7 +331,7 @@
                 return None
             reading = self._read()
             if self._requests.awaits_go_ahead():
-                await self._stream.write(GO_AHEAD)
+                await self._write(GO_AHEAD)
             late = await self._wait(reading)
             if reading.done():
                 self._feed()
@@ -317,7 +361,7 @@
             return self._bad(404)
         return self._bad(405) if request.method not in ("GET", "POST") else None
 
-    async def _job(self, request: Request) -> tuple[Job | None, Answer | Download | None]:
+    async def _take(self, request: Request) -> tuple[Job | None, Answer | Download | None]:
         """The job and its final answer; no answer once the caller has gone."""
         waited = 0.0 if request.more else self._callers.clock() - self._came_at
         ask = ask_of(request, waited, self._callers.profiles)
@@ -335,6 +379,7 @@
         upload = Upload(self._callers.streams, request.length) if request.more else None
         try:
             job = self._callers.take(ask, request, upload)
+            self._job, self._upload = job, upload
             return job, await self._answer(job, upload)
         except StreamClosedError:
             raise
@@ -343,6 +388,7 @@
             return None, own_failure(self._callers.counters)
         finally:
             self._callers.ids.discard(job_id)
+            self._job = self._upload = None
             if upload is not None:
                 upload.close()
 
@@ -383,6 +429,7 @@
         answer = await work
         if answer is None:
             self._callers.counters.add("withdrawn")
+            error = error or (Answer(503, keep=False) if self._turned_back else None)
         if error is not None and isinstance(answer, Download):
             answer.close()
         return answer if error is None else error
@@ -394,11 +441,7 @@
         keep = keep and (length is not None or chunks)
         try:
             await self._write(encode_answer(replace(beginning, keep=keep), chunks))
-            while piece := await download.piece():
-                await self._write(encode_piece(piece, length, chunks))
-                await asyncio.sleep(0)  # guards against one body taking all turns
-            if end := encode_end(length, chunks):
-                await self._write(end)
+            return await self._pump(download, length, chunks, keep)
         except (Cut, Malformed) as error:
             # Not whole through no fault of the node's: the caller can tell, by the end that is missing.
             download.close(error)
@@ -410,8 +453,99 @@
             raise
         finally:
             download.close()
+
+    async def _pump(self, download: Download, length: int | None, chunks: bool, keep: bool) -> bool:
+        """The pieces and their end; whether the connection can be used again."""
+        while True:
+            if self._callers.moving.is_set() and not self._stays:
+                if self._move(download, length, chunks, keep):
+                    return False
+                await asyncio.sleep(MOVE_PAUSE)
+            piece = download.ready_piece()
+            if piece:
+                wire = encode_piece(piece, length, chunks)
+                self._queued += len(wire)
+                written = self._stream.write(wire)
+                while not written.done() and not await self._taken(written):
+                    if self._move(download, length, chunks, keep, wire):
+                        return False
+                    await asyncio.sleep(MOVE_PAUSE)
+                await asyncio.sleep(0)  # guards against one body taking all turns
+            elif download.over:
+                break
+            else:
+                await download.waits(asyncio.Event() if self._stays else self._callers.moving)
+                if download.has_more():
+                    await download.more()
+        if end := encode_end(length, chunks):
+            await self._write(end)
         return keep
 
+    async def _taken(self, written: asyncio.Future[None]) -> bool:
+        """Waits until a piece is written, or answers are to move; whether it is written."""
+        moving = self._callers.moving
+        waits: set[asyncio.Future[Any]] = {written}
+        if not self._stays:
+            waits.add(told := asyncio.ensure_future(moving.wait()))
+        await asyncio.wait(waits, timeout=WRITTEN_WITHIN, return_when=asyncio.FIRST_COMPLETED)
+        if not self._stays:
+            told.cancel()
+        if written.done():
+            written.result()
+        elif self._stays or not moving.is_set():
+            # Guards against a caller that reads nothing: a drain would wait for it.
+            raise StreamClosedError
+        return written.done()
+
+    def _move(
+        self, download: Download, length: int | None, chunks: bool, keep: bool, wire: bytes = b""
+    ) -> bool:
+        """Gives the answer to the process that follows, with what is unread and what of `wire` is unsent."""
+        self._stays = True
+        mover = self._callers.mover
+        ahead = self._requests.begun or self._has_read() or self._stream.closed()
+        if mover is None or ahead or download.over or not download.take_held():
+            return False
+        unsent = b64encode(wire[len(wire) - (self._queued - self._stream.taken) :] if wire else b"")
+        state: dict[str, Any] = {"length": length, "chunks": chunks, "keep": keep, "answers": download.state}
+        state["unsent"] = unsent.decode()
+        try:
+            if not mover(state, self._stream.socket, download.socket):
+                return False
+        except BlockingIOError:
+            self._stays = False  # the other process is still busy with those before it
+            return False
+        self._callers.counters.add("streams_moved")
+        download.moved = True
+        return True
+
+    async def resume(self, state: Mapping[str, Any], download: Download) -> None:
+        """Passes on what another process began to, and goes on as with any caller."""
+        self._busy = True
+        self._stir()
+        length, chunks = state["length"], bool(state["chunks"])
+        try:
+            if unsent := b64decode(state["unsent"]):
+                await self._write(unsent)
+            keep = await self._pump(download, length, chunks, bool(state["keep"]))
+        except (Cut, Malformed) as error:
+            self._callers.counters.add("streams_cut")
+            if length is None and not chunks:
+                self._reset()
+            raise StreamClosedError from error
+        finally:
+            download.close()
+        self._busy = False
+        if keep and not self._callers.parting:
+            self._rest()
+            await self.converse()
+
+    def turn_back_upload(self) -> None:
+        under_way = self._upload is not None and not self._upload.ended
+        if under_way and self._job is not None and not self._turned_back:
+            self._turned_back = True
+            self._job.withdraw()
+
     def _reset(self) -> None:
         with suppress(OSError):
             self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -460,6 +594,7 @@
         return Answer(status, keep=False)
 
     async def _write(self, wire: bytes) -> None:
+        self._queued += len(wire)
         try:
             async with asyncio.timeout(WRITTEN_WITHIN):
                 await self._stream.write(wire)
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -26,7 +26,7 @@
 
 def read_piece(stream: IOStream, most: int = PIECE) -> asyncio.Future[bytes]:
     """A read that goes on; it also notices the end of the connection, and never fails at once."""
-    stream.read_chunk_size = most
+    stream.read_chunk_size = min(most, PIECE)
     try:
         return asyncio.ensure_future(stream.read_bytes(most, partial=True))
     except StreamClosedError as error:
@@ -74,8 +74,16 @@
 
 
 class Connection:
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, opened: socket.socket | None = None) -> None:
+        """A new connection; or one that another process of this node opened."""
         self.address = address
+        self._reading: asyncio.Future[bytes] | None = None
+        self.idle_since = 0.0
+        self.kept = False  # whether it has served before
+        self.lived: float | None = None  # s that it stood idle until the other side ended it
+        if opened is not None:
+            self._stream = IOStream(opened, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+            return
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         try:
             sock = socket.socket(family, socket.SOCK_STREAM)
@@ -83,10 +91,6 @@
             # Guards against an outcome in doubt where the operating system itself is short of descriptors.
             raise NoDescriptor(_cause(error)) from error
         self._stream = IOStream(sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
-        self._reading: asyncio.Future[bytes] | None = None
-        self.idle_since = 0.0
-        self.kept = False  # whether it has served before
-        self.lived: float | None = None  # s that it stood idle until the other side ended it
 
     async def open(self) -> None:
         try:
@@ -168,6 +172,31 @@
             await self._stream.write(out)
         return bool(piece)
 
+    @property
+    def socket(self) -> socket.socket:
+        found: socket.socket = self._stream.socket
+        return found
+
+    def start_reading(self, most: int) -> asyncio.Future[bytes]:
+        """A read that goes on until `read` takes it; while it does, nothing that came is held here."""
+        if self._reading is None:
+            self._reading = read_piece(self._stream, most)
+        return self._reading
+
+    def has_read(self) -> bool:
+        return self._reading is not None and self._reading.done()
+
+    def take_held(self) -> bytes | None:
+        """What has come and was not read; nothing is held here then. None where the other side has ended."""
+        reading = self.start_reading(BUFFER_MOST)
+        if not reading.done():
+            return b""
+        self._reading = None
+        try:
+            return reading.result()
+        except StreamClosedError:
+            return None
+
     def rest(self, now: float) -> None:
         """Stands idle from now on; a read goes on, so that an end is noticed."""
         self.idle_since = now
--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -31,6 +31,9 @@
 ACKED_WITHIN = 0.6  # s for the other process to do as told; operators wait 1 s at most
 FIRST_MOST = 4096  # bytes of the first line, which comes with the listeners
 LISTENERS_MOST = 8  # descriptors that may come with it; one address has one or two
+STREAMS = "notchjunction.streams"  # where the serving process takes answers under way; one message each
+STREAM_MOST = 512 * 1024  # bytes of such a message: a state, and what of an answer was not read yet
+BACKLOG = 16
 LINE_MOST = 8 * 1024 * 1024  # bytes of a line; the list of tens of thousands of servers
 TOLD_EVERY = 0.05  # s between words on what each uses; short against the time in which callers come
 
@@ -60,6 +63,10 @@
 
     def others_changed(self) -> None: ...
 
+    def adopt_stream(
+        self, state: Mapping[str, Any], caller: socket.socket, server: socket.socket
+    ) -> None: ...
+
     def used_elsewhere(self) -> None: ...
 
 
@@ -122,6 +129,7 @@
         self._listener: socket.socket | None = None
         self._file_is: tuple[int, int] | None = None
         self._channels: list[Channel] = []
+        self._taking: list[socket.socket] = []  # the listener for streams, and those who give some
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -202,6 +210,7 @@
                 self._listener.listen()
                 self._file_is = _file(new)
                 os.rename(new, f"{folder}/{FILE}")
+                self._take_streams(folder)
             self._loop.add_reader(self._listener.fileno(), self._accept)
         except OSError as error:
             log.warning("handover cannot be offered", extra=pairs(why=error))
@@ -211,6 +220,54 @@
         for channel in self._channels:
             channel.say(ready=True)
 
+    def _take_streams(self, folder: str) -> None:
+        listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self._taking.append(listener)
+        listener.setblocking(False)
+        new = f"{folder}/{STREAMS}.{os.getpid()}"
+        with suppress(FileNotFoundError):
+            os.unlink(new)
+        listener.bind(new)
+        listener.listen(BACKLOG)
+        os.rename(new, f"{folder}/{STREAMS}")
+        self._loop.add_reader(listener.fileno(), self._accept_giver, listener)
+
+    def _accept_giver(self, listener: socket.socket) -> None:
+        with suppress(OSError):
+            giver, _ = listener.accept()
+            giver.setblocking(False)
+            self._taking.append(giver)
+            self._loop.add_reader(giver.fileno(), self._take_stream, giver)
+
+    def _take_stream(self, giver: socket.socket) -> None:
+        given: list[socket.socket] = []
+        try:
+            text, descriptors, _, _ = socket.recv_fds(giver, STREAM_MOST, 2)
+            given = [socket.socket(fileno=descriptor) for descriptor in descriptors]
+            if text:
+                caller, server = given
+                caller.setblocking(False)
+                server.setblocking(False)
+                self._node.adopt_stream(json.loads(text), caller, server)
+                return
+        except BlockingIOError:
+            return
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            log.warning("stream not adopted", extra=pairs(why=repr(error)))
+        for each in given:
+            each.close()
+        self._loop.remove_reader(giver.fileno())
+        self._taking.remove(giver)
+        giver.close()
+
+    def giver(self) -> Giver | None:
+        """A way to give answers under way to the process that follows; None where there is none."""
+        try:
+            return Giver(self._folder)
+        except OSError as error:
+            log.warning("streams can't move", extra=pairs(why=error))
+            return None
+
     def _accept(self) -> None:
         assert self._listener is not None
         try:
@@ -298,10 +355,41 @@
             with suppress(OSError), _short(self._folder) as folder:
                 if _file(f"{folder}/{FILE}") == self._file_is:  # else it is the next process's
                     os.unlink(f"{folder}/{FILE}")
+        for sock in self._taking:
+            self._loop.remove_reader(sock.fileno())
+            sock.close()
         for task in self._tasks:
             task.cancel()
 
 
+class Giver:
+    """Gives answers under way to the process that has the place now."""
+
+    def __init__(self, folder: str) -> None:
+        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_MOST)
+            self._sock.setblocking(False)
+            with _short(folder) as name:
+                self._sock.connect(f"{name}/{STREAMS}")
+        except OSError:
+            self._sock.close()
+            raise
+
+    def __call__(self, state: Mapping[str, Any], caller: socket.socket, server: socket.socket) -> bool:
+        try:
+            socket.send_fds(self._sock, [json.dumps(state).encode()], [caller.fileno(), server.fileno()])
+        except BlockingIOError:
+            raise  # for now: its queue is full
+        except OSError as error:
+            log.warning("stream can't move", extra=pairs(why=error))
+            return False
+        return True
+
+    def close(self) -> None:
+        self._sock.close()
+
+
 class _short:
     """A name of the folder short enough for a socket's address, however long its own is."""
 
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import replace
 from functools import partial
 
@@ -61,12 +62,14 @@
         ask: Ask,
         request: Request,
         upload: Upload | None = None,
+        left: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._decider = decider
         self._servers = servers
         self._counters = counters
         self._request = request
         self._upload = upload
+        self._left = left  # s until the node itself ends
         self._downloads: dict[int, Download] = {}
         self._after: asyncio.Task[None] | None = None
         self._limit: asyncio.Timeout | None = None
@@ -93,7 +96,7 @@
         if self._limit is not None:
             self._limit.reschedule(asyncio.get_running_loop().time() + self._answer_within)
         try:
-            self._decider.whole(self._ticket)
+            self._decider.whole(self._ticket, self._left())
         except Exception as error:
             self._fail(error)
 
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
@@ -23,7 +23,7 @@
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import OWN, Descriptors
 from notchjunction.net.discovery import Discovery, ServerList, Unusable, read_list
-from notchjunction.net.handover import Handover, Inherited
+from notchjunction.net.handover import Giver, Handover, Inherited
 from notchjunction.net.jobs import Job
 from notchjunction.net.logs import pairs
 from notchjunction.net.management import Management
@@ -42,6 +42,7 @@
 ANSWER_SHARE = 0.5  # of what is left kept for answers; until then callers that stay are served on
 LOOK_SPAN = 0.05  # s between looks whether a draining node has answered all
 LEAD_SPAN = 0.4  # s from a node's "not ready" until callers are parted with; they come for 0.3 s more
+MOVE_AFTER = 1.6  # s from SIGTERM until answers under way move; most have ended, and two seconds are left
 PART_SPAN = 0.6  # s of a drain's end in which callers that have just stood idle are left to part on an answer
 IDLE_LEAST = 0.5  # s that a caller may stand idle while it is led away: its next request brings its end
 
@@ -210,6 +211,11 @@
         assert self._handover is not None
         self._decider.share(1 + self._handover.others)
 
+    def adopt_stream(self, state: Mapping[str, Any], caller: socket.socket, server: socket.socket) -> None:
+        """An answer that the process before this one began to pass on."""
+        download = self._servers.adopt(state["answers"], server)
+        self._callers.adopt_stream(state, caller, download)
+
     def used_elsewhere(self) -> None:
         if self._handover is not None:
             others = self._handover.others * (OWN + management.DESCRIPTORS)
@@ -302,6 +308,7 @@
         longest = max((profile.abandon_time for profile in self._told.terms.profiles), default=LONGEST_MOST)
         span = KILL_AFTER - KILL_MARGIN + min(longest, LONGEST_MOST)
         self._end_at = self.now() + span
+        move_at = self.now() + MOVE_AFTER
         self._stop_leading()
         if self._handover is not None and self._handover.followed:
             # The node stays ready: the process that follows has the same queue of callers.
@@ -317,9 +324,22 @@
             await asyncio.sleep(LOOK_SPAN)
         self._callers.part()
         part_until = self.now() + PART_SPAN
+        giver: Giver | None = None
         while self._callers.connected:
-            self._callers.close_idle(IDLE_LEAST if self.now() < part_until else 0.0)
+            now = self.now()
+            self._callers.close_idle(IDLE_LEAST if now < part_until else 0.0)
+            followed = self._handover is not None and self._handover.followed
+            if followed and now >= move_at and giver is None:
+                # Guards against answers to slow readers that the end of this process would cut off.
+                move_at = math.inf
+                giver = self._handover.giver() if self._handover is not None else None
+                if giver is not None:
+                    self._callers.move_streams(giver)
+            if now >= self._end_at:
+                self._callers.turn_back_uploads()
             await asyncio.sleep(LOOK_SPAN)
+        if giver is not None:
+            giver.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -334,7 +354,8 @@
     def _take(self, ask: Ask, request: Request, upload: Upload | None) -> Job:
         # Guards against a job that the end of the node would leave unanswered.
         ask = replace(ask, time_left=min(ask.time_left, self._end_at - self.now()))
-        return Job(self._decider, self._servers, self.counters, ask, request, upload)
+        left = lambda: self._end_at - self.now()  # noqa: E731
+        return Job(self._decider, self._servers, self.counters, ask, request, upload, left)
 
     # Timers.
 
--- a/notchjunction/net/relay.py
+++ b/notchjunction/net/relay.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
+from typing import Any
 
 from notchjunction.http1.messages import Answer, Malformed
 from notchjunction.http1.parser import AnswerReader
@@ -83,33 +85,59 @@
     ) -> None:
         self.beginning = beginning
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.moved = False  # to another process of the node, with its connection
         self._streams = streams
         self._connection = connection
         self._answers = answers
-        self._over = False
+        self.over = False
         self._open = True
         streams.open += 1
 
-    async def piece(self) -> bytes:
-        """The next piece; an empty one at the end. Cut or Malformed where there is no such end."""
-        while not self._over:
-            piece, self._over = self._answers.piece()
-            if piece:
-                return piece
-            if not self._over:
-                await self._more()
-        return b""
-
-    async def _more(self) -> None:
+    def ready_piece(self) -> bytes:
+        """What has come and can be passed on; Malformed where it can't be read."""
+        if self.over:
+            return b""
+        piece, self.over = self._answers.piece()
+        return piece
+
+    @property
+    def socket(self) -> socket.socket:
+        return self._connection.socket
+
+    @property
+    def state(self) -> dict[str, Any]:
+        return self._answers.state()
+
+    def take_held(self) -> bool:
+        """Takes in what has come: only its state is held here then. False where its server has ended."""
+        held = self._connection.take_held()
+        if held is None:
+            return False
+        self._answers.feed(held)
+        return True
+
+    async def waits(self, until: asyncio.Event) -> None:
+        """Until more of the answer has come, or that event; Cut where neither does for long."""
+        reading: asyncio.Future[Any] = self._connection.start_reading(self._streams.piece())
+        told: asyncio.Future[Any] = asyncio.ensure_future(until.wait())
+        try:
+            await asyncio.wait({reading, told}, timeout=STALL_MOST, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            told.cancel()
+        if not reading.done() and not until.is_set():
+            raise Cut("nothing more comes")
+
+    def has_more(self) -> bool:
+        return self._connection.has_read()
+
+    async def more(self) -> None:
+        """Takes in what comes next; Cut where nothing does, and the answer is not over."""
         try:
-            async with asyncio.timeout(STALL_MOST):
-                self._answers.feed(await self._connection.read(self._streams.piece()))
-        except TimeoutError as error:
-            raise Cut("nothing more comes") from error
+            self._answers.feed(await self._connection.read(self._streams.piece()))
         except Cut as error:
             if not error.clean or not self._answers.sound_end():
                 raise
-            self._over = True
+            self.over = True
 
     def close(self, error: Cut | Malformed | None = None) -> None:
         """Nothing more will be pulled: the answer is over, or was given up for this error."""
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -5,10 +5,12 @@
 import asyncio
 import json
 import math
+import socket
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from statistics import median_high
+from typing import Any
 
 from notchjunction.decider import Ended
 from notchjunction.http1.messages import BODY_MOST, LARGE_MOST, Answer, Malformed, Request
@@ -170,7 +172,7 @@
                 download = Download(self._streams, connection, answers, answer)
                 begun(download)
                 await download.ended
-                keep = answers.kept()
+                keep = answers.kept() and not download.moved
         except NoDescriptor:
             result = Result.NEVER_SENT
         except NotSent:
@@ -193,6 +195,16 @@
         ended = Ended(result, seconds, read_load(report) if report else None)
         return Exchanged(ended, answer)
 
+    def adopt(self, state: Mapping[str, Any], opened: socket.socket) -> Download:
+        """The rest of an answer that another process of this node asked for; its connection ends with it."""
+        answers = AnswerReader()
+        answers.go_on(state)
+        connection = Connection(("", 0), opened)
+        self._descriptors.take()
+        download = Download(self._streams, connection, answers, Answer(200, more=True))
+        download.ended.add_done_callback(lambda _: self._close(connection))
+        return download
+
     def _may_be_kept(self, request: Request) -> bool:
         """Guards against jobs lost where servers end kept connections unheard: the next request is reset."""
         return request.method == "GET" or self._clock() - self._reset_at > DOUBT_SPAN
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -170,12 +170,12 @@
         left = held.abandon_end - now
         self._after(max(left - self._guard, left / 2), lambda: self._tell(held.id, Input.LAST_CALL))
 
-    def whole(self, job: int) -> None:
+    def whole(self, job: int, most: float = math.inf) -> None:
         """A large job's last byte has come: its time and load count from now, and it is not sent again."""
         held, now = self._held.get(job), self._host.now()
         if held is not None and not held.whole:
             held.contract_end += now - held.taken_at
-            held.abandon_end += now - held.taken_at
+            held.abandon_end = min(held.abandon_end + now - held.taken_at, now + most)
             held.whole, held.most = True, 0
             for dispatch in held.sent:
                 if dispatch.out:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,14 @@
 from notchjunction.net import handover
 from notchjunction.net import node as node_module
 
-SPANS = {"LISTEN_ON": 0.05, "LOOK_SPAN": 0.005, "LEAD_SPAN": 0.05, "PART_SPAN": 0.05, "IDLE_LEAST": 0.03}
+SPANS = {
+    "LISTEN_ON": 0.05,
+    "LOOK_SPAN": 0.005,
+    "LEAD_SPAN": 0.05,
+    "PART_SPAN": 0.05,
+    "IDLE_LEAST": 0.03,
+    "MOVE_AFTER": 0.1,
+}
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -20,7 +20,8 @@
 from notchjunction.http1.messages import Malformed, Request
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
-from notchjunction.net import callers, connections, relay
+from notchjunction.net import callers, connections, handover, relay
+from notchjunction.net import node as node_module
 from notchjunction.net.connections import Address
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
@@ -717,3 +718,181 @@
             await nothing_left(node)
 
     run(story())
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks", "end"])
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("held", ["caller", "server"])
+def test_an_answer_under_way_moves_to_the_process_that_follows(
+    framing: str, version: str, held: str, tmp_path: Path
+) -> None:
+    """A caller that reads slowly, or a server that pauses, outlasts the process that began the answer."""
+
+    async def story() -> None:
+        go_on = asyncio.Event()
+
+        async def large(talk: Talk) -> None:
+            await talk.request()
+            head = {"length": b"Content-Length: %d" % (8 * MB), "chunks": b"Transfer-Encoding: chunked"}
+            await talk.send(b"HTTP/1.1 200 OK\r\n" + head.get(framing, b"X: y") + b"\r\n\r\n")
+            for number in range(8):
+                if number == 1 and held == "server":
+                    await go_on.wait()
+                framed = b"%x\r\n%b\r\n" % (MB, BODY) if framing == "chunks" else BODY
+                await talk.send(framed)
+            await talk.send(b"0\r\n\r\n" if framing == "chunks" else b"")
+            if framing != "end":
+                await talk.reader.read()
+
+        async with served(large, shared=tmp_path) as (old, address, _):
+            caller = await Caller().open(address)
+            caller.begin(version=version)
+            await caller._reader.readuntil(b"\r\n\r\n")
+            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.002)
+                old.stop()
+                while old._callers.connected:  # all its callers are gone, this one among them
+                    await asyncio.sleep(0.005)
+                assert old.counters.read()["streams_moved"] == new.counters.read()["streams_adopted"] == 1
+                go_on.set()
+                wanted, found = BODY * 8, bytearray()
+                if framing == "length" or version == "1.0":
+                    found += await caller._reader.readexactly(len(wanted))
+                else:
+                    while line := (await caller._reader.readline()).strip():
+                        size = int(line, 16)
+                        found += await caller._reader.readexactly(size)
+                        await caller._reader.readexactly(2)
+                        if size == 0:
+                            break
+                assert bytes(found) == wanted
+                if version == "1.0":
+                    assert await caller.closed()
+                while new.counters.read()["streams_open"]:
+                    await asyncio.sleep(0.002)
+                caller.writer.close()
+                while new._descriptors.held:
+                    await asyncio.sleep(0.002)
+                assert not new.counters.read().get("failures") and not old.counters.read().get("failures")
+
+    run(story())
+
+
+def test_a_moved_answer_that_breaks_off_is_told_as_broken(tmp_path: Path) -> None:
+    async def story() -> None:
+        go_on = asyncio.Event()
+
+        async def breaks(talk: Talk) -> None:
+            await talk.request()
+            await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (8 * MB), BODY)
+            await go_on.wait()
+            talk.reset()
+
+        async with served(breaks, shared=tmp_path) as (old, address, _):
+            caller = await Caller().open(address)
+            caller.begin()
+            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.002)
+                old.stop()
+                while not new.counters.read().get("streams_adopted"):
+                    await asyncio.sleep(0.002)
+                go_on.set()
+                status, body, whole = await caller.whole()
+                assert status == 200 and not whole and len(body) <= MB
+                while new._descriptors.held or new.counters.read()["streams_open"]:
+                    await asyncio.sleep(0.002)
+                assert new.counters.read()["streams_cut"] == 1
+
+    run(story())
+
+
+def test_an_answer_stays_where_no_process_can_take_it(tmp_path: Path) -> None:
+    async def story() -> None:
+        go_on = asyncio.Event()
+
+        async def pauses(talk: Talk) -> None:
+            await talk.request()
+            await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * MB), BODY)
+            await go_on.wait()
+            await talk.send(BODY)
+
+        async with served(pauses, shared=tmp_path) as (old, address, _):
+            caller = await Caller().open(address)
+            caller.begin(left=3000)
+            async with running(shared=tmp_path, listen=address, known=False):
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.002)
+                (tmp_path / handover.STREAMS).unlink()
+                old.stop()
+                await asyncio.sleep(0.3)
+                go_on.set()
+                status, body, whole = await caller.whole()
+                assert (status, body == BODY * 2, whole) == (200, True, True)
+
+    run(story())
+
+
+def test_a_body_that_is_not_whole_by_the_nodes_end_is_turned_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_module, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
+
+    async def story() -> None:
+        ran = []
+
+        async def counts(talk: Talk) -> None:
+            ran.append(await talk.request())
+
+        async with served(counts) as (node, address, _):
+            caller = await Caller().open(address)
+            caller.begin(BODY)
+            caller.send(BODY[:200_000])
+            while not node.counters.read().get("dispatches_first"):
+                await asyncio.sleep(0.002)
+            node.stop()
+            answer = await caller.answer()
+            assert answer.status == 503 and not answer.keep
+            assert not ran
+
+    run(story())
+
+
+def test_many_answers_move_though_the_way_is_full_at_times(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    tries: list[bool] = []
+    gives = handover.Giver.__call__
+
+    def full_at_first(giver: handover.Giver, *stream: Any) -> bool:
+        tries.append(len(tries) % 3 == 2)
+        if not tries[-1]:
+            raise BlockingIOError
+        return gives(giver, *stream)
+
+    monkeypatch.setattr(handover.Giver, "__call__", full_at_first)
+
+    async def story() -> None:
+        async def large(talk: Talk) -> None:
+            await talk.request()
+            await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (4 * MB), BODY * 4)
+            await talk.reader.read()
+
+        async with served(large, large, large, shared=tmp_path) as (old, address, _):
+            opened = [await Caller().open(address) for _ in range(6)]
+            for caller in opened:
+                caller.begin()
+            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
+                while old.counters.read().get("answers_streamed", 0) < 3:
+                    await asyncio.sleep(0.002)
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.002)
+                old.stop()
+                for caller in opened:
+                    status, body, whole = await caller.whole()
+                    assert whole and (status, len(body)) in ((200, 4 * MB), (503, 0))
+                while old._callers.connected:
+                    await asyncio.sleep(0.002)
+                moved = old.counters.read().get("streams_moved", 0)
+                assert new.counters.read().get("streams_adopted", 0) == moved == sum(tries)
+
+    run(story())
