--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -754,6 +754,8 @@
                 old.stop()
                 while old._callers.connected:  # all its callers are gone, this one among them
                     await asyncio.sleep(0.005)
+                while not new.counters.read().get("streams_adopted"):
+                    await asyncio.sleep(0.005)
                 assert old.counters.read()["streams_moved"] == new.counters.read()["streams_adopted"] == 1
                 go_on.set()
                 wanted, found = BODY * 8, bytearray()
@@ -893,6 +895,8 @@
                 while old._callers.connected:
                     await asyncio.sleep(0.002)
                 moved = old.counters.read().get("streams_moved", 0)
-                assert new.counters.read().get("streams_adopted", 0) == moved == sum(tries)
+                while new.counters.read().get("streams_adopted", 0) < moved:
+                    await asyncio.sleep(0.005)
+                assert moved == sum(tries)
 
     run(story())
