--- a/notchjunction/lab/cli.py
+++ b/notchjunction/lab/cli.py
@@ -120,14 +120,15 @@
 def report(file: Path, results: Path, into: Path) -> None:
     """Make tables and charts of an experiment's results; runs that are missing are said, not made up."""
     found = experiment_in(file)
-    wanted = {(s.name, v, n) for s in found.scenarios for v in found.variants for n in found.seeds}
+    wanted = [(s.name, v, n) for s in found.scenarios for v in found.variants for n in found.seeds]
     rows = [json.loads(each.read_text(encoding="utf-8")) for each in sorted(results.glob("*.json"))]
-    rows = [row for row in rows if (row["scenario"], row["variant"], row["seed"]) in wanted]
-    revisions = sorted({row["revision"] for row in rows})
+    revisions = sorted({row["revision"] for row in rows if _name(row) in wanted})
     if len(revisions) > 1:
         raise click.ClickException(
             f"results of {len(revisions)} revisions in one folder: {', '.join(revisions)}"
         )
+    by = {_name(row): row for row in rows}
+    rows = [by[each] for each in wanted if each in by]
     if not rows:
         raise click.ClickException(f"no results of {found.name} in {results}")
     into.mkdir(parents=True, exist_ok=True)
@@ -137,6 +138,10 @@
     click.echo(f"{len(rows)} of {len(wanted)} runs, revision {revisions[0]}; {2 + len(made)} files in {into}")
 
 
+def _name(row: dict[str, Any]) -> tuple[str, str, int]:
+    return row["scenario"], row["variant"], row["seed"]
+
+
 @main.command()
 @click.option("--to", "address", required=True, help="HOST:PORT of a node, on this machine.")
 @click.option("--profile", default="lookup", show_default=True)
