--- a/notchjunction/checks.py
+++ b/notchjunction/checks.py
@@ -129,13 +129,18 @@
     return found
 
 
-def check(found: Mapping[str, Any], before: Mapping[str, Any] | None = None) -> None:
-    """Raises Unfit with all errors; `before` is the one in force, no key of which may be missing."""
-    errors: list[str] = []
+def errors_of(schema: Schema, found: object) -> list[str]:
+    """All that a schema has against a value, each with its place."""
     try:
-        SCHEMA(dict(found))
+        schema(found)
     except MultipleInvalid as invalid:
-        errors = [f"{place(error.path)}: {error.msg}" for error in invalid.errors]
+        return [f"{place(error.path)}: {error.msg}" for error in invalid.errors]
+    return []
+
+
+def check(found: Mapping[str, Any], before: Mapping[str, Any] | None = None) -> None:
+    """Raises Unfit with all errors; `before` is the one in force, no key of which may be missing."""
+    errors = errors_of(SCHEMA, dict(found))
     for missing in _missing(before or {}, found, ()):
         # Guards against a file short of a key: what it said would silently fall back to a reading of our own.
         line = f"{place(missing)}: in force, and missing"
--- a/notchjunction/lab/files.py
+++ b/notchjunction/lab/files.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 from typing import Any
 
-from voluptuous import All, In, Length, MultipleInvalid, Optional, Range, Required, Schema
+from voluptuous import All, In, Length, Optional, Range, Required, Schema
 
-from notchjunction.checks import ABOVE_0, FROM_0, WORD, Unfit, place, whole_number
+from notchjunction.checks import ABOVE_0, FROM_0, WORD, Unfit, errors_of, whole_number
 from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream
 from notchjunction.interface import Effect, Group, Profile
 from notchjunction.lab.baselines import VARIANTS
@@ -82,10 +82,8 @@
         told = tomllib.loads(file.read_text(encoding="utf-8"))
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise Unfit([str(error)]) from error
-    try:
-        EXPERIMENT(told)
-    except MultipleInvalid as invalid:
-        raise Unfit([f"{place(error.path)}: {error.msg}" for error in invalid.errors]) from invalid
+    if malformed := errors_of(EXPERIMENT, told):
+        raise Unfit(malformed)
     errors = [
         error for i, row in enumerate(told["scenarios"]) for error in _contradictions(f"scenarios.{i}", row)
     ]
--- a/notchjunction/lab/runs.py
+++ b/notchjunction/lab/runs.py
@@ -67,7 +67,7 @@
     first_at: dict[int, float] = {}
     profile_of: dict[int, int] = {}
     tries: dict[tuple[int, int], int] = {}
-    answered: dict[int, tuple[float, Final]] = {}
+    honoured_at: dict[int, float] = {}
     counts: Counter[str] = Counter()
     for row in story.rows:
         if isinstance(row, Taken):
@@ -81,9 +81,8 @@
             counts["probes"] += 1
         elif isinstance(row, Answered):
             counts[row.final.name.lower()] += 1
-            first = tries[row.node, row.job]
             if row.final is Final.HONOURED:
-                answered.setdefault(first, (row.at, row.final))
+                honoured_at.setdefault(tries[row.node, row.job], row.at)
     worth = earned = 0.0
     course: dict[int, list[float]] = {}
     longest = max(profile.abandon_time for profile in story.profiles)
@@ -92,11 +91,10 @@
         if at > story.ended_at - longest:
             continue  # its answer may still be due
         profile = story.profiles[profile_of[first]]
-        took = answered[first][0] - at if first in answered else None
-        if took is not None:
-            seconds.append(took)
         gain = 0.0
-        if took is not None:
+        if first in honoured_at:
+            took = honoured_at[first] - at
+            seconds.append(took)
             gain = profile.revenue * (1.0 if took <= profile.contract_time else profile.late_share)
         worth += profile.revenue
         earned += gain
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -376,7 +376,7 @@
             self._callers.counters.add("answered_turned_back")
             return None, Answer(503)
         self._callers.ids.add(job_id)
-        upload = Upload(self._callers.streams, request.length) if request.more else None
+        upload = Upload(self._callers.streams) if request.more else None
         try:
             job = self._callers.take(ask, request, upload)
             self._job, self._upload = job, upload
@@ -443,11 +443,8 @@
             await self._write(encode_answer(replace(beginning, keep=keep), chunks))
             return await self._pump(download, length, chunks, keep)
         except (Cut, Malformed) as error:
-            # Not whole through no fault of the node's: the caller can tell, by the end that is missing.
             download.close(error)
-            if length is None and not chunks:
-                self._reset()
-            raise StreamClosedError from error
+            raise self._broken_off(length, chunks) from error
         except BaseException:
             job.withdraw()
             raise
@@ -530,9 +527,7 @@
             keep = await self._pump(download, length, chunks, bool(state["keep"]))
         except (Cut, Malformed) as error:
             self._callers.counters.add("streams_cut")
-            if length is None and not chunks:
-                self._reset()
-            raise StreamClosedError from error
+            raise self._broken_off(length, chunks) from error
         finally:
             download.close()
         self._busy = False
@@ -546,9 +541,13 @@
             self._turned_back = True
             self._job.withdraw()
 
-    def _reset(self) -> None:
-        with suppress(OSError):
-            self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    def _broken_off(self, length: int | None, chunks: bool) -> StreamClosedError:
+        """Not whole through no fault of the node's: the caller can tell, by the end that is missing."""
+        if length is None and not chunks:
+            # The end of the connection would pass for that of the answer: it is reset.
+            with suppress(OSError):
+                self._stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        return StreamClosedError()
 
     def _cast_off(self) -> bool:
         try:
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -18,9 +18,7 @@
 
 Address = tuple[str, int]
 PIECE = 64 * 1024  # bytes read at once
-HOLD_SPAN = (
-    0.3  # s after its head for which an answer that may be large is held, to be whole or known as spoilt
-)
+HOLD_SPAN = 0.3  # s after its head that an answer which may be large is held; it may be short, or spoilt
 BUFFER_MOST = 2 * (BODY_MOST + HEAD_MOST)  # bytes kept of either direction; a message and some of the next
 
 
@@ -138,13 +136,12 @@
 
     async def _write_rest(self, request: Request, rest: Body, answers: AnswerReader) -> Answer | None:
         """The body's pieces; the answer, if one comes before the body's end, which ends the writing."""
-        if self._reading is None:
-            self._reading = read_piece(self._stream)
+        reading = self.start_reading()
         step: asyncio.Task[bool] | None = None
         try:
             while True:
                 step = step or asyncio.create_task(self._write_piece(request, rest))
-                either: set[asyncio.Future[Any]] = {step, self._reading}
+                either: set[asyncio.Future[Any]] = {step, reading}
                 await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
                 if step.done():
                     more, step = step.result(), None
@@ -156,7 +153,7 @@
                 early = answers.next()
                 if early is not None:
                     return replace(early, keep=False)
-                self._reading = read_piece(self._stream)
+                reading = self.start_reading()
         except Cut as error:
             raise NotSent(str(error)) from error
         finally:
@@ -177,7 +174,7 @@
         found: socket.socket = self._stream.socket
         return found
 
-    def start_reading(self, most: int) -> asyncio.Future[bytes]:
+    def start_reading(self, most: int = PIECE) -> asyncio.Future[bytes]:
         """A read that goes on until `read` takes it; while it does, nothing that came is held here."""
         if self._reading is None:
             self._reading = read_piece(self._stream, most)
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -310,7 +310,8 @@
         self._end_at = self.now() + span
         move_at = self.now() + MOVE_AFTER
         self._stop_leading()
-        if self._handover is not None and self._handover.followed:
+        handover = self._handover
+        if handover is not None and handover.followed:
             # The node stays ready: the process that follows has the same queue of callers.
             self._callers.stop(shared_queue=True)
             serve_until = self.now()
@@ -328,11 +329,10 @@
         while self._callers.connected:
             now = self.now()
             self._callers.close_idle(IDLE_LEAST if now < part_until else 0.0)
-            followed = self._handover is not None and self._handover.followed
-            if followed and now >= move_at and giver is None:
+            if handover is not None and handover.followed and now >= move_at:
                 # Guards against answers to slow readers that the end of this process would cut off.
-                move_at = math.inf
-                giver = self._handover.giver() if self._handover is not None else None
+                move_at = math.inf  # it is tried once
+                giver = handover.giver()
                 if giver is not None:
                     self._callers.move_streams(giver)
             if now >= self._end_at:
@@ -344,8 +344,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._management.close()
-        if self._handover is not None:
-            self._handover.close()
+        if handover is not None:
+            handover.close()
         self._discovery.close()
         self._servers.close()
         self._print_counters()
--- a/notchjunction/net/relay.py
+++ b/notchjunction/net/relay.py
@@ -29,8 +29,7 @@
 class Upload:
     """A request's body that goes on. Its beginning is kept; the rest is held only until it is sent on."""
 
-    def __init__(self, streams: Streams, length: int | None) -> None:
-        self.length = length
+    def __init__(self, streams: Streams) -> None:
         self.spent = False  # whether more than the beginning was given out: it can't be sent again
         self.ended = False  # whether the caller's last byte has come
         self._streams = streams
