Early answers outlast a slow body, moved answers are let go at once, an ending process stands in

Once an answer that had moved broke off: the old process let its connection go a step after giving it away (callers.py _move, servers.py _exchange), and an event already due read bytes there. A follower that died after the old process had closed the listener left nobody at the address (node.py _drain), and one that died earlier left a dead socket in TMPDIR. Change: net/ending.py, the table of a process's end, with standing in; the listener stays open while another process has the same queue; the place is taken again; a body is read to its end after an early answer; a moved connection closes in the same step. Ruled out: cuts by the kill (drains ended 0.3 s before it), closes of idle callers over unread bytes (none), the state that moves.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -113,14 +113,27 @@
         for listener in listeners:
             self._loop.add_reader(listener.fileno(), self._accept, listener)
 
-    def stop(self, shared_queue: bool = False) -> None:
-        """Lets nobody in from now on but those who wait, unless another process has the same queue."""
-        while self.listeners:
-            listener = self.listeners.pop()
+    def pause(self) -> None:
+        """Lets nobody in; another process has the same queue, which outlives it while it is open here too."""
+        for listener in self.listeners:
             self._loop.remove_reader(listener.fileno())
+
+    def go_on(self) -> None:
+        """Lets callers in again after a pause."""
+        self.adopt(self.listeners)
+
+    def stop(self) -> None:
+        """Lets nobody in from now on but those who wait."""
+        for listener in self.listeners:
             # Guards against a reset for each that waits: closing a listener ends them unheard.
-            while not shared_queue and self._accept(listener) == ACCEPT_MOST:
+            while self._accept(listener) == ACCEPT_MOST:
                 pass
+        self.close_listeners()
+
+    def close_listeners(self) -> None:
+        while self.listeners:
+            listener = self.listeners.pop()
+            self._loop.remove_reader(listener.fileno())
             listener.close()
 
     def _accept(self, listener: socket.socket) -> int:
@@ -239,6 +252,8 @@
         self._upload: Upload | None = None
         self._queued = 0  # bytes written so far, whether or not the operating system has taken them
         self._stays = False  # whether its answer can't move to another process
+        self._at_fault = False  # sent what is no job: nothing more of it is read
+        self._discards = False  # has its answer; the rest of its body is read
         self._turned_back = False  # as the node ends before its body is whole
         callers.silent[self] = self._came_at
         # The first request is due by the time of connecting: bytes that drip in do not renew it.
@@ -258,8 +273,12 @@
                 return
             self._busy = True
             keep = await self._respond(request)
-            if self._requests.going and keep:
+            if self._requests.going and not (self._at_fault or self._full or self._turned_back):
+                # Also where the connection ends after it: a close would destroy the answer on its way to a
+                # caller that reads it only once all of its body is sent.
+                self._discards = True
                 await self._discard()
+                self._discards = False
             self._busy = False
             self._rest()
             if self._requests.begun:
@@ -513,7 +532,7 @@
             self._stays = False  # the other process is still busy with those before it
             return False
         self._callers.counters.add("streams_moved")
-        download.moved = True
+        download.move()
         return True
 
     async def resume(self, state: Mapping[str, Any], download: Download) -> None:
@@ -536,6 +555,8 @@
             await self.converse()
 
     def turn_back_upload(self) -> None:
+        if self._discards:
+            self._stream.close()
         under_way = self._upload is not None and not self._upload.ended
         if under_way and self._job is not None and not self._turned_back:
             self._turned_back = True
@@ -590,6 +611,7 @@
     def _bad(self, status: int) -> Answer:
         """An error that the caller made: said once, and the connection is not used further."""
         self._callers.counters.add("bad_requests")
+        self._at_fault = True
         return Answer(status, keep=False)
 
     async def _write(self, wire: bytes) -> None:
--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -129,6 +129,7 @@
         self._listener: socket.socket | None = None
         self._file_is: tuple[int, int] | None = None
         self._channels: list[Channel] = []
+        self._succeeded = False  # by a process that came after the one which followed
         self._taking: list[socket.socket] = []  # the listener for streams, and those who give some
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -139,7 +140,7 @@
     @property
     def followed(self) -> bool:
         """Whether another process is ready to serve in this one's place."""
-        return any(channel.ready for channel in self._channels)
+        return self._succeeded or any(channel.ready for channel in self._channels)
 
     def used_elsewhere(self, what: str) -> int:
         return sum(int(channel.usage.get(what, 0)) for channel in self._channels)
@@ -198,6 +199,7 @@
 
     def offer(self) -> None:
         """From now on the next process finds this one; whatever lay in its place is replaced at one go."""
+        self._withdraw()
         try:
             self._listener = socket.socket(socket.AF_UNIX)
             self._listener.setblocking(False)
@@ -220,6 +222,18 @@
         for channel in self._channels:
             channel.say(ready=True)
 
+    def _take_place_again(self) -> None:
+        """The process that followed has gone; unless yet another serves, the next one finds this one."""
+        try:
+            with _short(self._folder) as folder:
+                ours = _file(f"{folder}/{FILE}") == self._file_is
+            if not ours:
+                Giver(self._folder).close()
+                self._succeeded = True
+        except OSError:
+            # Guards against a next process that finds a dead one's socket, and no bans.
+            self.offer()
+
     def _take_streams(self, folder: str) -> None:
         listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         self._taking.append(listener)
@@ -336,6 +350,8 @@
                 self._node.others_changed()
                 self._node.used_elsewhere()
                 log.info("the other process has gone", extra=pairs(others=self.others))
+                if channel.ready and not self.followed:
+                    self._take_place_again()
 
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
@@ -347,7 +363,8 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             self._counters.add_failure("handover failed in the node", error)
 
-    def close(self) -> None:
+    def _withdraw(self) -> None:
+        """Nobody finds this process from now on."""
         if self._listener is not None:
             self._loop.remove_reader(self._listener.fileno())
             self._listener.close()
@@ -355,9 +372,16 @@
             with suppress(OSError), _short(self._folder) as folder:
                 if _file(f"{folder}/{FILE}") == self._file_is:  # else it is the next process's
                     os.unlink(f"{folder}/{FILE}")
-        for sock in self._taking:
+        while self._taking:
+            sock = self._taking.pop()
             self._loop.remove_reader(sock.fileno())
             sock.close()
+
+    def close(self) -> None:
+        channels, self._channels = self._channels, []
+        for channel in channels:
+            channel.close()
+        self._withdraw()
         for task in self._tasks:
             task.cancel()
 
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -23,6 +23,8 @@
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import OWN, Descriptors
 from notchjunction.net.discovery import Discovery, ServerList, Unusable, read_list
+from notchjunction.net.ending import Effect as Do
+from notchjunction.net.ending import Ending
 from notchjunction.net.handover import Giver, Handover, Inherited
 from notchjunction.net.jobs import Job
 from notchjunction.net.logs import pairs
@@ -35,14 +37,8 @@
 log = logging.getLogger(__name__)
 
 SWEEP_SPAN = 1.0  # s between looks at idle connections; short against the time they may stand idle
-LISTEN_ON = 0.6  # s that new callers are let in after SIGTERM; they go on coming for 0.4 s
-KILL_AFTER = 0.7  # s, and the longest abandon time, from SIGTERM to the least that a SIGKILL may come
-LONGEST_MOST = 3.0  # s of that abandon time at most
-KILL_MARGIN = 0.3  # s before it by which all is answered; the loop may be late
-ANSWER_SHARE = 0.5  # of what is left kept for answers; until then callers that stay are served on
 LOOK_SPAN = 0.05  # s between looks whether a draining node has answered all
 LEAD_SPAN = 0.4  # s from a node's "not ready" until callers are parted with; they come for 0.3 s more
-MOVE_AFTER = 1.6  # s from SIGTERM until answers under way move; most have ended, and two seconds are left
 PART_SPAN = 0.6  # s of a drain's end in which callers that have just stood idle are left to part on an answer
 IDLE_LEAST = 0.5  # s that a caller may stand idle while it is led away: its next request brings its end
 
@@ -305,52 +301,60 @@
 
     async def _drain(self) -> None:
         log.info("drain", extra=pairs(held=self._decider.held, callers=self._callers.connected))
-        longest = max((profile.abandon_time for profile in self._told.terms.profiles), default=LONGEST_MOST)
-        span = KILL_AFTER - KILL_MARGIN + min(longest, LONGEST_MOST)
-        self._end_at = self.now() + span
-        move_at = self.now() + MOVE_AFTER
+        longest = max((profile.abandon_time for profile in self._told.terms.profiles), default=math.inf)
+        ending = Ending(self.now(), longest)
+        self._end_at = ending.end_at
         self._stop_leading()
-        handover = self._handover
-        if handover is not None and handover.followed:
-            # The node stays ready: the process that follows has the same queue of callers.
-            self._callers.stop(shared_queue=True)
-            serve_until = self.now()
-        else:
-            self._callers.drain()
-            await asyncio.sleep(LISTEN_ON)
-            self._callers.stop()
-            # Guards against callers that have nowhere to go yet, as where another node is still starting.
-            serve_until = self._end_at - span * ANSWER_SHARE
-        while self._callers.connected and self.now() < serve_until:
-            await asyncio.sleep(LOOK_SPAN)
-        self._callers.part()
-        part_until = self.now() + PART_SPAN
+        part_until = math.inf
         giver: Giver | None = None
-        while self._callers.connected:
-            now = self.now()
-            self._callers.close_idle(IDLE_LEAST if now < part_until else 0.0)
-            if handover is not None and handover.followed and now >= move_at:
-                # Guards against answers to slow readers that the end of this process would cut off.
-                move_at = math.inf  # it is tried once
-                giver = handover.giver()
-                if giver is not None:
-                    self._callers.move_streams(giver)
-            if now >= self._end_at:
-                self._callers.turn_back_uploads()
-            await asyncio.sleep(LOOK_SPAN)
+        while not ending.over:
+            handover, now = self._handover, self.now()
+            for effect in ending.look(now, self._followed(), self._callers.connected):
+                match effect:
+                    case Do.LEAD:
+                        self._callers.drain()
+                    case Do.YIELD:
+                        self._callers.pause()
+                        self._callers.part()
+                        part_until = now + PART_SPAN
+                    case Do.TAKE_BACK:
+                        log.warning("the process that followed has gone", extra=pairs(left=ending.left(now)))
+                        self._callers.serve()
+                        self._callers.go_on()
+                        part_until = math.inf
+                    case Do.CLOSE:
+                        self._callers.stop()
+                    case Do.PART:
+                        self._callers.part()
+                        part_until = now + PART_SPAN
+                    case Do.MOVE if handover is not None and giver is None:
+                        # Guards against answers to slow readers that the end of this process would cut off.
+                        giver = handover.giver()
+                        if giver is not None:
+                            self._callers.move_streams(giver)
+                    case Do.TURN_BACK:
+                        self._callers.turn_back_uploads()
+            if part_until < math.inf:
+                self._callers.close_idle(IDLE_LEAST if now < part_until else 0.0)
+            if not ending.over:
+                await asyncio.sleep(LOOK_SPAN)
         if giver is not None:
             giver.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._management.close()
-        if handover is not None:
-            handover.close()
+        if self._handover is not None:
+            self._handover.close()
+        self._callers.close_listeners()
         self._discovery.close()
         self._servers.close()
         self._print_counters()
         log.info("exit", extra=pairs(held=self._decider.held))
 
+    def _followed(self) -> bool:
+        return self._handover is not None and self._handover.followed
+
     def _take(self, ask: Ask, request: Request, upload: Upload | None) -> Job:
         # Guards against a job that the end of the node would leave unanswered.
         ask = replace(ask, time_left=min(ask.time_left, self._end_at - self.now()))
--- a/notchjunction/net/relay.py
+++ b/notchjunction/net/relay.py
@@ -138,6 +138,12 @@
                 raise
             self.over = True
 
+    def move(self) -> None:
+        """Another process has the connection and reads on from here."""
+        self.moved = True
+        # At once: an event that is already due would read here what the other process waits for.
+        self._connection.close()
+
     def close(self, error: Cut | Malformed | None = None) -> None:
         """Nothing more will be pulled: the answer is over, or was given up for this error."""
         if self._open:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,16 +4,14 @@
 
 import pytest
 
-from notchjunction.net import handover
+from notchjunction.net import ending, handover
 from notchjunction.net import node as node_module
 
 SPANS = {
-    "LISTEN_ON": 0.05,
     "LOOK_SPAN": 0.005,
     "LEAD_SPAN": 0.05,
     "PART_SPAN": 0.05,
     "IDLE_LEAST": 0.03,
-    "MOVE_AFTER": 0.1,
 }
 
 
@@ -21,5 +19,7 @@
 def _short_spans(monkeypatch: pytest.MonkeyPatch) -> None:
     for name, span in SPANS.items():
         monkeypatch.setattr(node_module, name, span)
-    monkeypatch.setattr(node_module, "ANSWER_SHARE", 1.0)
+    monkeypatch.setattr(ending, "LISTEN_ON", 0.05)
+    monkeypatch.setattr(ending, "MOVE_AFTER", 0.1)
+    monkeypatch.setattr(ending, "ANSWER_SHARE", 1.0)
     monkeypatch.setattr(handover, "TOLD_EVERY", 0.005)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -17,11 +18,10 @@
 
 import pytest
 
-from notchjunction.http1.messages import Malformed, Request
+from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
-from notchjunction.net import callers, connections, handover, relay
-from notchjunction.net import node as node_module
+from notchjunction.net import callers, connections, ending, handover, relay
 from notchjunction.net.connections import Address
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
@@ -837,7 +837,7 @@
 
 
 def test_a_body_that_is_not_whole_by_the_nodes_end_is_turned_back(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(node_module, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
+    monkeypatch.setattr(ending, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
 
     async def story() -> None:
         ran = []
@@ -900,3 +900,47 @@
                 assert moved == sum(tries)
 
     run(story())
+
+
+@pytest.mark.parametrize("last", ["the node parts", "the caller says close"])
+def test_an_early_answer_does_not_end_the_connection_over_a_body_that_still_comes(last: str) -> None:
+    """The node has turned the job back; a slow caller reads that only once all of its body is sent."""
+
+    async def story() -> None:
+        async with served() as (node, address, _):
+            if last == "the node parts":
+                node._callers.part()
+            caller = await Caller().open(address)
+            extra = "Connection: close\r\n" if last != "the node parts" else ""
+            caller.ask("POST", extra=f"{extra}Transfer-Encoding: chunked\r\n")
+            caller.send(b"%x\r\n%b" % (MB, BODY[:100_000]))
+            answer = await caller.answer()
+            assert (answer.status, answer.keep) == (503, False)
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await caller._reader.read(1)
+            caller.send(BODY[100_000:] + b"\r\n0\r\n\r\n")
+            assert await caller.closed()
+
+    run(story())
+
+
+def test_nothing_of_an_answer_is_read_here_once_it_has_moved() -> None:
+    """An event that is already due comes after the move: what it tells of belongs to the other process."""
+
+    async def story() -> None:
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        kept = ours.dup()
+        connection = connections.Connection(("", 0), ours)
+        download = relay.Download(Streams(), connection, AnswerReader(), Answer(200, more=True))
+        assert download.take_held()
+        theirs.send(b"more")
+        download.move()
+        connection._stream._handle_events(ours.fileno(), 1)  # readable
+        assert kept.recv(10) == b"more"
+        download.close()
+        kept.close()
+        theirs.close()
+
+    run(story())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,8 +19,7 @@
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence, Result
-from notchjunction.net import callers, discovery, node_input
-from notchjunction.net import node as node_module
+from notchjunction.net import callers, discovery, ending, node_input
 from notchjunction.net.connections import Connection, NotSent
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
@@ -1051,7 +1050,7 @@
 def test_a_draining_node_serves_on_callers_that_stay_and_takes_no_job_past_its_own_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(node_module, "ANSWER_SHARE", 0.8)
+    monkeypatch.setattr(ending, "ANSWER_SHARE", 0.8)
 
     async def story() -> None:
         async with Peer() as peer, running(peer) as (node, address):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,11 +15,11 @@
 
 import pytest
 
-from notchjunction.net import handover
+from notchjunction.net import ending, handover
 from notchjunction.net.connections import Address
 from notchjunction.net.descriptors import OWN
 from notchjunction.net.node import Node
-from tests.helpers import SILENT, Client, Peer, call, configuration, free_address, rows, running
+from tests.helpers import OK, SILENT, Client, Peer, call, configuration, free_address, rows, running
 from tests.test_net import run
 from tests.test_operations import ask_ready
 
@@ -301,6 +301,83 @@
     run(story())
 
 
+def test_a_process_that_ends_serves_on_where_the_one_that_followed_dies_late(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has stopped letting callers in, and still holds a job; nobody else is left at the address."""
+    monkeypatch.setattr(ending, "KILL_AFTER", 8.0)
+    monkeypatch.setattr(ending, "ANSWER_SHARE", 0.1)
+
+    async def story() -> None:
+        mgmt2, mgmt3 = free_address(), free_address()
+        async with Peer(SILENT) as peer, Peer() as place, AsyncExitStack() as stack:
+            told = configuration(place.at)
+            told["known"] = {"index": 1, "snapshot": True, "endpoints": rows(peer)}
+            (tmp_path / "told.json").write_text(json.dumps(told))
+            first = AsyncExitStack()
+            old, listen = await first.enter_async_context(running(peer, shared=tmp_path))
+            assert await old.take_offline("s0") and await old.bring_online("s0")
+            holder = await Client().open(listen)
+            holder.ask(left="20000")
+            await peer.asked.wait()
+            follower = start(tmp_path, listen, mgmt2)
+            stack.callback(follower.kill)
+            await until_yes(mgmt2)
+            ends = asyncio.create_task(first.aclose())
+            while not old._callers.parting:
+                await asyncio.sleep(0.001)
+            peer.reply = OK
+            follower.kill()
+            await asyncio.to_thread(follower.wait)
+            await served(await Client().open(listen))
+            # And the next process finds it, with what operators said.
+            assert await old.take_offline("s0")
+            follower = start(tmp_path, listen, mgmt3)
+            stack.callback(follower.kill)
+            await until_yes(mgmt3)
+            await until(old, "followed", True)
+            peer.go_on.set()
+            assert (await holder.answer()).status == 200
+            await ends
+            client = await Client().open(listen)
+            client.ask(left="100")
+            assert (await client.answer()).status == 503
+            assert await call(mgmt3, "PUT", "/control/servers/s0/online") == 200
+            await served(await Client().open(listen))
+
+    run(story())
+
+
+def test_a_process_that_ends_leaves_the_place_to_a_third_one(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, AsyncExitStack() as stack:
+            first, second = AsyncExitStack(), AsyncExitStack()
+            old, listen = await first.enter_async_context(running(peer, shared=tmp_path))
+            holder = await Client().open(listen)
+            holder.ask()
+            await peer.asked.wait()
+
+            def one_more() -> Any:
+                return running(shared=tmp_path, listen=listen, known=False)
+
+            middle, _ = await second.enter_async_context(one_more())
+            await until(old, "followed", True)
+            ends = asyncio.create_task(first.aclose())
+            last, _ = await stack.enter_async_context(one_more())
+            await until(middle, "followed", True)
+            await second.aclose()
+            await until(old, "others", 0)
+            assert old._handover.followed and old._callers.parting  # type: ignore[union-attr]
+            peer.reply = OK
+            await served(await Client().open(listen))
+            assert last.counters.read()["taken"] == 1
+            peer.go_on.set()
+            assert (await holder.answer()).status == 200
+            await ends
+
+    run(story())
+
+
 PROGRAM = [sys.executable, "-m", "notchjunction"]
 
 
