--- /dev/null
+++ b/notchjunction/emulator/node.py
@@ -0,0 +1,342 @@
+"""A node in virtual time: the host of one real decision module, and its connections to servers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from typing import TYPE_CHECKING
+
+from notchjunction.emulator.fleet import Call, Server
+from notchjunction.emulator.trace import Answered, Final, Probed, Sent, Taken, Told
+from notchjunction.interface import (
+    Decisions,
+    Effect,
+    Host,
+    Job,
+    Load,
+    News,
+    Outcome,
+    Result,
+    ServerEntry,
+    Terms,
+)
+
+if TYPE_CHECKING:
+    from notchjunction.emulator.world import World
+
+TICK = 0.005  # s; what a node is told its timers may be late by
+ASK_WITHIN = 10.0  # s in which a node has to ask for the list
+PROBE_WITHIN = 0.3  # s that a probe may take
+MAX_DISPATCHES = 4
+CONNECTION_PRICE = 0.01  # told where connections cost something; its size decides nothing
+CROSSING_PRICE = 0.05  # told where zones lie apart
+
+Make = Callable[[Terms, Host], Decisions]
+NO_TRY = -1  # the first try of a call that a server makes
+
+
+@dataclass(slots=True)
+class Asked:
+    """A job as its caller has it; `done` hears the final answer, and the advice of a turn-back."""
+
+    profile: int
+    left: float
+    work: float
+    done: Callable[[Final, float], None]
+    operator: int = 0
+    first_try: int = NO_TRY
+    repeat: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """One connection to a server."""
+
+    server: Server
+    life: int
+    idle_since: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Out:
+    """A dispatch that has no outcome yet."""
+
+    call: Call
+    server: Server
+    at: float
+    link: Link | None = None
+
+
+@dataclass(slots=True)
+class UnderWay:
+    """A call of a server's to the next tier."""
+
+    node: Node
+    job: int
+
+    def withdraw(self) -> None:
+        self.node.withdraw(self.job)
+
+
+@dataclass(slots=True)
+class Links:
+    """The connections of one node; none is counted where they cost nothing."""
+
+    world: World
+    idle: dict[int, list[Link]] = field(default_factory=dict)
+
+    def take(self, server: Server) -> Link | None:
+        """The newest idle one that is fit."""
+        kept = self.idle.get(server.number, [])
+        while kept:
+            link = kept.pop()
+            if link.life == server.life:
+                return link
+        return None
+
+    def give_back(self, link: Link) -> None:
+        link.idle_since = self.world.now
+        self.idle.setdefault(link.server.number, []).append(link)
+        self.world.after(self.world.scenario.connection_idle, partial(self._retire, link, link.idle_since))
+
+    def close(self, link: Link) -> None:
+        link.server.disconnect(link.life)
+
+    def _retire(self, link: Link, since: float) -> None:
+        kept = self.idle.get(link.server.number, [])
+        if link in kept and link.idle_since == since:
+            kept.remove(link)
+            self.close(link)
+
+    def close_all(self) -> None:
+        for kept in self.idle.values():
+            for link in kept:
+                self.close(link)
+        self.idle.clear()
+
+
+class Node:
+    """Before `tier`, in `zone`; `group` nodes stand there in all."""
+
+    def __init__(self, world: World, number: int, tier: int, zone: int, group: int, make: Make) -> None:
+        self.world = world
+        self.number, self.tier, self.zone = number, tier, zone
+        self.alive = True
+        scenario = world.scenario
+        self._version = world.discovery.version(tier)
+        self._jobs = 0
+        self._asked: dict[int, Asked] = {}
+        self._out: dict[tuple[int, int], Out] = {}
+        self._count: dict[int, int] = {}
+        self._starts: dict[int, float] = {}  # of servers, as told
+        self._links = Links(world)
+        self._linked = scenario.connection_idle > 0
+        terms = Terms(
+            seed=world.random.getrandbits(32),
+            profiles=scenario.profiles,
+            operator_quotas=() if tier else scenario.quotas,
+            nodes=group,
+            depth=tier,
+            depths=len(scenario.rows),
+            zone=zone,
+            must_follow=True,
+            max_dispatches=MAX_DISPATCHES,
+            ask_within=ASK_WITHIN,
+            tick=TICK,
+            crossing_price=CROSSING_PRICE if scenario.zone_latency else 0.0,
+            connection_price=CONNECTION_PRICE if scenario.handshake_work else 0.0,
+            connection_idle=scenario.connection_idle,
+            cold_share=scenario.cold_share,
+            cold_time=scenario.cold_time,
+            tip_multiple=scenario.tip_multiple,
+        )
+        self._core = make(terms, self)
+        self._hear(News.REMEMBERED, [world.discovery.entry(server) for server in world.tiers[tier]])
+
+    # What the world calls.
+
+    def take(self, asked: Asked) -> UnderWay:
+        self._jobs += 1
+        job = self._jobs
+        self._asked[job] = asked
+        now = self.world.now
+        self.world.rows.append(Taken(now, self.number, job, asked.profile, now + asked.left, asked.first_try))
+        self._core.take(Job(job, asked.profile, asked.operator, asked.left, repeat=asked.repeat))
+        return UnderWay(self, job)
+
+    def withdraw(self, job: int) -> None:
+        if self.alive and job in self._asked:
+            self._answer(job, Final.WITHDRAWN)
+            self._core.withdrawn(job)
+
+    def die(self) -> None:
+        """Goes with the server that it serves; nothing more is heard of it."""
+        self.alive = False
+        for job in list(self._asked):
+            self._answer(job, Final.WITHDRAWN)
+        for out in list(self._out.values()):
+            self._let_go(out)
+        self._out.clear()
+        self._links.close_all()
+        self.world.discovery.forget(self.number)
+
+    # Dispatches.
+
+    def dispatch(self, job: int, server: int, within: float) -> None:
+        number = self._count.get(job, 0)
+        self._count[job] = number + 1
+        world, now = self.world, self.world.now
+        world.rows.append(Sent(now, self.number, job, number, server))
+        asked = self._asked.get(job)
+        to = world.servers[server]
+        key = (job, number)
+        profile = asked.profile if asked else 0
+        call = Call(
+            name=(self.number, job, number),
+            profile=profile,
+            seconds=asked.work if asked else 0.0,
+            until=now + within,
+            answer=lambda result: world.carry(to.zone, self.zone, partial(self.ended, key, result)),
+            number=(self.number, job) if world.scenario.profiles[profile].effect is Effect.NUMBERED else None,
+        )
+        out = self._out[key] = Out(call, to, now)
+        world.after(within, partial(self.ended, key, Result.TIMED_OUT))
+        if self._linked:
+            out.link = self._links.take(to)
+            if out.link is None:
+                self._open(key, out)
+                return
+        world.carry(self.zone, to.zone, partial(self._reach, out))
+
+    def _open(self, key: tuple[int, int], out: Out) -> None:
+        """A connection comes up, is refused, or never does."""
+        scenario, to = self.world.scenario, out.server
+
+        def answered() -> None:
+            if key not in self._out:
+                return
+            if not to.up:
+                to_ended = Result.NO_CONNECTION
+            elif not to.connect():
+                to_ended = Result.FULL
+            else:
+                out.link = Link(to, to.life)
+                out.call.seconds += scenario.handshake_work
+                self._reach(out)
+                return
+            self.world.carry(to.zone, self.zone, partial(self.ended, key, to_ended))
+
+        def silent() -> None:
+            if key in self._out and out.link is None:
+                self.ended(key, Result.NO_CONNECTION)
+
+        self.world.carry(self.zone, to.zone, lambda: self.world.after(scenario.handshake_time, answered))
+        self.world.after(scenario.handshake_time + scenario.connect_within, silent)
+
+    def _reach(self, out: Out) -> None:
+        out.call.knowing = self._starts.get(out.server.number, 0.0) >= out.server.started_at
+        out.server.reach(out.call)
+
+    def ended(self, key: tuple[int, int], result: Result) -> None:
+        out = self._out.pop(key, None)
+        if out is None or not self.alive:
+            return
+        job, number = key
+        gave_up = result in (Result.TIMED_OUT, Result.RECALLED)
+        if gave_up:
+            self._let_go(out)
+        if out.link is not None:
+            if gave_up or result is Result.RESET:
+                self._links.close(out.link)
+            else:
+                self._links.give_back(out.link)
+        if result is Result.HONOURED and job in self._asked:
+            self._answer(job, Final.HONOURED)
+        over = job not in self._asked
+        seconds = self.world.now - out.at
+        self._core.outcome(Outcome(job, number, out.server.number, result, seconds, over))
+
+    def _let_go(self, out: Out) -> None:
+        self.world.carry(self.zone, out.server.zone, partial(out.server.drop, out.call))
+
+    def _answer(self, job: int, final: Final, advice: float = 0.0) -> None:
+        """Its caller's one final answer; a second one is a row too, which the checkers shall see."""
+        self.world.rows.append(Answered(self.world.now, self.number, job, final))
+        self._count.pop(job, None)
+        asked = self._asked.pop(job, None)
+        if asked is not None and final is not Final.WITHDRAWN:
+            asked.done(final, advice)
+
+    # The list.
+
+    def heard(self, news: Sequence[ServerEntry] | None, version: int) -> None:
+        if not self.alive:
+            return
+        if news is None:
+            self._core.listed(News.FAILED, ())
+            return
+        self._version = version
+        self._hear(News.CHANGES, news)
+        # A kept watch costs discovery no work.
+        world = self.world
+        world.after(world.hop(), partial(world.discovery.watch, self.tier, self.number, version, self._heard))
+
+    def _heard(self, news: Sequence[ServerEntry] | None, version: int) -> None:
+        self.world.after(self.world.hop(), partial(self.heard, news, version))
+
+    def _hear(self, kind: News, entries: Sequence[ServerEntry]) -> None:
+        now = self.world.now
+        self._starts.update({entry.server: entry.started_at for entry in entries})
+        self.world.rows += [Told(now, self.number, entry.server, entry.presence) for entry in entries]
+        self._core.listed(kind, entries)
+
+    # The rest of the module's Host.
+
+    def now(self) -> float:
+        return self.world.now
+
+    def recall(self, job: int, dispatch: int) -> None:
+        if (job, dispatch) in self._out:
+            self.world.after(0.0, partial(self.ended, (job, dispatch), Result.RECALLED))
+
+    def probe(self, server: int) -> None:
+        world, to = self.world, self.world.servers[server]
+        world.rows.append(Probed(world.now, self.number, server))
+        done = False
+
+        def answered(result: Result, load: Load | None) -> None:
+            nonlocal done
+            if not done and self.alive:
+                done = True
+                self._core.probed(server, result, load)
+
+        def reached() -> None:
+            seconds = to.probe_seconds()
+            if seconds is None and not to.up:
+                world.carry(to.zone, self.zone, partial(answered, Result.NO_CONNECTION, None))
+            elif seconds is not None:
+                world.after(
+                    seconds,
+                    lambda: world.carry(to.zone, self.zone, partial(answered, Result.HONOURED, to.report())),
+                )
+
+        world.carry(self.zone, to.zone, reached)
+        world.after(PROBE_WITHIN, partial(answered, Result.TIMED_OUT, None))
+
+    def turn_back(self, job: int, come_back_in: float) -> None:
+        self._answer(job, Final.TURNED_BACK, come_back_in)
+
+    def write_off(self, job: int) -> None:
+        self._answer(job, Final.WRITTEN_OFF)
+
+    def set_timer(self, delay: float, token: int) -> None:
+        self.world.after(delay, lambda: self._core.timer(token) if self.alive else None)
+
+    def follow(self) -> None:
+        world = self.world
+        call = partial(world.discovery.call, self.tier, self.number, self._version, self._heard)
+        world.after(world.hop(), call)
+
+    def set_aside(self, server: int, seconds: float) -> None:
+        pass
--- a/notchjunction/emulator/trace.py
+++ b/notchjunction/emulator/trace.py
@@ -22,7 +22,7 @@
     job: int
     profile: int
     abandon_at: float
-    first_try: int  # the number of the client's first try; the same for all its tries
+    first_try: int  # the number of the client's first try; the same for all its tries; -1: a server's call
 
 
 @dataclass(frozen=True, slots=True)
--- a/notchjunction/lab/baselines.py
+++ b/notchjunction/lab/baselines.py
@@ -6,7 +6,8 @@
 from random import Random
 from typing import Any
 
-from notchjunction.emulator.world import Node
+from notchjunction.emulator.fleet import Server
+from notchjunction.emulator.node import Node
 from notchjunction.interface import (
     Decisions,
     Host,
@@ -22,6 +23,7 @@
 )
 from notchjunction.rules import Balancer
 
+BUDGET_USED = 0.7  # of a cold server's budget that the top uses; the rest is what is on its way
 GUARD = 0.02  # s before the abandon time at which a job without an answer is given up
 
 
@@ -141,17 +143,37 @@
     """Sees each server as it is, at once: up, hung, slow, cold, and what it holds. No node can."""
 
     def choose(self) -> int:
+        return min(self.ready, key=self._wait)
+
+    def _wait(self, server: int) -> tuple[float, float]:
+        true = self.true(server)
+        if not true.up or true.hung:
+            return float("inf"), 0.0
+        held = len(true.running) + len(true.waiting) + 1
+        return held * true.pace() / true.tier.workers, self.random.random()
+
+    def true(self, server: int) -> Server:
         assert isinstance(self.host, Node)
-        world = self.host.world
+        return self.host.world.servers[server]
+
+
+class Top(TrueState):
+    """It knows rule 4's budget too, and what a server holds before it turns slow: the upper bound."""
 
-        def wait(server: int) -> tuple[float, float]:
-            true = world.servers[server]
-            if not true.up or true.hung:
-                return float("inf"), 0.0
-            held = len(true.running) + len(true.waiting) + 1
-            return held * true.slow / (true.speed * world.warmth(true)), self.random.random()
+    def take(self, job: Job) -> None:
+        able = [server for server in self.ready if self._bears(self.true(server))]
+        if not able:
+            self.host.turn_back(job.id, 0.25)
+            return
+        all_ready, self.ready = self.ready, able
+        super().take(job)
+        self.ready = all_ready
 
-        return min(self.ready, key=wait)
+    def _bears(self, server: Server) -> bool:
+        assert isinstance(self.host, Node)
+        most = self.host.world.scenario.overdrive_jobs * server.tier.workers
+        crowded = most and len(server.waiting) >= most
+        return server.up and not server.hung and not crowded and server.bears(0.0, BUDGET_USED)
 
 
 VARIANTS: dict[str, Callable[[Terms, Host], Decisions]] = {
@@ -160,4 +182,5 @@
     "in turn": InTurn,
     "least out": LeastOut,
     "true state": TrueState,
+    "top": Top,
 }
--- a/notchjunction/lab/cli.py
+++ b/notchjunction/lab/cli.py
@@ -7,18 +7,24 @@
 import os
 import subprocess
 import sys
+import tempfile
+from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import click
 
 from notchjunction import checks
+from notchjunction.emulator.scenario import Scenario
 from notchjunction.lab import report as reports
 from notchjunction.lab.baselines import VARIANTS
 from notchjunction.lab.files import Experiment, read_experiment
 from notchjunction.lab.load import Load, Send, Shape, read_trace, schedule
-from notchjunction.lab.runs import Run, kept, play, run_all, runs_of
+from notchjunction.lab.runs import Run, figures, kept, play, run_all, runs_of
 from notchjunction.net.connections import address_of
+from notchjunction.standins.stage import Stage
+from notchjunction.standins.stage import breaches as stage_breaches
 
 
 def refuse(file: Path, unfit: checks.Unfit) -> click.ClickException:
@@ -43,6 +49,15 @@
         raise refuse(file, unfit) from unfit
 
 
+def one_of(file: Path, name: str | None) -> Scenario:
+    """The scenario of that name, else the first."""
+    scenarios = {each.name: each for each in experiment_in(file).scenarios}
+    chosen = scenarios.get(name) if name else next(iter(scenarios.values()))
+    if chosen is None:
+        raise click.BadParameter(f"none of {', '.join(scenarios)}", param_hint="--scenario")
+    return chosen
+
+
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
@@ -81,17 +96,61 @@
 @click.option("--seed", default=1, show_default=True)
 def emulate(file: Path, scenario: str | None, variant: str, seed: int) -> None:
     """Play one scenario once, and print its figures as JSON; exit code 3 if a rule breaks."""
-    scenarios = {each.name: each for each in experiment_in(file).scenarios}
-    chosen = scenarios.get(scenario) if scenario else next(iter(scenarios.values()))
-    if chosen is None:
-        raise click.BadParameter(f"none of {', '.join(scenarios)}", param_hint="--scenario")
-    result = play(Run(chosen, variant, seed, revision()))
+    result = play(Run(one_of(file, scenario), variant, seed, revision()))
     del result["course"]
     click.echo(json.dumps(result, indent=1))
     if result["breaches"]:
         sys.exit(3)
 
 
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--scenario", help="Its name; the first one if not given.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep the nodes' logs there.")
+def sockets(file: Path, scenario: str | None, seed: int, logs: Path | None) -> None:
+    """Play one scenario against real node processes on loopback, in real time; servers are stand-ins.
+
+    Prints its figures as JSON, and those of the emulator beside them; exit code 3 if a rule breaks, 2 if a
+    node dies.
+    """
+    chosen = replace(one_of(file, scenario), seed=seed)
+    with tempfile.TemporaryDirectory() as folder:
+        if logs is not None:
+            logs.mkdir(parents=True, exist_ok=True)
+        try:
+            result = asyncio.run(on_sockets(chosen, logs or Path(folder)))
+        except RuntimeError as error:
+            click.echo(str(error), err=True)
+            sys.exit(2)
+    emulated = play(Run(chosen, "module", seed, revision()))
+    del result["course"], emulated["course"]
+    shown = {name: [result.get(name), emulated.get(name)] for name in result}
+    click.echo(json.dumps({"sockets, emulator": shown}, indent=1))
+    if result["breaches"]:
+        sys.exit(3)
+
+
+async def on_sockets(scenario: Scenario, folder: Path) -> dict[str, Any]:
+    """A run on sockets; its figures, with how far the clients fell behind and what the nodes failed at."""
+    stage = Stage(scenario, folder)
+    began = stage.clock.now
+    story = await stage.play()
+    return {
+        **figures(story, stage_breaches(story), began),
+        "clients_late": stage.lateness,
+        "failures": sum(counters.get("failures", 0.0) for counters in stage.counters),
+        "unaccounted": sum(unaccounted(counters) for counters in stage.counters),
+    }
+
+
+def unaccounted(counters: Mapping[str, float]) -> float:
+    """Jobs taken that are under no answer of a node's counters; any is a defect."""
+    ended = sum(count for name, count in counters.items() if name.startswith("answered_"))
+    known = ended + counters.get("withdrawn", 0.0) + counters.get("held", 0.0)
+    return abs(counters.get("taken", 0.0) - known)
+
+
 @main.command()
 @click.argument("file", type=FILE)
 @click.option(
--- a/notchjunction/lab/files.py
+++ b/notchjunction/lab/files.py
@@ -11,7 +11,7 @@
 from voluptuous import All, In, Length, Optional, Range, Required, Schema
 
 from notchjunction.checks import ABOVE_0, FROM_0, WORD, Unfit, errors_of, whole_number
-from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream
+from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream, Tier
 from notchjunction.interface import Effect, Group, Profile
 from notchjunction.lab.baselines import VARIANTS
 
@@ -34,6 +34,14 @@
     Optional("at"): FROM_0,
     Optional("until"): ABOVE_0,
     Optional("work"): ABOVE_0,
+    Optional("operator"): All(whole_number, Range(min=0)),
+}
+TIER: dict[Any, Any] = {
+    Required("servers"): COUNT,
+    **{Optional(name): COUNT for name in ("workers", "queue_most")},
+    **{Optional(name): ABOVE_0 for name in ("share", "calls")},
+    Optional("speeds"): All([ABOVE_0], Length(min=1)),
+    Optional("connections_most"): All(whole_number, Range(min=0)),
 }
 FAULT = {
     Required("kind"): In([kind.value for kind in Kind]),
@@ -41,21 +49,25 @@
     Required("until"): ABOVE_0,
     Optional("servers"): [All(whole_number, Range(min=0))],
     Optional("size"): ABOVE_0,
+    Optional("tier"): All(whole_number, Range(min=0)),
+    Optional("zones"): [All(whole_number, Range(min=0))],
 }
 COUNTS = ("nodes", "servers", "zones", "workers", "queue_most", "client_tries")
 DEFAULT = Scenario("")
+PLAIN = [field.name for field in fields(Scenario) if isinstance(field.default, int | float)]
+POSITIVE = ("length", "cold_time", "tip_span", "list_rate", "overdrive_times")  # of the plain ones, never 0
+SHARES = ("cold_share", "client_patience")
 SCENARIO: dict[Any, Any] = {
+    **{Optional(name): FROM_0 for name in PLAIN if name != "seed"},
+    **{Optional(name): ABOVE_0 for name in POSITIVE},
+    **{Optional(name): SHARE for name in SHARES},
+    **{Optional(name): COUNT for name in COUNTS},
     Required("name"): WORD,
     Optional("profiles"): All([PROFILE], Length(min=1)),
     Optional("streams"): All([STREAM], Length(min=1)),
+    Optional("tiers"): All([TIER], Length(min=1)),
+    Optional("quotas"): [FROM_0],
     Optional("faults"): [FAULT],
-    **{Optional(name): COUNT for name in COUNTS},
-    **{Optional(name): ABOVE_0 for name in ("length", "cold_time", "tip_span", "list_rate")},
-    **{
-        Optional(name): FROM_0
-        for name in ("thrash", "latency", "jitter", "tip_multiple", "list_delay", "list_wait", "client_pause")
-    },
-    Optional("cold_share"): SHARE,
 }
 EXPERIMENT = Schema(
     {
@@ -101,12 +113,23 @@
     return Experiment(told["name"], tuple(told["seeds"]), tuple(told["variants"]), scenarios)
 
 
+ONE_TIER = ("servers", "workers", "queue_most")  # said of the one tier, where there are no `tiers`
+SHARED = (Kind.ERRORS, Kind.RESET, Kind.LOSE, Kind.LIST_SPLIT)  # whose size is a share
+
+
 def _contradictions(stem: str, row: Mapping[str, Any]) -> list[str]:
     found = []
-    servers = row.get("servers", DEFAULT.servers)
     profiles = row.get("profiles", DEFAULT.profiles)
-    if row.get("zones", 1) > servers:
+    tiers = [tier["servers"] for tier in row.get("tiers", ())] or [row.get("servers", DEFAULT.servers)]
+    zones = row.get("zones", 1)
+    if zones > tiers[0]:
         found.append(f"{stem}.zones: more zones than servers")
+    for name in ONE_TIER:
+        if "tiers" in row and name in row:
+            found.append(f"{stem}.{name}: said of one tier, and there are tiers")
+    for i, stream in enumerate(row.get("streams", ())):
+        if row.get("quotas") and stream.get("operator", 0) >= len(row["quotas"]):
+            found.append(f"{stem}.streams.{i}.operator: has no quota")
     for i, profile in enumerate(row.get("profiles", ())):
         if profile["abandon_time"] < profile["contract_time"]:
             found.append(f"{stem}.profiles.{i}.abandon_time: under the contract time")
@@ -120,8 +143,14 @@
     for i, fault in enumerate(row.get("faults", ())):
         if fault["until"] <= fault["at"]:
             found.append(f"{stem}.faults.{i}.until: not after its beginning")
-        if any(server >= servers for server in fault.get("servers", ())):
+        if fault.get("tier", 0) >= len(tiers):
+            found.append(f"{stem}.faults.{i}.tier: no such tier")
+        elif any(server >= tiers[fault.get("tier", 0)] for server in fault.get("servers", ())):
             found.append(f"{stem}.faults.{i}.servers: no such server")
+        if any(zone >= zones for zone in fault.get("zones", ())):
+            found.append(f"{stem}.faults.{i}.zones: no such zone")
+        if Kind(fault["kind"]) in SHARED and fault.get("size", 1.0) > 1:
+            found.append(f"{stem}.faults.{i}.size: a share over 1")
     return found
 
 
@@ -131,8 +160,20 @@
         told["profiles"] = tuple(_profile(profile) for profile in told["profiles"])
     if "streams" in told:
         told["streams"] = tuple(Stream(**stream) for stream in told["streams"])
+    if "tiers" in told:
+        told["tiers"] = tuple(
+            Tier(**{**tier, "speeds": tuple(tier.get("speeds", Tier().speeds))}) for tier in told["tiers"]
+        )
+    told["quotas"] = tuple(told.get("quotas", ()))
     told["faults"] = tuple(
-        Fault(**{**fault, "kind": Kind(fault["kind"]), "servers": tuple(fault.get("servers", ()))})
+        Fault(
+            **{
+                **fault,
+                "kind": Kind(fault["kind"]),
+                "servers": tuple(fault.get("servers", ())),
+                "zones": tuple(fault.get("zones", ())),
+            }
+        )
         for fault in told.get("faults", ())
     )
     return Scenario(**{field.name: told[field.name] for field in fields(Scenario) if field.name in told})
--- a/notchjunction/lab/load.py
+++ b/notchjunction/lab/load.py
@@ -15,15 +15,13 @@
 from voluptuous import Invalid
 
 from notchjunction.checks import Unfit
-from notchjunction.http1.encoder import encode_request
 from notchjunction.http1.messages import Request
-from notchjunction.http1.parser import AnswerReader
 from notchjunction.net.connections import Address
+from notchjunction.standins.caller import Callers
 
 LONGEST = 3600.0  # s; the longest latency that the histogram holds
 DIGITS = 3  # significant digits of its figures
 PAUSE = 0.05  # s after a turn-back until a client asks again, and as much again at random
-KEEP_MOST = 64  # idle connections; more are closed
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +127,7 @@
         self._address = address
         self._tries = tries
         self._random = Random(seed)
-        self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self._callers = Callers()
         self._sent = 0
         self._ends: dict[str, float] = {}
         self.outcome = Outcome()
@@ -153,8 +151,7 @@
         self.outcome.first_tries = len(meant)
         for name, end in self._ends.items():
             self.outcome.latency.record_value(max(1, int((end - meant[name]) * 1e6)))
-        for _, writer in self._idle:
-            writer.close()
+        self._callers.close()
         return self.outcome
 
     async def _serve(self, send: Send, name: str, first: float) -> None:
@@ -193,20 +190,5 @@
             **({"idempotency-key": f"key-{self._sent}"} if send.effect == "numbered" else {}),
         }
         method = "GET" if send.effect == "reissuable" else "POST"
-        reader, writer = self._idle.pop() if self._idle else await asyncio.open_connection(*self._address)
-        kept = False
-        try:
-            writer.write(encode_request(Request(method, "/api", headers)))
-            answers = AnswerReader()
-            while (answer := answers.next()) is None or answer.more:
-                piece = await reader.read(65536)
-                if not piece:
-                    raise ConnectionResetError
-                answers.feed(piece)
-            kept = answer.keep and len(self._idle) < KEEP_MOST
-        finally:
-            if kept:
-                self._idle.append((reader, writer))
-            else:
-                writer.close()
-        return {200: "honoured", 503: "turned back", 429: "turned back"}.get(answer.status, "failed")
+        status = await self._callers.exchange(self._address, Request(method, "/api", headers))
+        return {200: "honoured", 503: "turned back", 429: "turned back"}.get(status, "failed")
--- a/notchjunction/lab/runs.py
+++ b/notchjunction/lab/runs.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from notchjunction.emulator.checkers import breaches
+from notchjunction.emulator.node import NO_TRY
 from notchjunction.emulator.scenario import Scenario
 from notchjunction.emulator.trace import Answered, Final, Probed, Sent, Story, Taken
 from notchjunction.emulator.world import BEGAN, World
@@ -59,10 +60,10 @@
 def play(run: Run) -> dict[str, Any]:
     """One run; its figures."""
     story = World(replace(run.scenario, seed=run.seed), VARIANTS[run.variant]).play()
-    return {**run.said(), "died": None, **figures(story, run.scenario)}
+    return {**run.said(), "died": None, **figures(story, breaches(story))}
 
 
-def figures(story: Story, scenario: Scenario) -> dict[str, Any]:
+def figures(story: Story, broken: list[str], began: float = BEGAN) -> dict[str, Any]:
     """What a run came to, by clients' first tries: a retry belongs to the try that it repeats."""
     first_at: dict[int, float] = {}
     profile_of: dict[int, int] = {}
@@ -70,7 +71,7 @@
     honoured_at: dict[int, float] = {}
     counts: Counter[str] = Counter()
     for row in story.rows:
-        if isinstance(row, Taken):
+        if isinstance(row, Taken) and row.first_try != NO_TRY:
             first_at.setdefault(row.first_try, row.at)
             profile_of[row.first_try] = row.profile
             tries[row.node, row.job] = row.first_try
@@ -80,6 +81,8 @@
         elif isinstance(row, Probed):
             counts["probes"] += 1
         elif isinstance(row, Answered):
+            if (row.node, row.job) not in tries:
+                continue  # a call that a server made
             counts[row.final.name.lower()] += 1
             if row.final is Final.HONOURED:
                 honoured_at.setdefault(tries[row.node, row.job], row.at)
@@ -98,10 +101,9 @@
             gain = profile.revenue * (1.0 if took <= profile.contract_time else profile.late_share)
         worth += profile.revenue
         earned += gain
-        stretch = course.setdefault(int((at - BEGAN) / STRETCH), [0.0, 0.0])
+        stretch = course.setdefault(int((at - began) / STRETCH), [0.0, 0.0])
         stretch[0] += gain
         stretch[1] += profile.revenue
-    broken = breaches(story)
     seconds.sort()
     return {
         "in_time": earned / worth if worth else 0.0,
--- /dev/null
+++ b/notchjunction/standins/process.py
@@ -0,0 +1,148 @@
+"""A real node as a process of its own, configured from a scenario."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from notchjunction.emulator.node import ASK_WITHIN, CONNECTION_PRICE, CROSSING_PRICE, MAX_DISPATCHES
+from notchjunction.emulator.scenario import Scenario
+from notchjunction.http1.messages import Request
+from notchjunction.net.connections import Address, text_of
+from notchjunction.standins.caller import Callers
+from notchjunction.standins.discovery import zone_name
+from notchjunction.standins.server import REPORTED
+from notchjunction.terms import EFFECTS, GROUPS
+
+READY_WITHIN = 20.0  # s for a node to be ready, where many start on few cores
+READY_LOOK = 0.05  # s between looks
+PROGRAM = [sys.executable, "-m", "notchjunction"]
+EFFECT_WORDS = {effect: word for word, effect in EFFECTS.items()}
+GROUP_WORDS = {group: word for word, group in GROUPS.items()}
+
+
+def settings(scenario: Scenario, tier: int, zone: int, group: int) -> dict[str, Any]:
+    """What the platform would tell a node that stands before `tier`."""
+    return {
+        "layers": [f"tier{depth}" for depth in range(len(scenario.rows))],
+        "layer": tier,
+        "localities": [zone_name(each) for each in range(scenario.zones)],
+        "zone": zone,
+        "group_size": group,
+        "registry_mode": "subscribe",
+        "tick": 5.0,
+        "profiles": [
+            {
+                "name": f"p{index}",
+                "effect": EFFECT_WORDS[profile.effect],
+                "contract_time": profile.contract_time * 1000,
+                "abandon_time": profile.abandon_time * 1000,
+                "revenue": profile.revenue,
+                "tardy_revenue": profile.late_share,
+                "dedup_scope": GROUP_WORDS[profile.group],
+                "window": profile.window * 1000,
+            }
+            for index, profile in enumerate(scenario.profiles)
+        ],
+        "limits": {
+            "max_dispatches": MAX_DISPATCHES,
+            "cancel": True,
+            "probes": True,
+            "second_copies": True,
+            "conn_idle": (scenario.connection_idle or 30.0) * 1000,
+            "connect_timeout": scenario.connect_within * 1000,
+        },
+        "invariants": {
+            "ask_within": ASK_WITHIN * 1000,
+            "start_capacity": scenario.cold_share,
+            "cold": scenario.cold_time * 1000,
+            "tip_multiple": scenario.tip_multiple,
+        },
+        "prices": {
+            "cross_zone": CROSSING_PRICE if scenario.zone_latency else 0.0,
+            "handshake": CONNECTION_PRICE if scenario.handshake_work else 0.0,
+        },
+        "report": {"via": "pull", "fields": list(REPORTED.values())},
+        "tenants": [
+            {"name": f"o{index}", "quota_rps": quota}
+            for index, quota in enumerate(() if tier else scenario.quotas)
+        ],
+    }
+
+
+class NodeProcess:
+    def __init__(self, number: int, listen: Address, folder: Path) -> None:
+        self.number = number
+        self.listen = listen
+        self._file = folder / f"node-{number}.json"
+        self._log = folder / f"node-{number}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(
+        self,
+        scenario: Scenario,
+        tier: int,
+        zone: int,
+        group: int,
+        discovery: Address,
+        known: Mapping[str, Any],
+    ) -> None:
+        told = {
+            "name": f"n{self.number}",
+            "listen": text_of(self.listen),
+            "discovery": text_of(discovery),
+            "seed": f"{scenario.seed:x}{self.number:04x}",
+            "known": known,
+            "settings": settings(scenario, tier, zone, group),
+        }
+        self._file.write_text(json.dumps(told))
+        environment = {"PATH": os.environ.get("PATH", ""), "GW_CONFIG": str(self._file)}
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                PROGRAM,
+                env=environment,
+                stderr=log,
+                cwd=Path(__file__).parents[2],
+            )
+
+    async def ready(self, callers: Callers) -> None:
+        """Waits until it is; TimeoutError where it never is."""
+        async with asyncio.timeout(READY_WITHIN):
+            while await callers.ask(self.listen, Request("GET", "/ready", {"host": "n"}), 1.0) != 200:
+                if self._process is not None and self._process.poll() is not None:
+                    raise RuntimeError(f"node {self.number} ended: {self._log.read_text()[-500:]}")
+                await asyncio.sleep(READY_LOOK)
+
+    def kill(self) -> None:
+        if self._process is not None:
+            self._process.kill()
+
+    async def end(self) -> Mapping[str, float]:
+        """Ends it as the platform does; its counters, as it prints them at its exit."""
+        assert self._process is not None
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(self._process.wait)
+        lines = self._log.read_text().splitlines()
+        return counters_in(lines)
+
+
+def counters_in(lines: Sequence[str]) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for line in lines:
+        if "event=counters" in line:
+            pairs = (word.partition("=") for word in line.split())
+            found = {}
+            for name, _, value in pairs:
+                try:
+                    found[name] = float(value)
+                except ValueError:
+                    continue
+    return found
--- /dev/null
+++ b/notchjunction/standins/stage.py
@@ -0,0 +1,305 @@
+"""Plays a scenario against real node processes on loopback, and tells it as the emulator tells its runs.
+
+Servers, discovery, clients and faults are the emulator's models on a real clock; the nodes are the program.
+Rows are what the stand-ins saw: a dispatch counts when its server has read it, so one that never arrived is
+no row, and only the first of a job's dispatches is known as such by its order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from notchjunction.emulator import faults
+from notchjunction.emulator.checkers import (
+    clean_drains,
+    gentle_fail_back,
+    no_double_effects,
+    one_answer,
+    retry_bound,
+)
+from notchjunction.emulator.discovery import Discovery
+from notchjunction.emulator.fleet import Below, Call, Server, build
+from notchjunction.emulator.node import NO_TRY
+from notchjunction.emulator.scenario import Fault, Scenario, Stream
+from notchjunction.emulator.trace import Answered, Final, Probed, Ran, Row, Sent, Story, Taken, Tipped, Told
+from notchjunction.http1.messages import Request
+from notchjunction.interface import Effect, ServerEntry
+from notchjunction.net import words
+from notchjunction.net.connections import Address
+from notchjunction.standins.caller import Callers
+from notchjunction.standins.clock import LoopClock
+from notchjunction.standins.discovery import DiscoveryStandIn, list_text
+from notchjunction.standins.process import NodeProcess
+from notchjunction.standins.server import WORK, ServerStandIn, free_listener
+
+GRACE = 0.55  # s after word of a drain within which a send is forgiven; the rule's, and its slack on sockets
+SLACK = 0.1  # s past the abandon time within which a final answer is forgiven, on a busy machine
+FINALS = {200: Final.HONOURED, 429: Final.TURNED_BACK, 503: Final.TURNED_BACK}
+
+
+class NodePlace:
+    """A node process, its discovery, and the doors that servers keep for it."""
+
+    def __init__(self, process: NodeProcess, discovery: DiscoveryStandIn, tier: int) -> None:
+        self.process, self.discovery, self.tier = process, discovery, tier
+
+
+class _Flight:
+    """A server's call to the next tier, as a task."""
+
+    def __init__(self, task: asyncio.Task[None]) -> None:
+        self._task = task
+
+    def withdraw(self) -> None:
+        self._task.cancel()
+
+
+class Stage:
+    """One scenario on sockets; what `faults.TABLE` sees of it is what it sees of the emulator's world."""
+
+    def __init__(self, scenario: Scenario, folder: Path) -> None:
+        self.scenario = scenario
+        self.random = Random(scenario.seed)
+        self.clock = LoopClock()
+        self.rows: list[Row] = []
+        self.counters: list[Mapping[str, float]] = []
+        self.lateness = 0.0  # s by which the clients' schedule fell behind at most
+        self._folder = folder
+        self._cut: frozenset[int] = frozenset()
+        self._callers = Callers()
+        self._starts: dict[tuple[int, int], float] = {}  # by node and server, as told
+        self._dispatches: dict[tuple[int, str], int] = {}
+        self._jobs: dict[tuple[int, str], int] = {}
+        self._asked = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._places: dict[int, NodePlace] = {}
+        self._zones: dict[int, int] = {}
+        self.nodes: list[int] = []
+        self.below: dict[int, int] = {}  # of each server above the deepest tier: its node
+        self.tiers = build(scenario, self.clock, self.random, self._ran, self._tipped, self._call_below)
+        self.servers = [server for row in self.tiers for server in row]
+        self._standins = [
+            ServerStandIn(server, self.clock, partial(self._came, server), partial(self._probed, server))
+            for server in self.servers
+        ]
+        self.discovery = Discovery(scenario, self.clock, len(self.tiers))
+
+    # The day.
+
+    async def play(self) -> Story:
+        """Starts all, plays the scenario's length in real time, ends all; RuntimeError where a node dies."""
+        scenario = self.scenario
+        try:
+            for number in range(scenario.nodes):
+                self.nodes.append(await self._node(0, number % scenario.zones, scenario.nodes))
+            for depth, row in enumerate(self.tiers[:-1]):
+                for server in row:
+                    self.below[server.number] = await self._node(depth + 1, server.zone, len(row))
+            for place in self._places.values():
+                await place.process.ready(self._callers)
+            self.rows.clear()
+            began = self.clock.now
+            for stream in scenario.streams:
+                self._start(self._arrivals(stream, began))
+            for fault in scenario.faults:
+                row_of = faults.TABLE[fault.kind]
+                self.clock.after(fault.at, partial(self._fault, row_of.begins, fault))
+                self.clock.after(fault.until, partial(self._fault, row_of.ends, fault))
+            await asyncio.sleep(scenario.length)
+            ended = self.clock.now
+            story_rows = tuple(self.rows)
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            places = list(self._places.values())
+            self.counters = await asyncio.gather(*(place.process.end() for place in places))
+            for place in places:
+                place.discovery.close()
+            for standin in self._standins:
+                standin.close()
+            self._callers.close()
+        return Story(story_rows, scenario.profiles, GRACE, SLACK, ended)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Nodes.
+
+    async def _node(self, tier: int, zone: int, group: int) -> int:
+        number = len(self._zones)
+        self._zones[number] = zone
+        place = free_listener()
+        listen: Address = place.getsockname()
+        place.close()
+        addresses: dict[int, Address] = {}
+        for server in self.tiers[tier]:
+            addresses[server.number] = await self._standins[server.number].open_to(number)
+
+        def whole() -> list[ServerEntry]:
+            return [self.discovery.entry(server) for server in self.tiers[tier]]
+
+        standin = DiscoveryStandIn(
+            self.discovery, self.clock, tier, number, whole, addresses.__getitem__, self._told
+        )
+        process = NodeProcess(number, listen, self._folder)
+        known = json.loads(list_text(whole(), self.discovery.version(tier), True, addresses.__getitem__))
+        process.start(self.scenario, tier, zone, group, await standin.open(), known)
+        self._places[number] = NodePlace(process, standin, tier)
+        return number
+
+    def stop(self, server: Server) -> None:
+        self._standins[server.number].stop()
+        node = self.below.pop(server.number, None)
+        if node is not None:
+            place = self._places.pop(node)
+            place.process.kill()
+            place.discovery.close()
+            self._callers.forget(place.process.listen)
+            for other in self.tiers[place.tier]:
+                self._standins[other.number].shut(node)
+
+    def start(self, server: Server) -> None:
+        self._start(self._restart(server))
+
+    async def _restart(self, server: Server) -> None:
+        """With its node, where it calls on; only then does it listen."""
+        depth = next(depth for depth, row in enumerate(self.tiers) if server in row)
+        if depth + 1 < len(self.tiers):
+            node = await self._node(depth + 1, server.zone, len(self.tiers[depth]))
+            await self._places[node].process.ready(self._callers)
+            self.below[server.number] = node
+        await self._standins[server.number].start()
+
+    # What `faults.TABLE` sets.
+
+    @property
+    def cut(self) -> frozenset[int]:
+        return self._cut
+
+    @cut.setter
+    def cut(self, zones: frozenset[int]) -> None:
+        self._cut = zones
+        for standin in self._standins:
+            for node, door in standin.doors.items():
+                door.silent = (self._zones[node] in zones) != (standin.server.zone in zones)
+
+    def _fault(self, do: Callable[..., None], fault: Fault) -> None:
+        do(self, fault, [self.tiers[fault.tier][number] for number in fault.servers])
+
+    # Callers.
+
+    async def _arrivals(self, stream: Stream, began: float) -> None:
+        """Open loop: no answer is waited for."""
+        at = began + stream.at + self.random.expovariate(stream.rate)
+        while at < began + min(stream.until, self.scenario.length):
+            await asyncio.sleep(at - self.clock.now)
+            self.lateness = max(self.lateness, self.clock.now - at)
+            self._asked += 1
+            self._start(self._try(stream, self._asked, at))
+            at += self.random.expovariate(stream.rate)
+
+    async def _try(self, stream: Stream, first: int, began: float) -> None:
+        """A client's tries of one job."""
+        scenario, profile = self.scenario, self.scenario.profiles[stream.profile]
+        for tries in range(scenario.client_tries):
+            left = min(
+                began + profile.abandon_time - self.clock.now,
+                scenario.client_patience * profile.abandon_time,
+            )
+            if left <= 0:
+                return
+            node = self.random.choice(self.nodes)
+            work = stream.work * self.random.uniform(0.5, 1.5)
+            final = await self._ask(node, stream.profile, left, work, first, tries > 0, stream.operator)
+            harmless = final is Final.WRITTEN_OFF and profile.effect is Effect.REISSUABLE
+            if final is not Final.TURNED_BACK and not harmless:
+                return
+            await asyncio.sleep(scenario.client_pause * self.random.uniform(1, 2))
+
+    async def _ask(
+        self, node: int, profile: int, left: float, work: float, first: int, repeat: bool, operator: int = 0
+    ) -> Final:
+        job = len(self._jobs) + 1
+        name = f"j{job}"
+        self._jobs[node, name] = job
+        effect = self.scenario.profiles[profile].effect
+        headers = {
+            "host": "app",
+            words.JOB_ID: name,
+            words.PROFILE: f"p{profile}",
+            words.TIME_LEFT: str(max(1, int(left * 1000))),
+            **({words.REPEAT: "1"} if repeat else {}),
+            **({words.NUMBER: name} if effect is Effect.NUMBERED else {}),
+            **({words.OPERATOR: f"o{operator}"} if self.scenario.quotas else {}),
+        }
+        method = "GET" if effect is Effect.REISSUABLE else "POST"
+        request = Request(method, f"{words.JOBS}?{WORK}={work:.5f}", headers)
+        self.rows.append(Taken(self.clock.now, node, job, profile, self.clock.now + left, first))
+        try:
+            place = self._places[node].process.listen
+            status = await self._callers.ask(place, request, left + SLACK / 2)
+        except asyncio.CancelledError:
+            self.rows.append(Answered(self.clock.now, node, job, Final.WITHDRAWN))
+            raise
+        if status is None:
+            return Final.WRITTEN_OFF  # no answer at all: no row, and the rule on answers is broken
+        final = FINALS.get(status, Final.WRITTEN_OFF)
+        self.rows.append(Answered(self.clock.now, node, job, final))
+        return final
+
+    def _call_below(self, server: int, call: Call, left: float, done: Callable[[bool], None]) -> Below:
+        async def ask() -> None:
+            node = self.below.get(server)
+            final = Final.WRITTEN_OFF
+            if node is not None:
+                final = await self._ask(node, call.profile, left, call.seconds, NO_TRY, False)
+            done(final is Final.HONOURED)
+
+        return _Flight(self._start(ask()))
+
+    # What the stand-ins saw.
+
+    def _came(self, server: Server, node: int, request: Request) -> bool:
+        """A dispatch has been read; whether its node had been told of the server's last start."""
+        name = request.headers.get(words.JOB_ID, "")
+        number = self._dispatches.get((node, name), 0)
+        self._dispatches[node, name] = number + 1
+        job = self._jobs.get((node, name), 0)
+        self.rows.append(Sent(self.clock.now, node, job, number, server.number))
+        return self._starts.get((node, server.number), 0.0) >= server.started_at
+
+    def _probed(self, server: Server, node: int) -> None:
+        self.rows.append(Probed(self.clock.now, node, server.number))
+
+    def _ran(self, server: Server, call: Call) -> None:
+        assert isinstance(call.name, tuple)
+        node, name, _ = call.name
+        number = self._dispatches.get((node, name), 1) - 1
+        self.rows.append(Ran(self.clock.now, node, self._jobs.get((node, name), 0), number, server.number))
+
+    def _tipped(self, server: Server, knowing: float) -> None:
+        self.rows.append(Tipped(self.clock.now, server.number, knowing))
+        self.clock.after(0.0, partial(self.stop, server))
+
+    def _told(self, node: int, entries: Sequence[ServerEntry]) -> None:
+        now = self.clock.now
+        self._starts.update({(node, entry.server): entry.started_at for entry in entries})
+        self.rows += [Told(now, node, entry.server, entry.presence) for entry in entries]
+
+
+SEEN = (one_answer, no_double_effects, clean_drains, gentle_fail_back, retry_bound)
+
+
+def breaches(story: Story) -> list[str]:
+    """What stand-ins can see of the rules; probes that meet a dead server they do not."""
+    return [f"{checker.__name__}: {text}" for checker in SEEN for text in checker(story)]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -53,9 +53,9 @@
         ("length = 8.0", "length = -8.0", "scenarios.0.length"),
         ("rate = 30.0", "rate = nan", "scenarios.0.streams.0.rate"),
         ("profile = 1", "profile = 2", "scenarios.0.streams.1.profile"),
-        ('name = "two crash"', 'name = "calm"', "scenarios"),
+        ('name = "four crash"', 'name = "calm"', "scenarios"),
         ("until = 5.0", "until = 2.0", "scenarios.1.faults.0.until"),
-        ("servers = [0, 1]", "servers = [0, 8]", "scenarios.1.faults.0.servers"),
+        ("servers = [0, 1, 2, 3]", "servers = [0, 8]", "scenarios.1.faults.0.servers"),
         ('kind = "crash"', 'kind = "crush"', "scenarios.1.faults.0.kind"),
     ],
 )
@@ -154,15 +154,15 @@
     rows = list(csv.DictReader(io.StringIO((into / "runs.csv").read_text())))
     assert len(rows) == 20 and len({(row["scenario"], row["variant"], row["seed"]) for row in rows}) == 20
     by = {(row["scenario"], row["variant"], row["seed"]): float(row["in_time"]) for row in rows}
-    assert all(by["two crash", "module", seed] > by["two crash", "random", seed] for seed in ("1", "2"))
+    assert all(by["four crash", "module", seed] > by["four crash", "random", seed] for seed in ("1", "2"))
     module = [row for row in rows if row["variant"] == "module"]
     assert all(row["breaches"] == "0" for row in module)
     summary = (into / "summary.md").read_text()
-    assert summary.count("| two crash |") == 5 and "revision" not in summary
+    assert summary.count("| four crash |") == 5 and "revision" not in summary
     assert {each.name for each in into.glob("*.png")} == {
         "in-time.png",
         "course-calm.png",
-        "course-two-crash.png",
+        "course-four-crash.png",
     }
     first = json.loads(next(results.glob("*.json")).read_text())
     (results / "another.json").write_text(json.dumps({**first, "revision": "other"}))
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,243 @@
+"""Stand-ins on loopback: what a node meets at a door, and scenarios against real node processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from notchjunction.emulator.discovery import Discovery
+from notchjunction.emulator.fleet import Server
+from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream, Tier
+from notchjunction.emulator.trace import Ran, Told
+from notchjunction.http1.messages import Request
+from notchjunction.interface import Effect, Presence, Profile, ServerEntry
+from notchjunction.lab.cli import on_sockets, unaccounted
+from notchjunction.net import words
+from notchjunction.net.connections import Address
+from notchjunction.standins import process
+from notchjunction.standins.caller import Callers
+from notchjunction.standins.clock import LoopClock
+from notchjunction.standins.discovery import DiscoveryStandIn
+from notchjunction.standins.server import ServerStandIn
+from notchjunction.standins.stage import Stage, breaches
+from tests.test_net import run
+
+SMALL = Scenario(
+    "small", nodes=2, servers=4, length=4.0, thrash=0.0, streams=(Stream(0, 25.0, work=0.05), Stream(1, 6.0))
+)
+
+
+@asynccontextmanager
+async def standing(tier: Tier | None = None) -> AsyncIterator[tuple[ServerStandIn, Address, Callers]]:
+    clock = LoopClock()
+    server = Server(0, tier or Tier(workers=1, queue_most=1), 0, 1.0, SMALL, clock, Random(1))
+    standin = ServerStandIn(server, clock, lambda node, request: True, lambda node: None)
+    callers = Callers()
+    yield standin, await standin.open_to(0), callers
+    callers.close()
+    standin.close()
+
+
+def job(work: float = 0.01, path: str = words.JOBS) -> Request:
+    headers = {"host": "a", words.JOB_ID: "j", words.PROFILE: "p0", words.TIME_LEFT: "2000"}
+    return Request("GET", f"{path}?work={work}", headers)
+
+
+@pytest.mark.parametrize(
+    ("trouble", "status"),
+    [
+        ({}, 200),
+        ({"errors": 1.0}, 500),
+        ({"resets": 1.0}, None),
+        ({"losses": 1.0}, None),
+        ({"hung": True}, None),
+        ({"presence": Presence.DRAINING}, 503),
+    ],
+    ids=str,
+)
+def test_what_a_server_in_trouble_answers(trouble: dict[str, Any], status: int | None) -> None:
+    async def story() -> None:
+        async with standing() as (standin, at, callers):
+            for name, value in trouble.items():
+                setattr(standin.server, name, value)
+            assert await callers.ask(at, job(), 0.3) == status
+
+    run(story())
+
+
+def test_a_server_is_full_down_and_back_at_its_address() -> None:
+    async def story() -> None:
+        async with standing() as (standin, at, callers):
+            held = [asyncio.create_task(callers.ask(at, job(0.2), 2.0)) for _ in range(3)]
+            assert sorted([await each or 0 for each in held]) == [200, 200, 503]
+            under_way = asyncio.create_task(callers.ask(at, job(5.0), 2.0))
+            while not standin.server.running:
+                await asyncio.sleep(0.001)
+            standin.stop()
+            assert await under_way is None
+            assert await callers.ask(at, job(), 0.3) is None
+            await standin.start()
+            assert await callers.ask(at, job(), 2.0) == 200 and standin.server.warmth() < 0.5
+
+    run(story())
+
+
+def test_a_caller_that_closes_waits_no_more_and_a_door_holds_so_many() -> None:
+    async def story() -> None:
+        async with standing(Tier(workers=1, queue_most=5, connections_most=2)) as (standin, at, callers):
+            first = asyncio.create_task(callers.ask(at, job(0.5), 2.0))
+            second = asyncio.create_task(callers.ask(at, job(0.5), 0.1))
+            await second
+            while standin.server.links > 1:
+                await asyncio.sleep(0.001)
+            assert len(standin.server.running) + len(standin.server.waiting) == 1
+            third = asyncio.create_task(callers.ask(at, job(), 2.0))
+            while standin.server.links < 2:
+                await asyncio.sleep(0.001)
+            assert await callers.ask(at, job(), 2.0) == 503
+            assert (await first, await third) == (200, 200)
+
+    run(story())
+
+
+def test_nothing_is_heard_or_said_through_a_silent_door() -> None:
+    async def story() -> None:
+        async with standing() as (standin, at, callers):
+            under_way = asyncio.create_task(callers.ask(at, job(0.1), 0.4))
+            while not standin.server.running:
+                await asyncio.sleep(0.001)
+            standin.doors[0].silent = True
+            assert await under_way is None and await callers.ask(at, job(), 0.1) is None
+            assert not standin.server.running and not standin.server.waiting
+            standin.doors[0].silent = False
+            assert await callers.ask(at, job(), 2.0) == 200
+
+    run(story())
+
+
+def test_discovery_gives_the_whole_list_then_changes_and_refuses_past_its_pace() -> None:
+    async def story() -> None:
+        clock = LoopClock()
+        model = Discovery(replace(SMALL, list_rate=4.0, list_wait=0.1, list_delay=0.0), clock, 1)
+        server = Server(0, Tier(), 0, 1.0, SMALL, clock, Random(1))
+        told: list[ServerEntry] = []
+        standin = DiscoveryStandIn(
+            model,
+            clock,
+            0,
+            0,
+            lambda: [model.entry(server)],
+            lambda _: ("h", 1),
+            lambda _, news: told.extend(news),
+        )
+        at = await standin.open()
+        reader, writer = await asyncio.open_connection(*at)
+
+        async def ask(target: str) -> tuple[int, dict[str, Any]]:
+            writer.write(f"GET {target} HTTP/1.1\r\nHost: d\r\n\r\n".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            body = await reader.readexactly(length)
+            return int(head.split(b" ")[1]), json.loads(body or b"{}")
+
+        status, whole = await ask("/v1/endpoints")
+        assert status == 200 and whole["snapshot"] and [row["name"] for row in whole["endpoints"]] == ["s0"]
+        clock.after(0.05, lambda: model.changed(0, server))
+        status, news = await ask("/v1/endpoints?after=0&wait_ms=5000")
+        assert (status, news["index"], news["snapshot"], len(news["endpoints"])) == (200, 1, False, 1)
+        status, nothing = await ask("/v1/endpoints?after=1&wait_ms=20")
+        assert (status, nothing["index"], nothing["endpoints"]) == (200, 1, [])
+        assert len(told) == 2
+        await asyncio.sleep(0.25)  # a later call begins anew, and two at once are one too many
+        model.call(0, 9, 1, lambda news, version: None)
+        status, _ = await ask("/v1/endpoints?after=1&wait_ms=20")
+        assert status == 503
+        writer.close()
+        standin.close()
+
+    run(story())
+
+
+FAULTS = {
+    "crash": (Fault(Kind.CRASH, 1.0, 2.0, (0, 1)),),
+    "drain": (Fault(Kind.DRAIN, 1.0, 2.5, (0,)),),
+    "cut": (Fault(Kind.CUT, 1.0, 2.0, zones=(1,)),),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_scenario_plays_against_real_nodes_and_the_rules_hold(fault: str, tmp_path: Path) -> None:
+    scenario = replace(SMALL, zones=2, faults=FAULTS[fault])
+    figures = asyncio.run(on_sockets(scenario, tmp_path))
+    assert figures["breaches_said"] == [] and figures["in_time"] > 0.8
+    assert figures["failures"] == figures["unaccounted"] == 0
+
+
+def test_tiers_call_tiers_through_nodes_that_die_with_their_server(tmp_path: Path) -> None:
+    tiers = (Tier(2, 0.5), Tier(2, 0.5, calls=1.2))
+    scenario = replace(SMALL, nodes=1, tiers=tiers, faults=(Fault(Kind.CRASH, 1.0, 2.0, (0,), tier=0),))
+
+    async def story() -> Stage:
+        stage = Stage(scenario, tmp_path)
+        found = await stage.play()
+        assert breaches(found) == []
+        ran = {row.server for row in found.rows if isinstance(row, Ran)}
+        assert ran == {0, 1, 2, 3}
+        return stage
+
+    stage = asyncio.run(story())
+    assert len(stage.below) == 2 and max(stage.below.values()) > 2  # one was started anew
+    assert not any(unaccounted(counters) for counters in stage.counters)
+
+
+DEAF = """
+from notchjunction.interface import News
+from notchjunction.net.node import Node
+hears = Node._hear
+Node._hear = lambda self, news, kind: hears(self, news, kind) if kind is News.REMEMBERED else None
+from notchjunction.__main__ import main
+main()
+"""
+
+
+def test_a_node_that_does_not_listen_to_the_list_is_caught(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(process, "PROGRAM", [sys.executable, "-c", DEAF])
+    scenario = replace(SMALL, servers=2, list_delay=0.1, faults=(Fault(Kind.DRAIN, 0.5, 3.9, (0,)),))
+
+    async def story() -> None:
+        found = await Stage(scenario, tmp_path).play()
+        assert any(isinstance(row, Told) for row in found.rows)
+        assert any(text.startswith("clean_drains") for text in breaches(found))
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("dies", ["at its start", "in the midst"])
+def test_a_node_that_dies_is_a_result_and_no_hang(
+    dies: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        short = (Profile(0.3, 0.5, effect=Effect.REISSUABLE),)
+        streams = (Stream(0, 20.0, work=0.05),)
+        stage = Stage(replace(SMALL, nodes=1, profiles=short, streams=streams), tmp_path)
+        if dies == "at its start":
+            monkeypatch.setattr(process, "PROGRAM", [sys.executable, "-c", "raise SystemExit('no')"])
+            with pytest.raises(RuntimeError, match="node 0 ended"):
+                await stage.play()
+            return
+        stage.clock.after(2.5, lambda: stage._places[0].process.kill())
+        found = await stage.play()
+        assert any(text.startswith("one_answer") for text in breaches(found))
+
+    asyncio.run(story())
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,294 @@
+"""The emulated world's parts: tiers, connections, zones, overdrive, each fault; one seed gives one run."""
+
+from __future__ import annotations
+
+import heapq
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from itertools import count
+from random import Random
+from typing import Any
+
+import pytest
+
+from notchjunction.emulator.checkers import breaches
+from notchjunction.emulator.discovery import Discovery
+from notchjunction.emulator.fleet import Call, Numbers, Server
+from notchjunction.emulator.node import NO_TRY, Link, Links
+from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream, Tier
+from notchjunction.emulator.trace import Answered, Final, Row, Sent, Taken, Told
+from notchjunction.emulator.world import World
+from notchjunction.interface import Effect, Group, Presence, Profile, Result
+from notchjunction.lab.baselines import VARIANTS
+from notchjunction.lab.runs import figures
+
+CALM = Scenario("calm", length=12.0)
+TIERS = (Tier(4, 0.3), Tier(5, 0.3), Tier(6, 0.4, calls=1.3))
+DEEP = replace(CALM, tiers=TIERS, zones=2, zone_latency=0.002, streams=(Stream(0, 20.0), Stream(1, 6.0)))
+
+
+class Hand:
+    """A clock that is moved by hand."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+
+    def after(self, delay: float, due: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (self.now + delay, next(self._order), due))
+
+    def on(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._due and self._due[0][0] <= end:
+            self.now, _, due = heapq.heappop(self._due)
+            due()
+        self.now = end
+
+
+def server(clock: Hand, tier: Tier | None = None, **scenario: Any) -> tuple[Server, list[Result]]:
+    found = Server(
+        0, tier or Tier(workers=1), 0, 1.0, replace(CALM, thrash=0.0, **scenario), clock, Random(1)
+    )
+    return found, []
+
+
+def call(results: list[Result], seconds: float = 1.0, clock: Hand | None = None, **more: Any) -> Call:
+    return Call("job", 0, seconds, float("inf"), results.append, **more)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault(Kind.ERRORS, 2.0, 6.0, (0, 1), 0.9),
+        Fault(Kind.RESET, 2.0, 6.0, (0, 1), 0.5),
+        Fault(Kind.LOSE, 2.0, 6.0, (0, 1), 0.5),
+        Fault(Kind.LIE, 2.0, 6.0, (0, 1), 0.0),
+        Fault(Kind.CUT, 2.0, 5.0, zones=(1,)),
+        Fault(Kind.LIST_LATE, 1.0, 9.0, size=3.0),
+        Fault(Kind.LIST_SPLIT, 1.0, 9.0, size=0.5),
+    ],
+    ids=lambda fault: fault.kind.value,
+)
+@pytest.mark.parametrize("fleet", [replace(CALM, zones=2), DEEP], ids=["one tier", "three tiers"])
+def test_the_rules_hold_through_each_fault(fleet: Scenario, fault: Fault) -> None:
+    drains = (Fault(Kind.DRAIN, 3.0, 8.0, (2,)), Fault(Kind.CRASH, 4.0, 6.0, (3,)))
+    story = World(replace(fleet, faults=(fault, *drains))).play()
+    assert breaches(story) == []
+
+
+def test_a_job_is_called_on_through_all_tiers_and_each_call_is_a_job_of_its_own() -> None:
+    world = World(DEEP)
+    story = world.play()
+    taken = [row for row in story.rows if isinstance(row, Taken)]
+    first = [row for row in taken if row.first_try != NO_TRY]
+    tier_of = {node.number: node.tier for node in [*world.nodes, *world.below.values()]}
+    second, third = (sum(tier_of[row.node] == depth for row in taken) for depth in (1, 2))
+    assert 0.9 * len(first) < second <= len(first) and 1.1 * second < third < 1.5 * second
+    # What a server calls on for has no more time than its own caller gives it.
+    left = {row.node: row.abandon_at - row.at for row in first}
+    assert all(row.abandon_at - row.at <= max(left.values()) for row in taken)
+
+
+def test_a_server_that_goes_takes_its_node_and_the_calls_under_way_with_it() -> None:
+    streams = (Stream(0, 20.0, work=0.4),)
+    world = World(replace(DEEP, streams=streams, faults=(Fault(Kind.CRASH, 4.0, 6.0, (0, 1), tier=0),)))
+    before = world.below[0]
+    story = world.play()
+    after = world.below[0]
+    assert before is not after and not before.alive and after.alive
+    assert not any(
+        isinstance(row, Sent) and row.node == before.number and row.at > 1_000_004.1 for row in story.rows
+    )
+    withdrawn = [row for row in story.rows if isinstance(row, Answered) and row.final is Final.WITHDRAWN]
+    assert withdrawn and breaches(story) == []
+
+
+def test_the_same_seed_gives_the_same_rows_whatever_the_hashes_of_a_process() -> None:
+    text = (
+        "from tests.test_world import DEEP, rows_of; import hashlib;"
+        "print(hashlib.sha256(repr(rows_of(DEEP)).encode()).hexdigest())"
+    )
+    seen = {
+        subprocess.run(
+            [sys.executable, "-c", text],
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            capture_output=True,
+            check=True,
+        ).stdout
+        for seed in ("1", "2")
+    }
+    assert len(seen) == 1
+
+
+def rows_of(scenario: Scenario) -> tuple[Row, ...]:
+    return World(replace(scenario, length=4.0)).play().rows
+
+
+def test_an_overdriven_server_stays_slow_until_it_has_rested() -> None:
+    clock = Hand()
+    driven, results = server(
+        clock, overdrive_jobs=2.0, overdrive_span=2.0, overdrive_times=3.0, rest_span=4.0
+    )
+    for _ in range(4):
+        driven.reach(call(results, seconds=5.0))
+    clock.on(1.9)
+    assert not driven.overdriven
+    clock.on(0.2)
+    assert driven.overdriven and driven.pace() == 3.0
+    clock.on(100.0)  # all is done, the last one at a third of the pace
+    assert len(results) == 4 and not driven.overdriven
+    driven.reach(call(results, seconds=1.0))
+    clock.on(1.0)
+    assert len(results) == 5
+
+
+def test_work_that_comes_before_it_has_rested_keeps_it_slow() -> None:
+    clock = Hand()
+    driven, results = server(clock, overdrive_jobs=1.0, overdrive_span=1.0, rest_span=4.0)
+    for _ in range(4):
+        driven.reach(call(results, seconds=1.5))
+    while len(results) < 4:
+        clock.on(0.5)
+    for _ in range(5):
+        driven.reach(call(results, seconds=0.3))
+        clock.on(2.0)
+        assert driven.overdriven
+    clock.on(4.0)
+    assert not driven.overdriven
+
+
+@pytest.mark.parametrize(("waits", "dropped"), [(True, False), (False, True)])
+def test_what_is_dropped_waits_no_more_and_what_runs_runs_on(waits: bool, dropped: bool) -> None:
+    clock = Hand()
+    busy, results = server(clock)
+    one, two = call(results), call(results)
+    busy.reach(one)
+    busy.reach(two)
+    busy.drop(two if waits else one)
+    clock.on(5.0)
+    assert len(results) == (1 if waits else 2)
+
+
+def test_a_server_holds_so_many_connections_and_those_of_an_earlier_life_are_gone() -> None:
+    clock = Hand()
+    few, _ = server(clock, Tier(connections_most=2))
+    assert few.connect() and few.connect() and not few.connect()
+    few.disconnect(few.life)
+    assert few.connect()
+    life = few.life
+    few.stop()
+    assert not few.connect()
+    few.start()
+    few.disconnect(life)  # of a connection that its end has closed already
+    assert few.links == 0 and few.connect()
+
+
+def test_a_kept_connection_is_used_again_retired_in_time_and_not_outlived() -> None:
+    world = World(replace(CALM, connection_idle=2.0))
+    to, links = world.servers[0], Links(world)
+    assert to.connect()
+    link = Link(to, to.life)
+    links.give_back(link)
+    assert links.take(to) is link and links.take(to) is None
+    links.give_back(link)
+    world.env.run(world.now + 1.9)
+    held = to.links
+    assert links.idle[0] == [link]
+    world.env.run(world.now + 0.2)
+    assert not links.idle[0] and to.links <= held
+    links.give_back(link)
+    to.stop()
+    assert links.take(to) is None
+
+
+def test_connections_that_are_scarce_and_dear_break_no_rule() -> None:
+    tiers = (
+        Tier(4, 0.3, connections_most=6),
+        Tier(5, 0.3, connections_most=6),
+        Tier(6, 0.4, connections_most=8),
+    )
+    scenario = replace(DEEP, tiers=tiers, connection_idle=3.0, handshake_work=0.01)
+    assert breaches(World(scenario).play()) == []
+
+
+@pytest.mark.parametrize(("group", "at", "runs"), [(Group.ALL, 1, 1), (Group.ZONE, 1, 2), (Group.ZONE, 2, 1)])
+def test_a_groups_servers_drop_the_repeats_of_a_numbered_job(group: Group, at: int, runs: int) -> None:
+    profile = Profile(1.0, 2.0, effect=Effect.NUMBERED, group=group, window=5.0)
+    world = World(replace(CALM, servers=4, zones=2, profiles=(profile,), streams=(Stream(0, 0.001),)))
+    results: list[Result] = []
+    for number in (0, at):
+        world.servers[number].reach(Call((0, 1, number), 0, 0.1, float("inf"), results.append, number=(0, 1)))
+    world.env.run(world.now + 1.0)
+    ran = sum(type(row).__name__ == "Ran" for row in world.rows)
+    assert results == [Result.HONOURED] * 2 and ran == runs
+
+
+def test_a_number_is_forgotten_after_its_window() -> None:
+    numbers = Numbers(window=5.0)
+    assert not numbers.seen("n", 10.0) and numbers.seen("n", 14.9) and not numbers.seen("n", 15.1)
+
+
+def test_nothing_crosses_a_cut_and_all_goes_on_within_each_side() -> None:
+    world = World(replace(CALM, zones=3))
+    came: list[tuple[int, int]] = []
+    world.cut = frozenset({1})
+    for here in range(3):
+        for there in range(3):
+            world.carry(here, there, lambda here=here, there=there: came.append((here, there)))  # type: ignore[misc]
+    world.env.run(world.now + 1.0)
+    assert sorted(came) == [(0, 0), (0, 2), (1, 1), (2, 0), (2, 2)]
+
+
+def test_a_split_list_is_heard_by_some_nodes_alone_until_it_is_whole_again() -> None:
+    split = Fault(Kind.LIST_SPLIT, 1.0, 9.0, size=0.5)
+    scenario = replace(CALM, nodes=10, length=20.0, faults=(split, Fault(Kind.DRAIN, 3.0, 19.0, (0,))))
+    heard = {
+        row.node: row.at
+        for row in World(scenario).play().rows
+        if isinstance(row, Told) and row.presence is Presence.DRAINING
+    }
+    late = sum(at > 1_000_009.0 for at in heard.values())
+    assert len(heard) == 10 and 2 <= late <= 8
+
+
+def test_discovery_refuses_what_would_wait_too_long_and_forgets_who_has_gone() -> None:
+    clock = Hand()
+    discovery = Discovery(replace(CALM, list_rate=2.0, list_wait=0.9), clock, 1)
+    heard: list[int | None] = []
+    for asker in range(4):
+        discovery.call(0, asker, 0, lambda news, version, asker=asker: heard.append(news and asker))  # type: ignore[misc]
+    assert heard == [None, None]  # the third and fourth would wait for a second
+    clock.on(2.0)
+    discovery.forget(1)
+    discovery.changed(0, server(clock)[0])
+    clock.on(1.0)
+    assert heard == [None, None, 0]
+
+
+CRUNCH = replace(
+    CALM,
+    length=20.0,
+    tiers=(Tier(4, 0.3, queue_most=12), Tier(5, 0.3, queue_most=12), Tier(8, 0.4, calls=1.25, queue_most=12)),
+    streams=(Stream(0, 10.0, work=0.35), Stream(1, 2.0, work=0.5)),
+    faults=(Fault(Kind.CRASH, 5.0, 8.0, (0, 1)),),
+    overdrive_jobs=2.0,
+    thrash=0.0,
+    client_pause=0.1,
+    cold_time=9.0,
+    cold_share=0.3,
+)
+
+
+def test_a_crunch_costs_a_policy_without_budgets_most_and_breaks_no_rule_of_the_modules() -> None:
+    def worth(variant: str) -> float:
+        runs = [World(replace(CRUNCH, seed=seed), VARIANTS[variant]).play() for seed in (1, 2, 3)]
+        if variant == "module":
+            assert not any(breaches(story) for story in runs)
+        return sum(float(figures(story, [])["in_time"]) for story in runs) / 3
+
+    random, module, top = (worth(variant) for variant in ("random", "module", "top"))
+    assert random + 0.1 < module < top
