Callers whose body outlasts an ending process move to the one that follows

Change: such a caller moves as answers do, with the state of its body's reader; the process that follows reads on and then serves it. Result: two stories, failing without the move. Ruled out: small requests (none since early answers outlast their body), the kill (drains ended before it).

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -61,8 +61,8 @@
 
 
 class Mover(Protocol):
-    def __call__(self, state: Mapping[str, Any], caller: socket.socket, server: socket.socket) -> bool:
-        """Hands an answer under way to another process; whether that was done."""
+    def __call__(self, state: Mapping[str, Any], *sockets: socket.socket) -> bool:
+        """Hands a caller to another process, with its server where an answer is under way; whether it did."""
 
 
 class Callers:
@@ -222,6 +222,14 @@
         caller = Caller(self, stream, full=False)
         self._callers[caller] = self._loop.create_task(self._serve(caller, caller.resume(state, download)))
 
+    def adopt_rest(self, state: Mapping[str, Any], caller_sock: socket.socket) -> None:
+        """A caller who has its answer from another process of this node, and still sends its body."""
+        self.descriptors.take_caller()
+        self.counters.add("bodies_adopted")
+        stream = CallerStream(caller_sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+        caller = Caller(self, stream, full=False)
+        self._callers[caller] = self._loop.create_task(self._serve(caller, caller.resume_rest(state)))
+
     def serve(self) -> None:
         """Takes both back: the node is ready for more, and connections are kept."""
         self.draining = self.parting = False
@@ -273,12 +281,11 @@
                 return
             self._busy = True
             keep = await self._respond(request)
-            if self._requests.going and not (self._at_fault or self._full or self._turned_back):
-                # Also where the connection ends after it: a close would destroy the answer on its way to a
-                # caller that reads it only once all of its body is sent.
-                self._discards = True
-                await self._discard()
-                self._discards = False
+            # Also where the connection ends after it: a close would destroy the answer on its way to a caller
+            # that reads it only once all of its body is sent.
+            rest = self._requests.going and not (self._at_fault or self._full)
+            if rest and await self._discard(keep):
+                return
             self._busy = False
             self._rest()
             if self._requests.begun:
@@ -555,8 +562,8 @@
             await self.converse()
 
     def turn_back_upload(self) -> None:
-        if self._discards:
-            self._stream.close()
+        if self._discards and not self._turned_back and (self._callers.mover is None or self._stays):
+            self._stream.close()  # it had its answer a while ago, and nobody goes on with it
         under_way = self._upload is not None and not self._upload.ended
         if under_way and self._job is not None and not self._turned_back:
             self._turned_back = True
@@ -576,15 +583,55 @@
         except Malformed as error:
             raise StreamClosedError from error
 
-    async def _discard(self) -> None:
-        """Reads the rest of a body whose job has its answer, and throws it away."""
+    async def _discard(self, keep: bool) -> bool:
+        """Reads the rest of a body whose job has its answer, and throws it away; whether it has moved."""
+        self._discards = True
         while not self._cast_off():
+            if self._callers.moving.is_set() and not self._stays:
+                if self._move_rest(keep):
+                    return True
+                await asyncio.sleep(MOVE_PAUSE)
+            if self._turned_back and (self._stays or self._callers.mover is None):
+                break  # the process ends, and nobody can go on with it
+            told = asyncio.ensure_future(self._callers.moving.wait())
             reading = self._read(self._callers.streams.piece())
-            late = await self._wait(reading)
+            late = await self._wait(reading, *([] if self._stays or told.done() else [told]))
+            told.cancel()
             if not reading.done() and late:
                 raise StreamClosedError
             if reading.done():
                 self._feed()
+        self._discards = False
+        return False
+
+    def _move_rest(self, keep: bool) -> bool:
+        """Gives a caller whose body still comes to the process that follows."""
+        mover = self._callers.mover
+        if mover is None or self._has_read() or self._stream.closed():
+            return False
+        try:
+            moved = mover({"keep": keep, "rest": self._requests.state()}, self._stream.socket)
+        except BlockingIOError:
+            return False
+        self._stays = not moved
+        if moved:
+            self._callers.counters.add("bodies_moved")
+        return moved
+
+    async def resume_rest(self, state: Mapping[str, Any]) -> None:
+        """Reads on a body whose job another process has answered, and goes on as with any caller."""
+        self._busy = True
+        self._stir()
+        self._requests.go_on(state["rest"])
+        keep = bool(state["keep"])
+        if await self._discard(keep):
+            return
+        self._busy = False
+        if keep and not self._callers.parting:
+            self._rest()
+            await self.converse()
+        else:
+            await self._linger()
 
     def _read(self, most: int = PIECE) -> asyncio.Future[bytes]:
         if self._reading is None:
--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -67,6 +67,8 @@
         self, state: Mapping[str, Any], caller: socket.socket, server: socket.socket
     ) -> None: ...
 
+    def adopt_rest(self, state: Mapping[str, Any], caller: socket.socket) -> None: ...
+
     def used_elsewhere(self) -> None: ...
 
 
@@ -259,10 +261,9 @@
             text, descriptors, _, _ = socket.recv_fds(giver, STREAM_MOST, 2)
             given = [socket.socket(fileno=descriptor) for descriptor in descriptors]
             if text:
-                caller, server = given
-                caller.setblocking(False)
-                server.setblocking(False)
-                self._node.adopt_stream(json.loads(text), caller, server)
+                for each in given:
+                    each.setblocking(False)
+                self._adopt(json.loads(text), given)
                 return
         except BlockingIOError:
             return
@@ -274,6 +275,16 @@
         self._taking.remove(giver)
         giver.close()
 
+    def _adopt(self, state: Mapping[str, Any], given: list[socket.socket]) -> None:
+        """With its server an answer under way; alone a caller who has its answer and still sends."""
+        match given:
+            case [caller, server]:
+                self._node.adopt_stream(state, caller, server)
+            case [caller]:
+                self._node.adopt_rest(state, caller)
+            case _:
+                raise ValueError("no connection came")
+
     def giver(self) -> Giver | None:
         """A way to give answers under way to the process that follows; None where there is none."""
         try:
@@ -400,9 +411,10 @@
             self._sock.close()
             raise
 
-    def __call__(self, state: Mapping[str, Any], caller: socket.socket, server: socket.socket) -> bool:
+    def __call__(self, state: Mapping[str, Any], *sockets: socket.socket) -> bool:
         try:
-            socket.send_fds(self._sock, [json.dumps(state).encode()], [caller.fileno(), server.fileno()])
+            descriptors = [each.fileno() for each in sockets]
+            socket.send_fds(self._sock, [json.dumps(state).encode()], descriptors)
         except BlockingIOError:
             raise  # for now: its queue is full
         except OSError as error:
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -212,6 +212,10 @@
         download = self._servers.adopt(state["answers"], server)
         self._callers.adopt_stream(state, caller, download)
 
+    def adopt_rest(self, state: Mapping[str, Any], caller: socket.socket) -> None:
+        """A caller whose job the process before this one has answered, and whose body still comes."""
+        self._callers.adopt_rest(state, caller)
+
     def used_elsewhere(self) -> None:
         if self._handover is not None:
             others = self._handover.others * (OWN + management.DESCRIPTORS)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -944,3 +944,53 @@
         theirs.close()
 
     run(story())
+
+
+async def ask_ready_on(caller: Caller) -> int:
+    caller.send(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+    return (await caller.answer()).status
+
+
+@pytest.mark.parametrize("answered", ["before the move", "at the node's end"])
+def test_a_body_that_outlasts_the_process_is_read_on_by_the_one_that_follows(
+    answered: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its caller has its answer, and reads that only once all of its body is sent."""
+    monkeypatch.setattr(ending, "KILL_AFTER", -1.4)  # the node's end is 0.3 s after it was asked to
+
+    async def story() -> None:
+        ran: list[object] = []
+
+        async def counts(talk: Talk) -> None:
+            ran.append(await talk.request())
+
+        async def fails(talk: Talk) -> None:
+            await talk.request(most=1)
+            await talk.send(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+
+        early = answered == "before the move"
+        async with served(fails if early else counts, shared=tmp_path) as (old, address, _):
+            caller = await Caller().open(address)
+            caller.ask("POST", extra="Transfer-Encoding: chunked\r\n")
+            caller.send(b"%x\r\n%b" % (MB, BODY[:200_000]))
+            what = "answered_written_off" if early else "dispatches_first"
+            while not old.counters.read().get(what):
+                await asyncio.sleep(0.002)
+            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.002)
+                old.stop()
+                while not new.counters.read().get("bodies_adopted"):
+                    await asyncio.sleep(0.002)
+                while old._callers.connected:
+                    await asyncio.sleep(0.002)
+                caller.send(BODY[200_000:] + b"\r\n0\r\n\r\n")
+                answer = await caller.answer()
+                assert (answer.status, answer.keep) == ((502, True) if early else (503, False))
+                if early:  # it goes on as any caller, with the process that has it now
+                    assert await ask_ready_on(caller) == 200
+                else:
+                    assert await caller.closed()
+                assert not ran and old.counters.read()["bodies_moved"] == 1
+
+    run(story())
