--- a/notchjunction/emulator/fleet.py
+++ b/notchjunction/emulator/fleet.py
@@ -104,7 +104,8 @@
         self.hung = False
         self.slow = self.lies = 1.0
         self.errors = self.resets = self.losses = 0.0
-        self.running: list[Call] = []
+        self.running: list[Call] = []  # on a worker
+        self.calling: list[Call] = []  # their own work is done; they hold a slot until the next tier answers
         self.waiting: deque[Call] = deque()
         self.pushed: deque[tuple[float, float, bool]] = (
             deque()
@@ -120,8 +121,8 @@
     def stop(self) -> None:
         """Resets what it holds; it takes nothing until it is up again."""
         self.up = False
-        held = [*self.running, *self.waiting]
-        self.running, self.waiting = [], deque()
+        held = [*self.running, *self.calling, *self.waiting]
+        self.running, self.calling, self.waiting = [], [], deque()
         self.links = 0
         self.life += 1
         for call in held:
@@ -188,9 +189,9 @@
         call.over = True
         if call in self.waiting:
             self.waiting.remove(call)
-        elif call.below is not None and call in self.running:
+        elif call in self.calling:
             self._leave_below(call)
-            self.running.remove(call)
+            self.calling.remove(call)
             self._work_on()
         self._look_at_load()
 
@@ -216,7 +217,7 @@
             self.pushed.popleft()
 
     def _work_on(self) -> None:
-        while self.up and not self.hung and self.waiting and len(self.running) < self.tier.workers:
+        while self.up and not self.hung and self.waiting and self._has_room():
             call = self.waiting.popleft()
             self.running.append(call)
             self._ran(self, call)
@@ -226,6 +227,10 @@
             seconds = call.seconds * self.tier.share * self.pace()
             self._clock.after(seconds, partial(self._worked, call))
 
+    def _has_room(self) -> bool:
+        slots = self.tier.slots or self.tier.workers
+        return len(self.running) < self.tier.workers and len(self.running) + len(self.calling) < slots
+
     def _worked(self, call: Call) -> None:
         """Its own work is done; what is left are the calls to the next tier."""
         if call not in self.running:
@@ -234,7 +239,14 @@
             self._clock.after(HUNG_LOOK, lambda: self._worked(call))
             return
         whole, part = divmod(self._calls, 1.0)
-        self._call_on(call, int(whole) + (self._random.random() < part))
+        left = int(whole) + (self._random.random() < part)
+        if not left or self._below is None:
+            self._end(call, Result.HONOURED)
+            return
+        self.running.remove(call)
+        self.calling.append(call)
+        self._call_on(call, left)
+        self._work_on()
 
     def _call_on(self, call: Call, left: int) -> None:
         if left <= 0 or self._below is None or call.over:
@@ -243,7 +255,7 @@
 
         def done(honoured: bool) -> None:
             call.below = None
-            if call not in self.running:
+            if call not in self.calling:
                 return
             if honoured:
                 self._call_on(call, left - 1)
@@ -255,16 +267,17 @@
             self._end(call, Result.ERROR)
             return
         under_way = self._below(call, time_left, done)
-        if call in self.running:  # else it has its answer already
+        if call in self.calling:  # else it has its answer already
             call.below = under_way
 
     def _end(self, call: Call, result: Result) -> None:
-        if call not in self.running:
+        place = self.running if call in self.running else self.calling
+        if call not in place:
             return
         if self.hung:
             self._clock.after(HUNG_LOOK, lambda: self._end(call, result))
             return
-        self.running.remove(call)
+        place.remove(call)
         if self.losses and self._random.random() < self.losses:
             pass
         elif self.resets and self._random.random() < self.resets:
@@ -321,7 +334,7 @@
         if self._report is None or now - self._reported_at >= self._scenario.report_every:
             running, waiting = len(self.running), len(self.waiting)
             self._report = Load(
-                held=(running + waiting) * self.lies,
+                held=(running + len(self.calling) + waiting) * self.lies,
                 waiting=waiting * self.lies,
                 busy=min(1.0, running / self.tier.workers) * self.lies,
             )
--- a/notchjunction/emulator/scenario.py
+++ b/notchjunction/emulator/scenario.py
@@ -56,7 +56,8 @@
     servers: int = 10
     share: float = 1.0  # of a job's work that one call costs here
     calls: float = 1.0  # that each job of the tier above makes here; what is past a whole one, by chance
-    workers: int = 2  # jobs that a server works on at once without slowing down; one that calls on holds one
+    workers: int = 2  # jobs that a server works on at once without slowing down
+    slots: int = 0  # jobs that it works on or calls on for at once; 0: as many as workers
     queue_most: int = 20  # jobs that a server holds besides
     speeds: tuple[float, ...] = (0.7, 1.0, 1.4)
     connections_most: int = 0  # that a server holds; 0: any number
--- a/notchjunction/lab/files.py
+++ b/notchjunction/lab/files.py
@@ -41,7 +41,7 @@
     **{Optional(name): COUNT for name in ("workers", "queue_most")},
     **{Optional(name): ABOVE_0 for name in ("share", "calls")},
     Optional("speeds"): All([ABOVE_0], Length(min=1)),
-    Optional("connections_most"): All(whole_number, Range(min=0)),
+    **{Optional(name): All(whole_number, Range(min=0)) for name in ("connections_most", "slots")},
 }
 FAULT = {
     Required("kind"): In([kind.value for kind in Kind]),
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -227,6 +227,40 @@
     assert results == [Result.HONOURED] * 2 and ran == runs
 
 
+class Nowhere:
+    """A call to the next tier that never ends."""
+
+    def withdraw(self) -> None:
+        pass
+
+
+@pytest.mark.parametrize(("slots", "ran"), [(0, 1), (3, 3), (9, 5)])
+def test_a_job_that_waits_for_the_next_tier_holds_a_slot_and_no_worker(slots: int, ran: int) -> None:
+    clock, began = Hand(), list[object]()
+    tier = Tier(workers=1, slots=slots)
+    above = Server(
+        0,
+        tier,
+        0,
+        1.0,
+        replace(CALM, thrash=0.0),
+        clock,
+        Random(1),
+        ran=lambda _, call: began.append(call),
+        below=lambda call, left, done: Nowhere(),
+        calls=1.0,
+    )
+    calls = [call([], seconds=0.1) for _ in range(5)]
+    for each in calls:
+        above.reach(each)
+    clock.on(5.0)
+    assert len(began) == ran
+    if slots == 3:  # one that is given up makes room for the next
+        above.drop(calls[0])
+        clock.on(1.0)
+        assert len(began) == 4
+
+
 def test_a_number_is_forgotten_after_its_window() -> None:
     numbers = Numbers(window=5.0)
     assert not numbers.seen("n", 10.0) and numbers.seen("n", 14.9) and not numbers.seen("n", 15.1)
