Answers under way move again after a process that stood in is followed anew

Cause, on rereading: the move of answers was tried once in a process's end; one that stands in and is then followed kept what it had until its kill (net/ending.py, _move_at). Change: standing in arms the move again, and the way to the dead process is closed. Ruled out: moving them a second time by the old way, whose socket is dead.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -209,6 +209,11 @@
         self.mover = mover
         self.moving.set()
 
+    def keep_streams(self) -> None:
+        """They stay from now on: the process that they went to has gone."""
+        self.mover = None
+        self.moving.clear()
+
     def turn_back_uploads(self) -> None:
         """What is not whole by the node's end never ran."""
         for caller in list(self._callers):
--- a/notchjunction/net/ending.py
+++ b/notchjunction/net/ending.py
@@ -85,7 +85,7 @@
         self._listen_until = now + LISTEN_ON
         # Guards against callers that have nowhere to go yet, as where another node is still starting.
         self._serve_until = self.end_at - span * ANSWER_SHARE
-        self._move_at = now + MOVE_AFTER
+        self._move_due = self._move_at = now + MOVE_AFTER
 
     @property
     def over(self) -> bool:
@@ -113,4 +113,6 @@
             self.phase = row.then
             if seen is Seen.MOVE_DUE:
                 self._move_at = math.inf  # it is tried once
+            elif row.then is Phase.STANDING_IN:
+                self._move_at = self._move_due  # and once more with the next one that follows
             yield from row.effects
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -326,6 +326,10 @@
                         self._callers.serve()
                         self._callers.go_on()
                         part_until = math.inf
+                        if giver is not None:
+                            giver.close()
+                            giver = None
+                            self._callers.keep_streams()
                     case Do.CLOSE:
                         self._callers.stop()
                     case Do.PART:
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -30,6 +30,10 @@
         ([(0, True, 3), (0.2, True, 3), (0.3, True, 3)], [Do.YIELD, Do.MOVE]),
         ([(0, True, 3), (0.05, False, 3), (0.06, True, 0)], [Do.YIELD, Do.TAKE_BACK, Do.YIELD, Do.END]),
         ([(0, False, 3), (0.03, True, 3)], [Do.LEAD, Do.YIELD]),
+        (
+            [(0, True, 3), (0.2, True, 3), (0.3, False, 3), (0.4, True, 3), (0.5, True, 3), (0.6, True, 3)],
+            [Do.YIELD, Do.MOVE, Do.TAKE_BACK, Do.YIELD, Do.MOVE],
+        ),
         ([(0, True, 1), (2.5, True, 1), (2.6, True, 1)], [Do.YIELD, Do.MOVE, Do.TURN_BACK, Do.TURN_BACK]),
     ],
 )
