Reread: one way to adopt a caller, a condition that never held is gone, a record as a dataclass

Need: adopt_stream and adopt_rest made a caller alike; a task just made was asked whether it is done; the stand-ins called a private method of a door. Change: Callers._adopted, no such condition, Door.say, NodePlace as a dataclass.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -221,19 +221,19 @@
 
     def adopt_stream(self, state: Mapping[str, Any], caller_sock: socket.socket, download: Download) -> None:
         """A caller whose answer another process of this node began to pass on."""
-        self.descriptors.take_caller()
-        self.counters.add("streams_adopted")
-        stream = CallerStream(caller_sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
-        caller = Caller(self, stream, full=False)
+        caller = self._adopted(caller_sock, "streams_adopted")
         self._callers[caller] = self._loop.create_task(self._serve(caller, caller.resume(state, download)))
 
     def adopt_rest(self, state: Mapping[str, Any], caller_sock: socket.socket) -> None:
         """A caller who has its answer from another process of this node, and still sends its body."""
+        caller = self._adopted(caller_sock, "bodies_adopted")
+        self._callers[caller] = self._loop.create_task(self._serve(caller, caller.resume_rest(state)))
+
+    def _adopted(self, caller_sock: socket.socket, counter: str) -> Caller:
         self.descriptors.take_caller()
-        self.counters.add("bodies_adopted")
+        self.counters.add(counter)
         stream = CallerStream(caller_sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
-        caller = Caller(self, stream, full=False)
-        self._callers[caller] = self._loop.create_task(self._serve(caller, caller.resume_rest(state)))
+        return Caller(self, stream, full=False)
 
     def serve(self) -> None:
         """Takes both back: the node is ready for more, and connections are kept."""
@@ -600,7 +600,7 @@
                 break  # the process ends, and nobody can go on with it
             told = asyncio.ensure_future(self._callers.moving.wait())
             reading = self._read(self._callers.streams.piece())
-            late = await self._wait(reading, *([] if self._stays or told.done() else [told]))
+            late = await self._wait(reading, *([] if self._stays else [told]))
             told.cancel()
             if not reading.done() and late:
                 raise StreamClosedError
--- a/notchjunction/standins/server.py
+++ b/notchjunction/standins/server.py
@@ -78,7 +78,7 @@
                         continue
                     if request.path == words.JOBS:
                         if not held:
-                            self._say(writer, ANSWERS[Result.FULL])
+                            self.say(writer, ANSWERS[Result.FULL])
                             continue
                         call = self._standin.call(self, request, writer)
                         server.reach(call)
@@ -94,14 +94,14 @@
             self._writers.discard(writer)
             writer.close()
 
-    def _say(self, writer: asyncio.StreamWriter, answer: Answer) -> None:
+    def say(self, writer: asyncio.StreamWriter, answer: Answer) -> None:
         if not self.silent and not writer.is_closing():
             writer.write(encode_answer(answer))
 
     def end(self, writer: asyncio.StreamWriter, result: Result) -> None:
         """How a call ended, as its node sees it."""
         if result in ANSWERS:
-            self._say(writer, ANSWERS[result])
+            self.say(writer, ANSWERS[result])
         elif not self.silent:
             reset(writer)
 
@@ -174,4 +174,4 @@
         report = {word: getattr(load, held) for held, word in REPORTED.items()}
         body = json.dumps(report).encode() if request.path == words.LOAD else b""
         answer = Answer(200 if sound else 503, body=body)
-        self._clock.after(seconds, lambda: door._say(writer, answer))
+        self._clock.after(seconds, lambda: door.say(writer, answer))
--- a/notchjunction/standins/stage.py
+++ b/notchjunction/standins/stage.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 from collections.abc import Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -43,11 +44,13 @@
 FINALS = {200: Final.HONOURED, 429: Final.TURNED_BACK, 503: Final.TURNED_BACK}
 
 
+@dataclass(frozen=True, slots=True)
 class NodePlace:
-    """A node process, its discovery, and the doors that servers keep for it."""
+    """A node process, its discovery, and the tier that it stands before."""
 
-    def __init__(self, process: NodeProcess, discovery: DiscoveryStandIn, tier: int) -> None:
-        self.process, self.discovery, self.tier = process, discovery, tier
+    process: NodeProcess
+    discovery: DiscoveryStandIn
+    tier: int
 
 
 class _Flight:
