--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 
 class Effect(Enum):
@@ -98,6 +98,10 @@
     cold_share: float = 1.0
     cold_time: float = 0.0
     tip_multiple: float = 3.0
+    beside_clients: bool = False  # each client process has a node of its own: many, each with little traffic
+    may_tell: bool = False
+    me: int = 0  # this node's number among those it may tell
+    warm_keys: bool = False  # a server that met a job's key lately does it for less work
 
 
 @dataclass(slots=True)
@@ -109,6 +113,7 @@
     repeat: bool = False
     work_hint: float | None = None
     whole: bool = True  # whether its last byte has come; its time counts from then
+    key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +135,17 @@
     started_at: float = 0.0
     zone: int = 0
     cell: int = 0
+    power: float = 1.0  # rough size against other servers'
+    tag: int = 0  # the same at all nodes: a hash of its name
+
+
+class Told(NamedTuple):
+    """One outcome of a dispatch, as a peer tells of it; a hint, never a fact."""
+
+    server: int
+    ago: float
+    good: bool
+    seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +181,8 @@
 
     def set_aside(self, server: int, seconds: float) -> None: ...
 
+    def tell(self, peer: int, newest: int, told: Sequence[Told]) -> None: ...
+
 
 class Decisions(Protocol):
     """What a host calls; `rules.Balancer` is one."""
@@ -187,6 +205,8 @@
 
     def barred(self, server: int, out: bool) -> None: ...
 
+    def heard(self, told: Sequence[Told]) -> None: ...
+
     def retuned(self, terms: Terms, profiles: Mapping[int, Profile]) -> None: ...
 
     def lessons(self) -> dict[str, Any]: ...
--- /dev/null
+++ b/notchjunction/notes.py
@@ -0,0 +1,76 @@
+"""What nodes tell one another: a few of their last outcomes, in at most `MOST` bytes. Pure; decides nothing.
+
+A note may be lost, late, cut, doubled, out of order, or from an earlier start of its peer: `Notes.read` takes only
+what it has not had before and counts what it passes over. Ages are relative, as clocks of nodes differ.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import NamedTuple
+
+VERSION = 1
+MOST = 256  # bytes of a note
+PEERS_KEPT = 1024  # peers of whom it is known what they have told; far more than a deployment has nodes
+HEAD = struct.Struct(">BIIB")  # version, start of the teller, number of its newest outcome, count
+ITEM = struct.Struct(">IHHB")  # tag of the server, age in hundredths of a second, milliseconds, whether it was good
+ITEMS_MOST = (MOST - HEAD.size) // ITEM.size
+
+
+class Word(NamedTuple):
+    """One outcome, newest first in a note."""
+
+    tag: int
+    ago: float
+    good: bool
+    seconds: float
+
+
+def tag_of(name: str) -> int:
+    """The same at all nodes; not Python's own hash, which differs from process to process."""
+    return zlib.crc32(name.encode())
+
+
+class Notes:
+    """One node's side of the talk. `start` tells this start of the node from its earlier ones."""
+
+    def __init__(self, start: int) -> None:
+        self._start = start & 0xFFFFFFFF
+        self._had: OrderedDict[int, tuple[int, int]] = OrderedDict()
+        self.passed_over = 0
+
+    def write(self, newest: int, words: Sequence[Word]) -> bytes:
+        words = words[:ITEMS_MOST]
+        head = HEAD.pack(VERSION, self._start, newest & 0xFFFFFFFF, len(words))
+        return head + b"".join(
+            ITEM.pack(
+                word.tag,
+                min(max(0, round(word.ago * 100)), 0xFFFF),
+                min(max(0, round(word.seconds * 1000)), 0xFFFF),
+                word.good,
+            )
+            for word in words
+        )
+
+    def read(self, peer: int, note: bytes) -> list[Word]:
+        """What is new in a note, oldest first; nothing where it can't be read."""
+        if len(note) < HEAD.size or len(note) > MOST or note[0] != VERSION:
+            self.passed_over += 1
+            return []
+        _, start, newest, count = HEAD.unpack_from(note)
+        if len(note) != HEAD.size + count * ITEM.size:
+            self.passed_over += 1
+            return []
+        known, had = self._had.pop(peer, (start, 0))
+        # Guards against an earlier start's numbers hiding what a peer tells after its restart.
+        had = had if known == start else 0
+        self._had[peer] = (start, max(had, newest))
+        if len(self._had) > PEERS_KEPT:
+            self._had.popitem(last=False)
+        # Guards against counting an outcome twice: notes overlap, and may come doubled or out of order.
+        new = min(count, max(0, newest - had))
+        items = list(ITEM.iter_unpack(note[HEAD.size :]))[:new]
+        return [Word(tag, ago / 100, good == 1, ms / 1000) for tag, ago, ms, good in reversed(items)]
--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -54,6 +54,7 @@
     entry: ServerEntry
     flights: list[Dispatch] = field(default_factory=list)
     heard_at: float = -math.inf
+    own_at: float = -math.inf  # this node's own last outcome there
     last: deque[bool] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
     seconds: deque[float] = field(default_factory=lambda: deque(maxlen=LAST_FEW))
     answer: Load | None = None
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -31,6 +31,7 @@
     Result,
     ServerEntry,
     Terms,
+    Told,
 )
 from notchjunction.records import LAST_FEW, Dispatch, End, Held, Input, Server, State, Usual, middle
 
@@ -74,6 +75,8 @@
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
 RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
+TOLD_MOST = 12  # last outcomes of its own that a node tells with each; each is told to about so many peers
+TOLD_SPAN = 10.0  # s that an outcome is worth telling; older ones are of another trouble
 ADVICE_LEAST = 0.25  # s a turned back client is asked to wait at least
 
 
@@ -101,6 +104,8 @@
         self._firsts: deque[tuple[float]] = deque()
         self._retries: deque[tuple[float]] = deque()
         self._recent: deque[Dispatch] = deque()
+        self._own: deque[tuple[float, End]] = deque(maxlen=TOLD_MOST)
+        self._owns = 0
         self._clearing = Clearing(host.now())
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._spent: dict[int, deque[float]] = {}
@@ -122,6 +127,26 @@
 
     # What the host calls.
 
+    def heard(self, told: Sequence[Told]) -> None:
+        """Outcomes that a peer tells of: they make this node careful, and open or prove nothing."""
+        now = self._host.now()
+        for word in told:
+            server, at = self._servers.get(word.server), now - word.ago
+            # Guards against judging a server by what it was before its start, or by what is older than own news.
+            if server is None or word.ago > TOLD_SPAN or at <= max(server.entry.started_at, server.own_at):
+                continue
+            if word.good:
+                server.heard_at = max(server.heard_at, at)
+            self._learned(server, word.good, word.seconds, now)
+
+    def _tell_on(self, server: Server, good: bool, seconds: float, now: float) -> None:
+        self._own.appendleft((now, End(server, good, seconds)))
+        self._owns += 1
+        if self._terms.may_tell and self._terms.nodes > 1:
+            peer = self._random.randrange(self._terms.nodes - 1)
+            told = [Told(end.server.entry.server, now - at, end.good, end.seconds) for at, end in self._own]
+            self._host.tell(peer + (peer >= self._terms.me), self._owns, told)
+
     def retuned(self, terms: Terms, profiles: Mapping[int, Profile]) -> None:
         """The terms for what comes from now on; what was learned of servers stays."""
         self._terms = terms
@@ -691,11 +716,16 @@
             server.back_at = max(server.back_at, now + self._usual().seconds)
         if not good and outcome.result not in FAULTS:
             return
-        server.last.append(good)
         timed = good or outcome.result is Result.TIMED_OUT
-        if timed:
-            server.seconds.append(outcome.seconds)
-        self._ends.append(End(server, good, outcome.seconds if timed else 0.0))
+        server.own_at = now
+        self._tell_on(server, good, outcome.seconds if timed else 0.0, now)
+        self._learned(server, good, outcome.seconds if timed else 0.0, now)
+
+    def _learned(self, server: Server, good: bool, seconds: float, now: float) -> None:
+        server.last.append(good)
+        if seconds:
+            server.seconds.append(seconds)
+        self._ends.append(End(server, good, seconds))
         if good:
             return
         others = [end.good for end in self._ends if end.server is not server]
--- a/notchjunction/simhost.py
+++ b/notchjunction/simhost.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import argparse
+import base64
+import binascii
 import logging
 import sys
 import traceback
+from collections.abc import Sequence
 
 from notchjunction import terms
-from notchjunction.interface import Decisions, Job, News, Outcome, Presence, Result, ServerEntry
+from notchjunction.interface import Decisions, Job, News, Outcome, Presence, Result, ServerEntry, Told
+from notchjunction.notes import Notes, Word, tag_of
 from notchjunction.rules import Balancer
 from notchjunction.simwire import words
 from notchjunction.simwire.codec import Event, Fields, Reader, WireError, act, write_reply
@@ -26,9 +30,12 @@
         self._jobs: dict[str, int] = {}
         self._servers: list[str] = []
         self._indices: dict[str, int] = {}
+        self._tags: dict[int, int] = {}  # servers by the tag of their names
+        seed = provision.whole("init_seed")
+        self._notes = Notes(seed)
         paths = provision.fields
         self._load_fields = paths.get("report.fields", "").split(",")
-        self._core: Decisions = Balancer(terms.terms(provision.whole("init_seed"), paths), self)
+        self._core: Decisions = Balancer(terms.terms(seed, paths), self)
 
     def now(self) -> float:
         return self._clock
@@ -61,9 +68,28 @@
     def set_aside(self, server: int, seconds: float) -> None:
         self.rows.append(act("REMARK", text=f"set aside {self._servers[server]} for {seconds:.1f} s"))
 
+    def tell(self, peer: int, newest: int, told: Sequence[Told]) -> None:
+        words = [Word(tag_of(self._servers[each.server]), each.ago, each.good, each.seconds) for each in told]
+        blob = base64.b64encode(self._notes.write(newest, words)).decode()
+        self.rows.append(act("SHARE", target=peer, blob=blob))
+
+    def _hear(self, event: Event) -> None:
+        try:
+            note = base64.b64decode(event.text("blob"), validate=True)
+        except (binascii.Error, ValueError):
+            note = b""
+        found = [
+            Told(self._tags[word.tag], word.ago, word.good, word.seconds)
+            for word in self._notes.read(event.whole("who"), note)
+            if word.tag in self._tags
+        ]
+        if found:
+            self._core.heard(found)
+
     def _server(self, name: str) -> int:
         if name not in self._indices:
             self._indices[name] = len(self._servers)
+            self._tags[tag_of(name)] = len(self._servers)
             self._servers.append(name)
         return self._indices[name]
 
@@ -75,6 +101,8 @@
             started_at=event.number("start_time", 0.0) / 1000,
             zone=event.whole("campus", 0),
             cell=event.whole("bay", 0),
+            power=max(event.number("power_hint", 1.0), 0.0),
+            tag=tag_of(fields["server"]),
         )
 
     def feed(self, clock: float, event: Event, lists: dict[int, list[Fields]]) -> None:
@@ -102,6 +130,8 @@
                 if bank not in lists:
                     raise WireError(f"line {event.line}: UPDATE names list {bank}, which was never sent")
                 core.listed(news, [self._entry(fields) for fields in lists[bank]])
+        elif event.name == "MESSAGE":
+            self._hear(event)
         elif event.name in ("WITHDRAWN", "STREAMING"):
             index = self._jobs.get(event.text("ticket"))
             if index is not None and event.name == "WITHDRAWN":
@@ -123,6 +153,7 @@
                 time_left=event.number("time_left", 0.0) / 1000,
                 repeat=event.flag("again_by_client"),
                 work_hint=hint / 1000 if hint >= 0 else None,
+                key=event.fields.get("subject", ""),
             )
         )
 
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -14,6 +14,7 @@
 
 EFFECTS = {"repeatable": Effect.REISSUABLE, "by_key": Effect.NUMBERED, "once": Effect.AT_MOST_ONCE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+BESIDE_CLIENTS = "mesh"  # the kind of deployment in which each client process has a node of its own
 # What a load report's figures are called in the settings and, on sockets, in the report itself.
 LOAD_WORDS = {
     "rif": "held",
@@ -88,6 +89,7 @@
 def terms(seed: int, paths: Paths) -> Terms:
     layers = words(paths, "layers")
     layer = int(number(paths, "layer", -1))
+    beside = paths.get("family") == BESIDE_CLIENTS
     advised = _flag(paths, "limits.retry_after", False)
     return Terms(
         seed=seed,
@@ -112,6 +114,10 @@
         cold_share=number(paths, "invariants.start_capacity", 1.0),
         cold_time=number(paths, "invariants.cold", 0.0) / 1000,
         tip_multiple=number(paths, "invariants.tip_multiple", 1.0),
+        beside_clients=beside,
+        may_tell=_flag(paths, "limits.may_tell", False),
+        me=int(number(paths, "me", 0)),
+        warm_keys=_flag(paths, "extra.warm_keys", False),
     )
 
 
