--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -100,6 +100,7 @@
     abandon_end: float
     past_share: bool
     whole: bool  # whether its last byte has come; its time counts from then
+    key: str = ""  # what it concerns, where servers do less work for a key they have met
     state: State = State.NEW
     sent: list[Dispatch] = field(default_factory=list)
     choice: Server | None = None
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
+from hashlib import blake2b
 from random import Random
 from typing import Any, NamedTuple
 
@@ -75,6 +76,8 @@
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
 RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
+KEY_SERVERS = 2  # that a key goes to first; more would share what one remembers, one alone may be hot
+KEY_SLACK = 2.5  # times the pool's choice that one of them may score; a met key takes about a third of the work
 TOLD_MOST = 12  # last outcomes of its own that a node tells with each; each is told to about so many peers
 TOLD_SPAN = 10.0  # s that an outcome is worth telling; older ones are of another trouble
 ADVICE_LEAST = 0.25  # s a turned back client is asked to wait at least
@@ -184,6 +187,7 @@
             abandon_end=now + job.time_left,
             past_share=self._past_share(job.operator, now),
             whole=job.whole,
+            key=job.key if self._terms.warm_keys else "",
         )
         self._held[job.id] = held
         if job.whole:
@@ -517,11 +521,15 @@
         owed = next((server for server in self._owed if server.owed and fits(server)), None)
         if owed is not None:
             return owed
+        met = min(self._likely_met(held, fits), key=lambda server: self._score(server, now), default=None)
         known = [server for server in self._familiar(now) if fits(server)]
         pool = known or [server for server in self._pool if fits(server)]
         ready = known or self._ready
         choice = self._better(pool, (server for server in ready if fits(server)), now)
-        if choice is not None and self._near_first and choice.entry.zone != self._terms.zone:
+        if met is not None and choice is not None:
+            if self._score(met, now) <= KEY_SLACK * self._score(choice, now):
+                return met
+        elif choice is not None and self._near_first and choice.entry.zone != self._terms.zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
             pool = [server for server in pool if server.entry.zone == self._terms.zone]
             found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
@@ -532,6 +540,22 @@
                 return near
         return choice
 
+    def _likely_met(self, held: Held, fits: Callable[[Server], bool]) -> list[Server]:
+        """The servers that all nodes send a job's key to first: a rank by hash, weighted by size.
+
+        Acts only where servers do less work for a key they have met. Needs no talk and remembers nothing.
+        """
+        if not held.key:
+            return []
+
+        def rank(server: Server) -> float:
+            text = f"{server.entry.tag} {held.key}".encode()
+            chance = (1 + int.from_bytes(blake2b(text, digest_size=6).digest())) / 2**48
+            return -math.log(chance) / max(server.entry.power, 0.01)
+
+        ranked = sorted((rank(server), server.entry.tag, server) for server in self._ready)
+        return [server for _, _, server in ranked[:KEY_SERVERS] if fits(server)]
+
     def _better(self, pool: list[Server], ready: Iterable[Server], now: float) -> Server | None:
         """The better of two random entries of the pool; under two fresh, of two ready ones by own jobs."""
         fresh = [server for server in pool if now - server.answered_at <= FRESH_SPAN]
--- a/notchjunction/simhost.py
+++ b/notchjunction/simhost.py
@@ -34,6 +34,7 @@
         seed = provision.whole("init_seed")
         self._notes = Notes(seed)
         paths = provision.fields
+        self._sized = paths.get("weight_kind") in ("nominal", "rough")
         self._load_fields = paths.get("report.fields", "").split(",")
         self._core: Decisions = Balancer(terms.terms(seed, paths), self)
 
@@ -101,7 +102,7 @@
             started_at=event.number("start_time", 0.0) / 1000,
             zone=event.whole("campus", 0),
             cell=event.whole("bay", 0),
-            power=max(event.number("power_hint", 1.0), 0.0),
+            power=max(event.number("power_hint", 1.0), 0.0) if self._sized else 1.0,
             tag=tag_of(fields["server"]),
         )
 
