--- a/notchjunction/clearing.py
+++ b/notchjunction/clearing.py
@@ -26,6 +26,10 @@
     def note(self, contract_time: float, seconds: float, now: float) -> None:
         """A server has done a job in so many seconds."""
         self._answers.append((now, contract_time))
+        self.timed(seconds, now)
+
+    def timed(self, seconds: float, now: float) -> None:
+        """A server has done a job, of this node or of a peer, in so many seconds."""
         self._stretch.append(seconds)
         if len(self._stretch) >= STRETCH_LEAST and now >= self._stretch_ends:
             self._calm.append(middle(self._stretch, 1.0))
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -63,6 +63,7 @@
 CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
 FLOOR_EACH = 6.0  # jobs that all nodes send an able server before anything is learned: a small machine's
 FLOOR_CALM = 9.0  # the same while answers come in calm times; servers that do well hold more
+FLOOR_TIGHT = 1.0  # the same where nodes sit beside clients
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
@@ -140,6 +141,7 @@
                 continue
             if word.good:
                 server.heard_at = max(server.heard_at, at)
+                self._clearing.timed(word.seconds, now)
             self._learned(server, word.good, word.seconds, now)
 
     def _tell_on(self, server: Server, good: bool, seconds: float, now: float) -> None:
@@ -160,7 +162,7 @@
         # The first tier alone: what a deeper one turns away has had work spent on it above.
         self._calm_times = math.inf if terms.depth else CALM_TIMES
         self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
-        span = 0.0 if terms.depth else SHARE_SPAN  # shares are the first tier's matter
+        span = 0.0 if terms.depth or terms.beside_clients else SHARE_SPAN  # shares are the first tier's matter
         self._shares = [quota / terms.nodes / terms.processes * span for quota in terms.operator_quotas]
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._near_first = terms.crossing_price > 0
@@ -400,6 +402,8 @@
         now = self._host.now()
         ahead = sum(1 for other in self._queue if other.rank() < held.rank())
         wait = (ahead + 1) / max(self._clearing.rate(now), 1.0)
+        if self._terms.beside_clients:
+            wait = min(wait, (ahead + 1) * self._usual().seconds / max(1, len(self._flying)))
         slack = held.contract_end - now - self._quick(held.number)
         return wait <= min(slack, WAIT_SHARE * held.profile.contract_time)
 
@@ -712,8 +716,12 @@
         learned = self._clearing.clears(self._hold_share, self._calm_times, self._host.now())
         self._usual()  # counts the able servers anew
         # Guards small machines, which the higher floor overdrives: it holds while answers are calm.
-        floor = FLOOR_CALM if self._clearing.is_calm() else FLOOR_EACH
-        return max(2.0, floor * self._able / self._terms.nodes, learned)
+        floor = FLOOR_CALM if self._clearing.is_calm() else FLOOR_TIGHT if self._terms.beside_clients else FLOOR_EACH
+        if not self._terms.beside_clients:
+            return max(2.0, floor * self._able / self._terms.nodes, learned)
+        # A thin node's part is under one job: by chance it is one, as often as makes up the part.
+        room = max(floor * self._able / self._terms.nodes, learned) + self._random.random()
+        return max(2.0 if self._clearing.is_calm() else 0.0, math.floor(room))
 
     def _pressing(self, now: float) -> int:
         """Jobs out, still young, and where more may go.
