--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -63,7 +63,6 @@
 CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
 FLOOR_EACH = 6.0  # jobs that all nodes send an able server before anything is learned: a small machine's
 FLOOR_CALM = 9.0  # the same while answers come in calm times; servers that do well hold more
-FLOOR_TIGHT = 1.0  # the same where nodes sit beside clients
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
@@ -110,6 +109,7 @@
         self._recent: deque[Dispatch] = deque()
         self._own: deque[tuple[float, End]] = deque(maxlen=TOLD_MOST)
         self._owns = 0
+        self._notes: deque[tuple[float]] = deque()
         self._clearing = Clearing(host.now())
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._spent: dict[int, deque[float]] = {}
@@ -134,6 +134,7 @@
     def heard(self, told: Sequence[Told]) -> None:
         """Outcomes that a peer tells of: they make this node careful, and open or prove nothing."""
         now = self._host.now()
+        self._notes.append((now,))
         for word in told:
             server, at = self._servers.get(word.server), now - word.ago
             # Guards against judging a server by what it was before its start, or by what is older than own news.
@@ -165,6 +166,7 @@
         span = 0.0 if terms.depth or terms.beside_clients else SHARE_SPAN  # shares are the first tier's matter
         self._shares = [quota / terms.nodes / terms.processes * span for quota in terms.operator_quotas]
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
+        self._revenue = sum(profile.revenue for profile in profiles.values()) / max(1, len(profiles)) or 1.0
         self._near_first = terms.crossing_price > 0
         self._thrifty = terms.connection_price > 0
         self._shared_links = terms.connection_jobs > 1
@@ -385,6 +387,16 @@
         late_earns = held.profile.late_share > 0
         return held.contract_end - now < quick and (not late_earns or self._scarce(now))
 
+    def _crowded_out(self, held: Held) -> bool:
+        """By chance, as many jobs as servers would do too late, those of little revenue first.
+
+        Acts where nodes sit beside clients: what a thin node has out says nothing of what servers hold.
+        """
+        if not self._terms.beside_clients:
+            return False
+        part = self._clearing.calm_part(self._usual().seconds, CALM_TIMES)
+        return self._random.random() > part * math.sqrt(held.profile.revenue / self._revenue)
+
     def _scarce(self, now: float) -> bool:
         return bool(self._queue) or self._pressing(now) >= self._room()
 
@@ -716,12 +728,18 @@
         learned = self._clearing.clears(self._hold_share, self._calm_times, self._host.now())
         self._usual()  # counts the able servers anew
         # Guards small machines, which the higher floor overdrives: it holds while answers are calm.
-        floor = FLOOR_CALM if self._clearing.is_calm() else FLOOR_TIGHT if self._terms.beside_clients else FLOOR_EACH
-        if not self._terms.beside_clients:
-            return max(2.0, floor * self._able / self._terms.nodes, learned)
-        # A thin node's part is under one job: by chance it is one, as often as makes up the part.
-        room = max(floor * self._able / self._terms.nodes, learned) + self._random.random()
-        return max(2.0 if self._clearing.is_calm() else 0.0, math.floor(room))
+        floor = FLOOR_CALM if self._clearing.is_calm() else FLOOR_EACH
+        return max(2.0, floor * self._able * self._own_part(), learned)
+
+    def _own_part(self) -> float:
+        """This node's part of all nodes' traffic; an even one where nobody tells of his."""
+        if not self._terms.may_tell:
+            return 1.0 / self._terms.nodes
+        # Each outcome of a node is one note to one peer: so many notes come as a node has outcomes in the mean.
+        now = self._host.now()
+        self._prune(self._notes, now - RETRY_SPAN)
+        self._prune(self._firsts, now - RETRY_SPAN)
+        return (len(self._firsts) + 1) / (len(self._notes) + 1) / self._terms.nodes
 
     def _pressing(self, now: float) -> int:
         """Jobs out, still young, and where more may go.
@@ -875,6 +893,7 @@
 TABLE = (
     # state, input, judgement, next state, effect; the first row whose judgement holds is taken
     Row(S.NEW, E.ARRIVED, B._hopeless, S.ENDED, B._give_up),
+    Row(S.NEW, E.ARRIVED, B._crowded_out, S.ENDED, B._give_up),
     Row(S.NEW, E.ARRIVED, B._finds_place, S.OUT, B._send_first),
     Row(S.NEW, E.ARRIVED, B._may_wait, S.WAITING, B._wait),
     Row(S.NEW, E.ARRIVED, B._always, S.ENDED, B._give_up),
