--- a/notchjunction/clearing.py
+++ b/notchjunction/clearing.py
@@ -51,10 +51,6 @@
     def is_calm(self) -> bool:
         return len(self._calm) > 1 and self._calm[-1] <= SLOWER_TIMES * min(self._calm)
 
-    def calm_part(self, seconds: float, calm_times: float) -> float:
-        """What part of the work now out would be done within so many calm times; 1 or more: all of it."""
-        return calm_times * min(self._calm, default=math.inf) / seconds
-
     def lessons(self, now: float) -> dict[str, Any]:
         """What another process of the node may go on from; times are seconds ago."""
         self._prune(now)
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -63,6 +63,7 @@
 CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
 FLOOR_EACH = 6.0  # jobs that all nodes send an able server before anything is learned: a small machine's
 FLOOR_CALM = 9.0  # the same while answers come in calm times; servers that do well hold more
+CROWD_SHARE = 0.4  # of the contract time that the middle job may take; a few times that, and many are late
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
@@ -394,7 +395,8 @@
         """
         if not self._terms.beside_clients:
             return False
-        part = self._clearing.calm_part(self._usual().seconds, CALM_TIMES)
+        seconds = middle((end.seconds for end in self._ends if end.seconds), 0.001)
+        part = CROWD_SHARE * held.profile.contract_time / seconds
         return self._random.random() > part * math.sqrt(held.profile.revenue / self._revenue)
 
     def _scarce(self, now: float) -> bool:
