--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -230,7 +230,7 @@
         self._noted_link(dispatch, outcome.result, now)
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
-        self._judge(dispatch.server, outcome, now)
+        self._judge(dispatch.server, outcome, dispatch.contract_time, now)
         held = self._held.get(outcome.job)
         if outcome.result is Result.HONOURED and not dispatch.begun:
             self._cleared(held, dispatch, outcome.seconds, now)
@@ -760,8 +760,11 @@
     def _server_room(self) -> float:
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready)))
 
-    def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
+    def _judge(self, server: Server, outcome: Outcome, contract_time: float, now: float) -> None:
         """Sets a server aside when its last few outcomes trail the others'."""
+        if self._terms.beside_clients and outcome.result is Result.RECALLED and outcome.seconds >= contract_time:
+            # Guards against times from quick jobs alone: one recalled at its end has timed out.
+            outcome = replace(outcome, result=Result.TIMED_OUT)
         good = outcome.result is Result.HONOURED
         if outcome.result is Result.FULL:
             # Guards against a second refusal there: a full server has room when a job of the usual time ends.
