--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -121,6 +121,7 @@
     seconds: float
     pace: float
     wait: float
+    middle: float  # of all jobs, where `seconds` has one a server
 
 
 def middle(values: Iterable[float], default: float) -> float:
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -122,7 +122,7 @@
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
         self._usual_until = -math.inf
-        self._usual_now = Usual(1.0, 1.0, 1.0)
+        self._usual_now = Usual(1.0, 1.0, 1.0, 0.001)
         self._passed_over: list[Server] = []
         self._warm = self._able = 0
         self._turn_due = False
@@ -168,6 +168,7 @@
         self._shares = [quota / terms.nodes / terms.processes * span for quota in terms.operator_quotas]
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._revenue = sum(profile.revenue for profile in profiles.values()) / max(1, len(profiles)) or 1.0
+        self._contract = min((profile.contract_time for profile in profiles.values()), default=1.0)
         self._near_first = terms.crossing_price > 0
         self._thrifty = terms.connection_price > 0
         self._shared_links = terms.connection_jobs > 1
@@ -395,8 +396,7 @@
         """
         if not self._terms.beside_clients:
             return False
-        seconds = middle((end.seconds for end in self._ends if end.seconds), 0.001)
-        part = CROWD_SHARE * held.profile.contract_time / seconds
+        part = CROWD_SHARE * held.profile.contract_time / self._usual().middle
         return self._random.random() > part * math.sqrt(held.profile.revenue / self._revenue)
 
     def _scarce(self, now: float) -> bool:
@@ -662,7 +662,8 @@
             latest = {end.server.entry.server: end.seconds for end in self._ends if end.seconds}
             paces = (server.answer.pace for server in self._pool if server.answer and server.answer.pace)
             waits = (server.wait for server in self._pool if server.wait)
-            figures = (latest.values(), paces, waits)
+            seconds = (end.seconds for end in self._ends if end.seconds)
+            figures = (latest.values(), paces, waits, seconds)
             self._usual_now = Usual(*(max(middle(values, 1.0), 0.001) for values in figures))
             self._passed_over = self._find_passed_over(now)
             # Kept with them: going through a large fleet for each job costs more than all its decisions.
@@ -731,6 +732,8 @@
         self._usual()  # counts the able servers anew
         # Guards small machines, which the higher floor overdrives: it holds while answers are calm.
         floor = FLOOR_CALM if self._clearing.is_calm() else FLOOR_EACH
+        if self._terms.beside_clients:
+            floor *= min(1.0, CROWD_SHARE * self._contract / self._usual().middle)
         return max(2.0, floor * self._able * self._own_part(), learned)
 
     def _own_part(self) -> float:
