What silent servers swallowed is recalled, then sent elsewhere; silence bounded by the contract time

Cause: no second copies at the new sites, so a job sits in a silent server to its end (assumed: a second copy saves it). Only jobs that may run elsewhere, in the budget, once the recall's outcome is in.

--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -45,6 +45,7 @@
     out: bool = True
     begun: bool = False  # its answer has begun to come, and goes on its way
     may_have_run: bool = True
+    taken_back: bool = False  # recalled, to be sent elsewhere once that outcome is there
 
 
 @dataclass(slots=True, eq=False)
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -68,6 +68,7 @@
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
 OVERDUE_TIMES = 8.0  # times the usual seconds before a second copy; rarer than a large job on a sound server
+OVERDUE_SHARE = 0.5  # of the contract time at most, beside clients; the rest is for the next server
 PATIENCE = 4.0  # times the usual seconds before a dispatch counts as unanswered; jobs differ in size
 SILENT_MOST = 0.5  # share of ready servers passed over as silent at most; more is a trouble common to all
 COLD_CARE = 0.6  # of the cold budget used; jobs differ in size, servers in speed, and nodes may coincide
@@ -231,7 +232,11 @@
         self._noted_link(dispatch, outcome.result, now)
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
-        self._judge(dispatch.server, outcome, dispatch.contract_time, now)
+        late = dispatch.taken_back or outcome.seconds >= dispatch.contract_time
+        if self._terms.beside_clients and outcome.result is Result.RECALLED and late:
+            # Guards against judging by quick jobs alone: what the node recalls for its time has timed out.
+            outcome = replace(outcome, result=Result.TIMED_OUT)
+        self._judge(dispatch.server, outcome, now)
         held = self._held.get(outcome.job)
         if outcome.result is Result.HONOURED and not dispatch.begun:
             self._cleared(held, dispatch, outcome.seconds, now)
@@ -241,7 +246,8 @@
                 self._step(held, Input.OVER)
             else:
                 owned = OWNED_DEEPEST if self._deepest else OWNED_ANYWHERE
-                self._step(held, Input.OWNED if outcome.result in owned else Input.PASSED_ALONG)
+                ours = outcome.result in owned or dispatch.taken_back
+                self._step(held, Input.OWNED if ours else Input.PASSED_ALONG)
         self._turn()
 
     def _cleared(self, held: Held | None, dispatch: Dispatch, seconds: float, now: float) -> None:
@@ -450,6 +456,16 @@
             and self._may_retry(held)
         )
 
+    def _copy_due(self, held: Held) -> bool:
+        return self._terms.second_copies and self._swallowed(held)
+
+    def _recall_due(self, held: Held) -> bool:
+        """Where no second copies are allowed: what may be sent again, elsewhere and in time, is recalled first."""
+        return not self._terms.second_copies and not held.sent[-1].taken_back and self._swallowed(held)
+
+    def _alone(self, held: Held) -> bool:
+        return not self._terms.second_copies
+
     # Effects: what the table does.
 
     def _nothing(self, held: Held) -> None:
@@ -492,8 +508,21 @@
         late = held.profile.late_share
         end = held.abandon_end if late else min(held.abandon_end, held.contract_end)
         self._host.dispatch(held.id, server.entry.server, max(end - now, 0.001))
-        if self._terms.second_copies:
-            self._after(OVERDUE_TIMES * self._usual().seconds, lambda: self._step(held, Input.OVERDUE))
+        self._look_if_overdue(held)
+
+    def _look_if_overdue(self, held: Held) -> None:
+        delay = OVERDUE_TIMES * self._usual().seconds
+        if self._terms.beside_clients:
+            # Guards against a contract time that ends before so many usual ones.
+            delay = min(delay, OVERDUE_SHARE * held.profile.contract_time)
+        if self._terms.second_copies or self._terms.beside_clients and self._terms.recalls:
+            self._after(delay, lambda: self._step(held, Input.OVERDUE))
+
+    def _take_back(self, held: Held) -> None:
+        """Recalls what its server has swallowed; it is sent elsewhere once that outcome is there."""
+        held.choice = None
+        held.sent[-1].taken_back = True
+        self._host.recall(held.id, len(held.sent) - 1)
 
     def _fly(self, dispatch: Dispatch, now: float) -> None:
         dispatch.at = now
@@ -628,7 +657,10 @@
 
     def _silent(self, now: float) -> list[Server]:
         """Servers from which nothing was heard since an overdue dispatch; none if that is most of them."""
-        due = now - PATIENCE * self._usual().seconds
+        patience = PATIENCE * self._usual().seconds
+        if self._terms.beside_clients:
+            patience = min(patience, OVERDUE_SHARE * self._contract)
+        due = now - patience
         silent = [
             server
             for server in self._ready
@@ -677,7 +709,8 @@
     def _may_run_on(self, held: Held, server: Server, now: float) -> bool:
         """Whether a further dispatch there cannot make an effect happen twice."""
         profile = held.profile
-        if not self._terms.second_copies and self._others_out(held):
+        out = any(dispatch.out and not dispatch.taken_back for dispatch in held.sent)
+        if not self._terms.second_copies and out:
             return False
         ran = [dispatch for dispatch in held.sent if dispatch.may_have_run]
         if not ran or profile.effect is Effect.REISSUABLE:
@@ -763,11 +796,8 @@
     def _server_room(self) -> float:
         return max(2.0, SERVER_SPREAD * self._room() / max(1, len(self._ready)))
 
-    def _judge(self, server: Server, outcome: Outcome, contract_time: float, now: float) -> None:
+    def _judge(self, server: Server, outcome: Outcome, now: float) -> None:
         """Sets a server aside when its last few outcomes trail the others'."""
-        if self._terms.beside_clients and outcome.result is Result.RECALLED and outcome.seconds >= contract_time:
-            # Guards against times from quick jobs alone: one recalled at its end has timed out.
-            outcome = replace(outcome, result=Result.TIMED_OUT)
         good = outcome.result is Result.HONOURED
         if outcome.result is Result.FULL:
             # Guards against a second refusal there: a full server has room when a job of the usual time ends.
@@ -914,7 +944,9 @@
     Row(S.OUT, E.OWNED, B._always, S.ENDED, B._give_up),
     Row(S.OUT, E.PASSED_ALONG, B._others_out, S.OUT, B._nothing),
     Row(S.OUT, E.PASSED_ALONG, B._always, S.ENDED, B._give_up),
-    Row(S.OUT, E.OVERDUE, B._swallowed, S.OUT, B._send_again),
+    Row(S.OUT, E.OVERDUE, B._copy_due, S.OUT, B._send_again),
+    Row(S.OUT, E.OVERDUE, B._recall_due, S.OUT, B._take_back),
+    Row(S.OUT, E.OVERDUE, B._alone, S.OUT, B._look_if_overdue),
     Row(S.OUT, E.BEGUN, B._always, S.STREAMING, B._nothing),
     Row(S.OUT, E.OVER, B._always, S.ENDED, B._leave),
     Row(S.OUT, E.LAST_CALL, B._always, S.ENDED, B._give_up),
