--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -74,7 +74,7 @@
 COLD_CARE = 0.6  # of the cold budget used; jobs differ in size, servers in speed, and nodes may coincide
 COLD_SPAN = 3.0  # s in which all nodes together may send a warm server one job, whatever they learned
 COLD_SPREAD = 0.25  # of a send, at random, by which nodes wait more or less, so as not to fall in step
-NEAR_SLACK = 2.0  # times the far server's score at which a near server still wins
+NEAR_WORTH = 20.0  # times the far server's score, for a price of 1, that a near server may be worse and still win
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
 RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
@@ -171,6 +171,7 @@
         self._revenue = sum(profile.revenue for profile in profiles.values()) / max(1, len(profiles)) or 1.0
         self._contract = min((profile.contract_time for profile in profiles.values()), default=1.0)
         self._near_first = terms.crossing_price > 0
+        self._near_slack = 1.0 + NEAR_WORTH * terms.crossing_price
         self._thrifty = terms.connection_price > 0
         self._shared_links = terms.connection_jobs > 1
         self._guard = GUARD_TICKS * terms.tick
@@ -582,7 +583,7 @@
             found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
             near = self._better(pool, found, now)
             spare = math.floor(NEAR_SPARE * len(self._flying) / len(self._ready))
-            most = NEAR_SLACK * self._score(choice, now)
+            most = self._near_slack * self._score(choice, now)
             if near is not None and self._score(near, now, spare) <= most:
                 return near
         return choice
