--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -78,7 +78,7 @@
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
 RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
-KEY_SERVERS = 2  # that a key goes to first; more would share what one remembers, one alone may be hot
+KEY_SERVERS = 3  # that a key goes to, the first that is not clearly worse; a hot key needs several
 KEY_SLACK = 2.5  # times the pool's choice that one of them may score; a met key takes about a third of the work
 TOLD_MOST = 12  # last outcomes of its own that a node tells with each; each is told to about so many peers
 TOLD_SPAN = 10.0  # s that an outcome is worth telling; older ones are of another trouble
@@ -569,14 +569,14 @@
         owed = next((server for server in self._owed if server.owed and fits(server)), None)
         if owed is not None:
             return owed
-        met = min(self._likely_met(held, fits), key=lambda server: self._score(server, now), default=None)
         known = [server for server in self._familiar(now) if fits(server)]
         pool = known or [server for server in self._pool if fits(server)]
         ready = known or self._ready
         choice = self._better(pool, (server for server in ready if fits(server)), now)
-        if met is not None and choice is not None:
-            if self._score(met, now) <= KEY_SLACK * self._score(choice, now):
-                return met
+        if choice is not None and held.key:
+            most = KEY_SLACK * self._score(choice, now)
+            met = (server for server in self._likely_met(held, fits) if self._score(server, now) <= most)
+            choice = next(met, choice)
         elif choice is not None and self._near_first and choice.entry.zone != self._terms.zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
             pool = [server for server in pool if server.entry.zone == self._terms.zone]
@@ -647,7 +647,10 @@
         late = max(0.0, server.wait / usual.wait / WAIT_NOISE - 1.0)
         late *= usual.seconds / (usual.seconds + now - server.waited_at)
         # Guards against herds: among idle servers a noisy pace would decide alone, so it counts half.
-        return (held + 1.0) * (1.0 + self._slowness(server, usual)) / 2 * (1.0 + late)
+        slowness = self._slowness(server, usual)
+        if not self._terms.beside_clients:
+            slowness = (1.0 + slowness) / 2
+        return (held + 1.0) * slowness * (1.0 + late)
 
     def _slowness(self, server: Server, usual: Usual) -> float:
         """How many times slower than usual the server is, by its own report, else by its last few answers."""
