--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -40,7 +40,6 @@
 RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
 PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
-FAMILIAR = 12  # servers a node keeps connections to where they are priced; enough to find two that are free
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
@@ -80,7 +79,7 @@
 RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
 KEY_SERVERS = 2  # that a key goes to first; more would share what one remembers, one alone may be hot
 KEY_SLACK = 2.5  # times the pool's choice that one of them may score; a met key takes about a third of the work
-TOLD_MOST = 24  # last outcomes of its own that a node tells with each; each is told to about so many peers
+TOLD_MOST = 12  # last outcomes of its own that a node tells with each; each is told to about so many peers
 TOLD_SPAN = 10.0  # s that an outcome is worth telling; older ones are of another trouble
 ADVICE_LEAST = 0.25  # s a turned back client is asked to wait at least
 
@@ -113,12 +112,10 @@
         self._owns = 0
         self._notes: deque[tuple[float]] = deque()
         self._clearing = Clearing(host.now())
-        self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._spent: dict[int, deque[float]] = {}
         self._lefts: dict[int, deque[tuple[float, bool]]] = {}
         self.retuned(terms, dict(enumerate(terms.profiles)))
         self._unprobed = 0
-        self._odd_probe = False
         self._failures = 0
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
@@ -172,8 +169,6 @@
         self._contract = min((profile.contract_time for profile in profiles.values()), default=1.0)
         self._near_first = terms.crossing_price > 0
         self._near_slack = 1.0 + NEAR_WORTH * terms.crossing_price
-        self._thrifty = terms.connection_price > 0
-        self._shared_links = terms.connection_jobs > 1
         self._guard = GUARD_TICKS * terms.tick
         self._renew_limit = terms.ask_within / 4 or math.inf
         # What was learned of a profile goes with it; a job that is held still knows its own.
@@ -230,7 +225,6 @@
             dispatch.server.flights.remove(dispatch)
         if outcome.result is not Result.RECALLED and outcome.result is not Result.TIMED_OUT:
             dispatch.server.heard_at = now
-        self._noted_link(dispatch, outcome.result, now)
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
         late = dispatch.taken_back or outcome.seconds >= dispatch.contract_time
@@ -495,10 +489,7 @@
         assert server is not None
         held.choice = None
         server.owed = False
-        linked = self._linked(server, now)
-        if linked and not self._shared_links:
-            server.idle.pop()
-        dispatch = Dispatch(server, now, held.profile.contract_time, linked)
+        dispatch = Dispatch(server, now, held.profile.contract_time)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
         if held.whole:
@@ -569,10 +560,8 @@
         owed = next((server for server in self._owed if server.owed and fits(server)), None)
         if owed is not None:
             return owed
-        known = [server for server in self._familiar(now) if fits(server)]
-        pool = known or [server for server in self._pool if fits(server)]
-        ready = known or self._ready
-        choice = self._better(pool, (server for server in ready if fits(server)), now)
+        pool = [server for server in self._pool if fits(server)]
+        choice = self._better(pool, (server for server in self._ready if fits(server)), now)
         if choice is not None and held.key:
             most = KEY_SLACK * self._score(choice, now)
             met = min(self._likely_met(held, fits), key=lambda server: self._score(server, now), default=choice)
@@ -580,7 +569,7 @@
         elif choice is not None and self._near_first and choice.entry.zone != self._terms.zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
             pool = [server for server in pool if server.entry.zone == self._terms.zone]
-            found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
+            found = (server for server in self._ready if server.entry.zone == self._terms.zone and fits(server))
             near = self._better(pool, found, now)
             spare = math.floor(NEAR_SPARE * len(self._flying) / len(self._ready))
             most = self._near_slack * self._score(choice, now)
@@ -615,28 +604,6 @@
         two = self._random.sample(found, min(2, len(found)))
         return min(two, key=lambda server: len(server.flights), default=None)
 
-    def _familiar(self, now: float) -> list[Server]:
-        """Servers with an open connection, where connections are priced or new ones fail; none elsewhere."""
-        # Guards against more connections than servers accept, and new ones failing while open ones serve on.
-        self._prune(self._links, now - RETRY_SPAN)
-        fail = sum(1 for _, made in self._links if not made) > LAST_FEW / 2
-        if not fail and not self._thrifty:
-            return []
-        linked = [server for server in self._ready if self._linked(server, now)]
-        return linked if fail or len(linked) >= FAMILIAR else []
-
-    def _linked(self, server: Server, now: float) -> bool:
-        shared = self._shared_links and len(server.flights) > 0
-        return shared or (len(server.idle) > 0 and server.idle[-1] > now - self._terms.connection_idle)
-
-    def _noted_link(self, dispatch: Dispatch, result: Result, now: float) -> None:
-        if not dispatch.linked and result is not Result.NEVER_SENT:
-            self._links.append((now, result is not Result.NO_CONNECTION))
-        if result in (Result.NO_CONNECTION, Result.RESET):
-            dispatch.server.idle.clear()
-        elif result not in (Result.NEVER_SENT, Result.SPOILT):
-            dispatch.server.idle.append(now)
-
     def _score(self, server: Server, now: float, spare: float = 0.0) -> float:
         """The answer's load, less as it ages, plus own sends still out, less those spared, by its pace."""
         answer = server.answer or Load()
@@ -841,10 +808,7 @@
     def _probe(self) -> None:
         self._unprobed = 0
         if self._ready:
-            self._odd_probe = not self._odd_probe
-            # Every other probe asks a server that is likely to be sent to; the rest keep the design's share.
-            asked = (self._familiar(self._host.now()) if self._odd_probe else []) or self._ready
-            self._ask(self._random.choice(asked))
+            self._ask(self._random.choice(self._ready))
 
     def _ask(self, server: Server) -> None:
         server.asked_at = self._host.now()
