--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -78,6 +78,7 @@
     seed: int
     profiles: Sequence[Profile]
     operator_quotas: Sequence[float] = ()
+    overage: float = 1.0  # revenue of a job past its operator's share, as a part of its profile's
     nodes: int = 1
     processes: int = 1  # that are this one node together, as during an upgrade
     depth: int | None = None
--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -13,6 +13,7 @@
 
 LAST_FEW = 8  # outcomes kept of a server; fewer are chance, more are old news
 LONG_AGO = 3600.0  # s after which a thing is as good as never
+IDLE_MOST = 32  # idle connections remembered of a server; a node rarely has more jobs there at once
 
 
 class State(Enum):
@@ -40,6 +41,7 @@
     server: Server
     at: float
     contract_time: float
+    linked: bool
     out: bool = True
     begun: bool = False  # its answer has begun to come, and goes on its way
     may_have_run: bool = True
@@ -62,6 +64,7 @@
     wait: float = 0.0  # s that the last probe took; whatever its server does delays it
     waited_at: float = -math.inf
     back_at: float = -math.inf
+    idle: deque[float] = field(default_factory=lambda: deque(maxlen=IDLE_MOST))
     cold_from: float = -math.inf  # since when this node's part of the cold budget adds up to the next send
     cold_due: float = 1.0  # sends that it has to add up to
     warm_take: float = 0.0  # what this node sent each warm server in a second when this one came
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -40,6 +40,7 @@
 RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
 PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
+FAMILIAR = 12  # servers a node keeps connections to where they are priced; enough to find two that are free
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
@@ -112,10 +113,12 @@
         self._owns = 0
         self._notes: deque[tuple[float]] = deque()
         self._clearing = Clearing(host.now())
+        self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._spent: dict[int, deque[float]] = {}
         self._lefts: dict[int, deque[tuple[float, bool]]] = {}
         self.retuned(terms, dict(enumerate(terms.profiles)))
         self._unprobed = 0
+        self._odd_probe = False
         self._failures = 0
         self._timers: dict[int, Callable[[], None]] = {}
         self._token = 0
@@ -162,13 +165,16 @@
         # The first tier alone: what a deeper one turns away has had work spent on it above.
         self._calm_times = math.inf if terms.depth else CALM_TIMES
         self._young_share = YOUNG_SHARE * tiers_left / max(1, terms.depths)
-        span = 0.0 if terms.depth or terms.beside_clients else SHARE_SPAN  # shares are the first tier's matter
+        span = 0.0 if terms.depth else RETRY_SPAN if terms.beside_clients else SHARE_SPAN  # shares are the first tier's matter
+        self._share_span = span
         self._shares = [quota / terms.nodes / terms.processes * span for quota in terms.operator_quotas]
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._revenue = sum(profile.revenue for profile in profiles.values()) / max(1, len(profiles)) or 1.0
         self._contract = min((profile.contract_time for profile in profiles.values()), default=1.0)
         self._near_first = terms.crossing_price > 0
         self._near_slack = 1.0 + NEAR_WORTH * terms.crossing_price
+        self._thrifty = terms.connection_price > 0
+        self._shared_links = terms.connection_jobs > 1
         self._guard = GUARD_TICKS * terms.tick
         self._renew_limit = terms.ask_within / 4 or math.inf
         # What was learned of a profile goes with it; a job that is held still knows its own.
@@ -225,6 +231,7 @@
             dispatch.server.flights.remove(dispatch)
         if outcome.result is not Result.RECALLED and outcome.result is not Result.TIMED_OUT:
             dispatch.server.heard_at = now
+        self._noted_link(dispatch, outcome.result, now)
         if outcome.load is not None:
             self._answered(dispatch.server, outcome.load, now)
         late = dispatch.taken_back or outcome.seconds >= dispatch.contract_time
@@ -398,13 +405,15 @@
         if not self._terms.beside_clients:
             return False
         part = CROWD_SHARE * held.profile.contract_time / self._usual().middle
-        return self._random.random() > part * math.sqrt(held.profile.revenue / self._revenue)
+        revenue = held.profile.revenue * (self._terms.overage if held.past_share else 1.0)
+        return self._random.random() > part * part * math.sqrt(revenue / self._revenue)
 
     def _scarce(self, now: float) -> bool:
         return bool(self._queue) or self._pressing(now) >= self._room()
 
     def _finds_place(self, held: Held) -> bool:
-        room = self._room() * (SPARE_SHARE if held.past_share else 1.0)
+        spare = held.past_share and not self._terms.beside_clients
+        room = self._room() * (SPARE_SHARE if spare else 1.0)
         overtakes = not self._queue or self._queue[0].rank() >= held.rank()
         if self._pressing(self._host.now()) >= room or not overtakes:
             return False
@@ -412,7 +421,7 @@
         return held.choice is not None
 
     def _may_wait(self, held: Held) -> bool:
-        if held.past_share:
+        if held.past_share and not self._terms.beside_clients:
             return False
         now = self._host.now()
         ahead = sum(1 for other in self._queue if other.rank() < held.rank())
@@ -489,7 +498,10 @@
         assert server is not None
         held.choice = None
         server.owed = False
-        dispatch = Dispatch(server, now, held.profile.contract_time)
+        linked = self._linked(server, now)
+        if linked and not self._shared_links:
+            server.idle.pop()
+        dispatch = Dispatch(server, now, held.profile.contract_time, linked)
         self._flying[held.id, len(held.sent)] = dispatch
         held.sent.append(dispatch)
         if held.whole:
@@ -560,8 +572,10 @@
         owed = next((server for server in self._owed if server.owed and fits(server)), None)
         if owed is not None:
             return owed
-        pool = [server for server in self._pool if fits(server)]
-        choice = self._better(pool, (server for server in self._ready if fits(server)), now)
+        known = [server for server in self._familiar(now) if fits(server)]
+        pool = known or [server for server in self._pool if fits(server)]
+        ready = known or self._ready
+        choice = self._better(pool, (server for server in ready if fits(server)), now)
         if choice is not None and held.key:
             most = KEY_SLACK * self._score(choice, now)
             met = min(self._likely_met(held, fits), key=lambda server: self._score(server, now), default=choice)
@@ -569,7 +583,7 @@
         elif choice is not None and self._near_first and choice.entry.zone != self._terms.zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
             pool = [server for server in pool if server.entry.zone == self._terms.zone]
-            found = (server for server in self._ready if server.entry.zone == self._terms.zone and fits(server))
+            found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
             near = self._better(pool, found, now)
             spare = math.floor(NEAR_SPARE * len(self._flying) / len(self._ready))
             most = self._near_slack * self._score(choice, now)
@@ -604,6 +618,28 @@
         two = self._random.sample(found, min(2, len(found)))
         return min(two, key=lambda server: len(server.flights), default=None)
 
+    def _familiar(self, now: float) -> list[Server]:
+        """Servers with an open connection, where connections are priced or new ones fail; none elsewhere."""
+        # Guards against more connections than servers accept, and new ones failing while open ones serve on.
+        self._prune(self._links, now - RETRY_SPAN)
+        fail = sum(1 for _, made in self._links if not made) > LAST_FEW / 2
+        if not fail and not self._thrifty:
+            return []
+        linked = [server for server in self._ready if self._linked(server, now)]
+        return linked if fail or len(linked) >= FAMILIAR else []
+
+    def _linked(self, server: Server, now: float) -> bool:
+        shared = self._shared_links and len(server.flights) > 0
+        return shared or (len(server.idle) > 0 and server.idle[-1] > now - self._terms.connection_idle)
+
+    def _noted_link(self, dispatch: Dispatch, result: Result, now: float) -> None:
+        if not dispatch.linked and result is not Result.NEVER_SENT:
+            self._links.append((now, result is not Result.NO_CONNECTION))
+        if result in (Result.NO_CONNECTION, Result.RESET):
+            dispatch.server.idle.clear()
+        elif result not in (Result.NEVER_SENT, Result.SPOILT):
+            dispatch.server.idle.append(now)
+
     def _score(self, server: Server, now: float, spare: float = 0.0) -> float:
         """The answer's load, less as it ages, plus own sends still out, less those spared, by its pace."""
         answer = server.answer or Load()
@@ -808,7 +844,10 @@
     def _probe(self) -> None:
         self._unprobed = 0
         if self._ready:
-            self._ask(self._random.choice(self._ready))
+            self._odd_probe = not self._odd_probe
+            # Every other probe asks a server that is likely to be sent to; the rest keep the design's share.
+            asked = (self._familiar(self._host.now()) if self._odd_probe else []) or self._ready
+            self._ask(self._random.choice(asked))
 
     def _ask(self, server: Server) -> None:
         server.asked_at = self._host.now()
@@ -843,8 +882,8 @@
         if operator >= len(self._shares) or self._shares[operator] <= 0:
             return False
         asked = self._asked[operator]
-        self._prune(asked, now - SHARE_SPAN)
-        if len(asked) >= self._shares[operator]:
+        self._prune(asked, now - self._share_span)
+        if len(asked) >= self._shares[operator] * self._own_part() * self._terms.nodes:
             return True
         asked.append((now,))
         return False
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -95,6 +95,7 @@
         seed=seed,
         profiles=[_profile(paths, item) for item in _items(paths, "profiles")],
         operator_quotas=[number(paths, item + "quota_rps", 0.0) for item in _items(paths, "tenants")],
+        overage=number(paths, "overage_revenue", 1.0),
         nodes=max(1, int(number(paths, "group_size", 1))),
         depth=layer if 0 <= layer < len(layers) else None,
         depths=len(layers),
