--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -699,8 +699,10 @@
             paces = (server.answer.pace for server in self._pool if server.answer and server.answer.pace)
             waits = (server.wait for server in self._pool if server.wait)
             seconds = (end.seconds for end in self._ends if end.seconds)
-            figures = (latest.values(), paces, waits, seconds)
-            self._usual_now = Usual(*(max(middle(values, 1.0), 0.001) for values in figures))
+            figures = (latest.values(), paces, waits)
+            # Guards against a start that passes for crowded: without news, nothing is.
+            all_jobs = max(middle(seconds, 0.0), 0.001)
+            self._usual_now = Usual(*(max(middle(values, 1.0), 0.001) for values in figures), all_jobs)
             self._passed_over = self._find_passed_over(now)
             # Kept with them: going through a large fleet for each job costs more than all its decisions.
             warm = [server for server in self._ready if not self._is_cold(server, now)]
