--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -40,6 +40,7 @@
 RETRY_SHARE = 0.2  # retries per first send; the design's upper bound, rounded down, no floor
 RETRY_SPAN = 10.0  # s over which that share holds; the design's bound, long enough for nodes with few jobs
 PROBE_EVERY = 5  # first sends a probe; twice the design's least, so that two fresh answers are the usual case
+PROBE_EVERY_THIN = 2  # the same beside clients, where a fifth of few sends is an answer in seconds
 FAMILIAR = 12  # servers a node keeps connections to where they are priced; enough to find two that are free
 PROBE_SPAN = 2.5  # s between probes without sends; half the design's most, to survive one lost answer
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
@@ -63,7 +64,7 @@
 CALM_TIMES = 2.5  # times the calmest middle time that jobs out may take to clear; past it servers only queue
 FLOOR_EACH = 6.0  # jobs that all nodes send an able server before anything is learned: a small machine's
 FLOOR_CALM = 9.0  # the same while answers come in calm times; servers that do well hold more
-CROWD_SHARE = 0.3  # of the contract time that the middle job may take; a few times that, and many are late
+CROWD_SHARE = 0.35  # of the contract time that the middle job may take; a few times that, and many are late
 SERVER_SPREAD = 2.0  # times an even share of the node's jobs that one server may hold; unequal machines
 SPARE_SHARE = 0.7  # of the room that jobs past their operator's share may fill
 SHARE_SPAN = 2.0  # s over which an operator's share is held against its jobs
@@ -171,6 +172,7 @@
         self._asked: list[deque[tuple[float]]] = [deque() for _ in self._shares]
         self._revenue = sum(profile.revenue for profile in profiles.values()) / max(1, len(profiles)) or 1.0
         self._contract = min((profile.contract_time for profile in profiles.values()), default=1.0)
+        self._probe_every = PROBE_EVERY_THIN if terms.beside_clients else PROBE_EVERY
         self._near_first = terms.crossing_price > 0
         self._near_slack = 1.0 + NEAR_WORTH * terms.crossing_price
         self._thrifty = terms.connection_price > 0
@@ -485,7 +487,7 @@
         self._firsts.append((self._host.now(),))
         self._send(held)
         self._unprobed += 1
-        if self._terms.probes and self._unprobed >= PROBE_EVERY:
+        if self._terms.probes and self._unprobed >= self._probe_every:
             self._probe()
 
     def _send_again(self, held: Held) -> None:
