--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -420,7 +420,10 @@
         waits = held.whole and last.out and not last.taken_back
         return waits and last.server in self._silent(self._host.now()) and self._may_retry(held)
 
-    def _copies_barred(self, held: Held) -> bool:
+    def _copy_due(self, held: Held) -> bool:
+        return self._terms.second_copies and self._swallowed(held)
+
+    def _recall_due(self, held: Held) -> bool:
         return not self._terms.second_copies and self._swallowed(held)
 
     # Effects: what the table does.
@@ -634,8 +637,6 @@
     def _may_run_on(self, held: Held, server: Server, now: float) -> bool:
         """Whether a further dispatch there cannot make an effect happen twice."""
         profile = held.profile
-        if not self._terms.second_copies and any(each.out and not each.taken_back for each in held.sent):
-            return False
         ran = [dispatch for dispatch in held.sent if dispatch.may_have_run]
         if not ran or profile.effect is Effect.REISSUABLE:
             return True
@@ -846,8 +847,8 @@
     Row(S.OUT, E.OWNED, B._always, S.ENDED, B._give_up),
     Row(S.OUT, E.PASSED_ALONG, B._others_out, S.OUT, B._nothing),
     Row(S.OUT, E.PASSED_ALONG, B._always, S.ENDED, B._give_up),
-    Row(S.OUT, E.OVERDUE, B._copies_barred, S.OUT, B._take_back),
-    Row(S.OUT, E.OVERDUE, B._swallowed, S.OUT, B._send_again),
+    Row(S.OUT, E.OVERDUE, B._copy_due, S.OUT, B._send_again),
+    Row(S.OUT, E.OVERDUE, B._recall_due, S.OUT, B._take_back),
     Row(S.OUT, E.BEGUN, B._always, S.STREAMING, B._nothing),
     Row(S.OUT, E.OVER, B._always, S.ENDED, B._leave),
     Row(S.OUT, E.LAST_CALL, B._always, S.ENDED, B._give_up),
