--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -175,10 +175,8 @@
         age = self._age(job, profile, now)
         contract_end = now - age + min(profile.contract_time, profile.abandon_time)
         past_share, key = self._past_share(job.operator, now), job.key if self._terms.warm_keys else ""
-        most, abandon_end = self._terms.max_dispatches, now + job.time_left
-        held = Held(
-            job.id, job.profile, profile, most, now, contract_end, abandon_end, past_share, job.whole, key
-        )
+        most, end = self._terms.max_dispatches, now + job.time_left
+        held = Held(job.id, job.profile, profile, most, now, contract_end, end, past_share, job.whole, key)
         self._held[job.id] = held
         if job.whole:
             self._count_time(held, now)
@@ -424,7 +422,9 @@
         return self._terms.second_copies and self._swallowed(held)
 
     def _recall_due(self, held: Held) -> bool:
-        return not self._terms.second_copies and self._swallowed(held)
+        # Guards against sound servers that were merely not heard of: the newest outcome there was a failure.
+        doubted = not all(list(held.sent[-1].server.last)[-1:])
+        return not self._terms.second_copies and doubted and self._swallowed(held)
 
     # Effects: what the table does.
 
