--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -308,13 +308,7 @@
 
     def hear(self, peer: int, note: bytes) -> None:
         """A peer's note; what is not in the own list is passed over, and what can't be read."""
-        words = self._notes.read(peer, note)
-        told = [
-            Told(self._tags[word.tag], word.ago, word.good, word.seconds)
-            for word in words
-            if word.tag in self._tags
-        ]
-        if told:
+        if told := self._notes.told(peer, note, self._tags):
             self._core.heard(told)
 
     @property
--- a/notchjunction/notes.py
+++ b/notchjunction/notes.py
@@ -9,9 +9,11 @@
 import struct
 import zlib
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from notchjunction.interface import Told
+
 VERSION = 1
 MOST = 256  # bytes of a note
 PEERS_KEPT = 1024  # peers of whom it is known what they have told; more than there are nodes
@@ -74,3 +76,8 @@
         new = min(count, max(0, newest - had))
         items = list(ITEM.iter_unpack(note[HEAD.size :]))[:new]
         return [Word(tag, ago / 100, good == 1, ms / 1000) for tag, ago, ms, good in reversed(items)]
+
+    def told(self, peer: int, note: bytes, numbers: Mapping[int, int]) -> list[Told]:
+        """What is new in it of the host's own servers, whose numbers are given by their tags."""
+        words = self.read(peer, note)
+        return [Told(numbers[word.tag], *word[1:]) for word in words if word.tag in numbers]
--- a/notchjunction/simhost.py
+++ b/notchjunction/simhost.py
@@ -79,13 +79,8 @@
             note = base64.b64decode(event.text("blob"), validate=True)
         except (binascii.Error, ValueError):
             note = b""
-        found = [
-            Told(self._tags[word.tag], word.ago, word.good, word.seconds)
-            for word in self._notes.read(event.whole("who"), note)
-            if word.tag in self._tags
-        ]
-        if found:
-            self._core.heard(found)
+        if told := self._notes.told(event.whole("who"), note, self._tags):
+            self._core.heard(told)
 
     def _server(self, name: str) -> int:
         if name not in self._indices:
