A silent call for the list is made again at once and does not wait: one clock for silence

Checked: 39 nodes noticed silence at 9.2 s, all at once, 1.5 s past a wait of 7.5 s, and the next call went out 0.25 to 0.5 s later, inside the bound. The break was at 14.03 s: on nodes whose first calls had been refused (209 nodes start at once, 170 times status 503) waits were longer, 9.1 s and more, and the module's pause grows with the failures in a row, refusals and silence alike.

At fault: Discovery._ask, one time-out for the whole call and 1.5 s over its wait; Node._follow_list, which told silence as a refusal. Change: following.py, a table of states; silence ends a call 0.5 s after its wait or the last byte, the next one is made at once on a new connection and does not wait. Pushed lists likewise: no growing pause, and a start goes by the agent.

--- /dev/null
+++ b/notchjunction/following.py
@@ -0,0 +1,172 @@
+"""One clock for the list of servers: what follows from each end of a call for it, and what counts as told.
+
+A call that stays silent is broken, not refused: it is made again at once, on a new connection, and may not
+wait. A refused one, or one whose connection broke, is made again after a pause, so that nodes do not keep one
+another out. Pure.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from enum import Enum, auto
+from random import Random
+from typing import NamedTuple
+
+WAIT_SHARE = 0.75  # of the time within which the list must be asked for; a wait that is cut off says nothing
+WAIT_MOST = 20.0  # s that a call waits at most: where no such time is stated, or calls are refused
+WAIT_SPREAD = 0.2  # of a wait, at random, that it is shorter, so that nodes' watches do not end together
+REFUSALS_KEPT = 8  # last calls by which it is seen whether discovery has more of them than it can answer
+SILENT_AFTER = (
+    0.5  # s past its wait, or without a further byte, after which a watch is broken; an answer is short
+)
+DRIP_MOST = 4.0  # s past that in which a list that has begun to come is whole; the last of it counts in time
+BUSY_MOST = (
+    1.5  # s in which a call that may not wait is answered; discovery refuses what it lets wait for one
+)
+BUSY_SPREAD = 0.3  # of that, at random, that it is shorter, as many nodes may have fallen silent together
+TOLD_AFTER = 6.0  # s after a watch fell silent from which what it misses counts as told; the protocol's
+TOLD_AFTER_WAIT = 2.0  # s after a call's wait from which it counts, if that is later; the protocol's
+FAILED_TIMES = (
+    4.0  # times the time for asking for which a node is held to its list after a failed call; likewise
+)
+AGENT_PAUSE = 0.1  # s, and as much again at random, before an agent that pushes lists is asked again
+FIRST_WITHIN = (
+    3.0  # s that a new process waits for the agent's word; then the remembered list is all there is
+)
+
+
+class State(Enum):
+    NEW = auto()  # nothing was answered yet
+    WATCHING = auto()  # the last call was answered, and the next one is out
+    SILENT = auto()  # the last call ended without a word
+    REFUSED = auto()  # discovery has more callers than it answers
+    DOWN = auto()  # its connection broke, or never came up
+
+
+class Input(Enum):
+    ANSWERED = auto()
+    SILENCE = auto()
+    REFUSAL = auto()
+    BREAK = auto()
+    MOVED = auto()  # the configuration names another place
+
+
+class Effect(Enum):
+    GO_ON = auto()  # the next call, at once
+    AGAIN = auto()  # the same, on a new connection, and it may not wait
+    PAUSE = auto()  # the same after a pause
+    BACK = auto()  # the next call, at once; there was trouble, and it is over
+
+
+class Row(NamedTuple):
+    state: State
+    input: Input
+    then: State
+    effect: Effect
+
+
+S, E, Do = State, Input, Effect
+TABLE = (
+    Row(S.NEW, E.ANSWERED, S.WATCHING, Do.GO_ON),
+    Row(S.NEW, E.SILENCE, S.SILENT, Do.AGAIN),
+    Row(S.NEW, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.NEW, E.BREAK, S.DOWN, Do.PAUSE),
+    Row(S.NEW, E.MOVED, S.NEW, Do.GO_ON),
+    Row(S.WATCHING, E.ANSWERED, S.WATCHING, Do.GO_ON),
+    # Guards against news that is missed while a silent call's successor waits its turn.
+    Row(S.WATCHING, E.SILENCE, S.SILENT, Do.AGAIN),
+    Row(S.WATCHING, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.WATCHING, E.BREAK, S.DOWN, Do.PAUSE),
+    Row(S.WATCHING, E.MOVED, S.WATCHING, Do.GO_ON),
+    Row(S.SILENT, E.ANSWERED, S.WATCHING, Do.BACK),
+    Row(S.SILENT, E.SILENCE, S.SILENT, Do.AGAIN),
+    Row(S.SILENT, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.SILENT, E.BREAK, S.DOWN, Do.PAUSE),
+    Row(S.SILENT, E.MOVED, S.SILENT, Do.AGAIN),
+    Row(S.REFUSED, E.ANSWERED, S.WATCHING, Do.BACK),
+    Row(S.REFUSED, E.SILENCE, S.SILENT, Do.AGAIN),
+    Row(S.REFUSED, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.REFUSED, E.BREAK, S.DOWN, Do.PAUSE),
+    Row(S.REFUSED, E.MOVED, S.WATCHING, Do.GO_ON),
+    Row(S.DOWN, E.ANSWERED, S.WATCHING, Do.BACK),
+    Row(S.DOWN, E.SILENCE, S.SILENT, Do.AGAIN),
+    Row(S.DOWN, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.DOWN, E.BREAK, S.DOWN, Do.PAUSE),
+    Row(S.DOWN, E.MOVED, S.WATCHING, Do.GO_ON),
+)
+ROWS = {(row.state, row.input): row for row in TABLE}
+
+
+class Following:
+    """One node's calls for the list; `ask_within` in s, 0: none stated; `pushed`: an agent has the list."""
+
+    def __init__(self, ask_within: float, pushed: bool = False, seed: int = 0) -> None:
+        self._ask_within = ask_within
+        self._pushed = pushed
+        self._random = Random(f"list {seed}")
+        self._wait_least = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
+        self._refused: deque[bool] = deque([False] * REFUSALS_KEPT, maxlen=REFUSALS_KEPT)
+        self._began = -math.inf
+        self._wait = 0.0
+        self._silent_told_by = math.inf
+        self._failing_since = math.inf
+        self.state = State.NEW
+
+    def next_wait(self, known: bool) -> float:
+        """s that the next call may wait; `known`: there is a version to watch from.
+
+        Short, as a place cut off says nothing; the longer, the more of the last calls were refused: while one
+        waits the list is followed. Guards against all nodes' calls keeping each other out.
+        """
+        if not known or self.state is State.SILENT:
+            return 0.0  # an answer at once tells what was missed; the watch goes on from it
+        share = sum(self._refused) / REFUSALS_KEPT
+        wait = self._wait_least + (WAIT_MOST - self._wait_least) * share
+        return wait * (1 - WAIT_SPREAD * self._random.random())
+
+    def begins(self, now: float, wait: float) -> float:
+        """A call goes out; s from now at which it is silent, if no byte of its answer has come."""
+        self._began, self._wait = now, wait
+        if wait > 0:
+            return wait + SILENT_AFTER
+        return BUSY_MOST * (1 - BUSY_SPREAD * self._random.random())
+
+    def tell(self, event: Input, now: float) -> Effect:
+        """How the last call ended."""
+        if event in (Input.ANSWERED, Input.REFUSAL):
+            self._refused.append(event is Input.REFUSAL)
+        if event is Input.ANSWERED:
+            self._silent_told_by = self._failing_since = math.inf
+        else:
+            self._failing_since = min(self._failing_since, now)
+        if event is Input.SILENCE:
+            # The first silent call's clock runs on, whatever becomes of its successors.
+            self._silent_told_by = min(self._silent_told_by, self._told_by_if_silent())
+        row = ROWS[self.state, event]
+        self.state = row.then
+        return row.effect
+
+    def pause(self) -> float | None:
+        """s before an agent is asked again; None where the module says it, as calls cost discovery work."""
+        # Guards against a pause that grows without bound while what the agent has counts already.
+        return AGENT_PAUSE * (1 + self._random.random()) if self._pushed else None
+
+    def waits_first(self) -> float:
+        """s that a new process waits for its first answer before it serves by the list that it remembers."""
+        # Guards against sends by a remembered list, where what the agent has counts from the first moment.
+        return FIRST_WITHIN if self._pushed else 0.0
+
+    def told_by(self) -> float:
+        """The moment from which what this node may have missed counts as told; inf while all is told."""
+        if self._silent_told_by < math.inf:
+            return self._silent_told_by
+        if self.state in (State.NEW, State.WATCHING) or self._failing_since == math.inf:
+            return math.inf
+        if self._pushed:
+            return self._failing_since
+        return self._began + FAILED_TIMES * self._ask_within if self._ask_within > 0 else math.inf
+
+    def _told_by_if_silent(self) -> float:
+        """Of the call that is out, were it silent from its beginning."""
+        return self._began + max(TOLD_AFTER, self._wait + TOLD_AFTER_WAIT)
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -103,10 +103,12 @@
         answers: AnswerReader,
         rest: Body | None = None,
         written: Callable[[], None] = lambda: None,
+        heard: Callable[[], None] = lambda: None,
     ) -> Answer:
         """Writes the request and waits for its answer, whole or, where it is large, its beginning.
 
         `written` is called once the last byte is written; the rest of a body is taken in pieces until then.
+        `heard` is called with each piece of the answer that comes.
         """
         try:
             await self._stream.write(encode_request(request))
@@ -127,6 +129,7 @@
                 opened = now
             try:
                 answers.feed(await self.read())
+                heard()
             except Cut as cut:
                 last = answers.end() if cut.clean else None
                 if last is None:
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -4,28 +4,32 @@
 
 import asyncio
 import json
+import logging
 import math
-from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
 from notchjunction.decider import Listed
-from notchjunction.http1.messages import Malformed, Request
+from notchjunction.following import DRIP_MOST, SILENT_AFTER, Effect, Following, Input
+from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence
 from notchjunction.net import words
 from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of, text_of
+from notchjunction.net.logs import pairs
+
+log = logging.getLogger(__name__)
 
-WAIT_SHARE = 0.75  # of the time within which the list must be asked for; a wait that is cut off says nothing
-WAIT_MOST = 20.0  # s that a call waits at most: where no such time is stated, or calls are refused
-REFUSALS_KEPT = 8  # last calls by which it is seen whether discovery has more of them than it can answer
 LIST_MOST = 8 * 1024 * 1024  # bytes of a list; tens of thousands of servers, and far under the memory limit
-SLACK = 1.5  # s over its wait that a call may take
 
 
 class Unusable(Exception):
-    """The call failed, or its answer is no list."""
+    """The call failed, or its answer is no list; `event`: how, to what follows the list."""
+
+    def __init__(self, why: str, event: Input = Input.BREAK) -> None:
+        super().__init__(why)
+        self.event = event
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,13 +69,14 @@
 
 
 class Discovery:
-    def __init__(self, address: Address, ask_within: float) -> None:
+    def __init__(self, address: Address, following: Following, clock: Callable[[], float]) -> None:
         self._address = address
-        self._wait_least = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
-        self._refused: deque[bool] = deque([False] * REFUSALS_KEPT, maxlen=REFUSALS_KEPT)
+        self.following = following
+        self._clock = clock
         self._connection: Connection | None = None
         self.version: int | None = None
         self._moves = 0
+        self.silences = 0  # calls that ended without a word
 
     def remember(self, version: int) -> None:
         self.version = version
@@ -83,17 +88,26 @@
         self.close()
 
     async def news(self) -> ServerList:
-        """The next news; waits for it, for a bounded time."""
+        """The next news; asks anew whenever a call stays silent, and is Unusable where one fails."""
         while True:
             moves = self._moves
             try:
                 found = await self._ask()
-            except Unusable:
-                if moves == self._moves:
-                    raise
-                continue  # the call was ended by a move: no failure, and the next one is due at once
+                event = Input.ANSWERED
+            except Unusable as error:
+                event, failed = error.event, error
             if moves != self._moves:
-                continue  # a late answer from the old place, which no longer speaks for the list
+                # The call was ended by a move, or is a late answer from the old place, which no longer speaks
+                # for the list: no failure, and the next one is due at once.
+                self.following.tell(Input.MOVED, self._clock())
+                continue
+            match self.following.tell(event, self._clock()):
+                case Effect.PAUSE:
+                    raise failed
+                case Effect.AGAIN:
+                    self.silences += 1
+                    log.warning("list call silent", extra=pairs(told_in=round(self.told_in(), 1)))
+                    continue
             if self.version is not None and found.version < self.version and not found.whole:
                 # Guards against a list that is counted anew: its changes would miss all that went before.
                 self.version = None
@@ -102,24 +116,32 @@
             self.version = found.version
             return replace(found, older=older)
 
-    def _wait(self) -> float:
-        """Short, as a place cut off says nothing; the longer, the more of the last calls were refused.
-
-        While one waits the list is followed. Guards against all nodes' calls keeping each other out.
-        """
-        share = sum(self._refused) / REFUSALS_KEPT
-        return self._wait_least + (WAIT_MOST - self._wait_least) * share
+    def told_in(self) -> float:
+        """s until what may have been missed counts as told; under 0 where it does already."""
+        return self.following.told_by() - self._clock()
 
     async def _ask(self) -> ServerList:
         target = words.LIST
-        wait = 0.0
+        wait = self.following.next_wait(known=self.version is not None)
         if self.version is not None:
-            wait = self._wait()
             target += f"?after={self.version}&wait_ms={int(wait * 1000)}"
+        loop = asyncio.get_running_loop()
+        silent_at = loop.time() + self.following.begins(self._clock(), wait)
+
+        def heard() -> None:
+            # Guards against giving up a long list that is on its way: only silence is, or one that drips.
+            limit.reschedule(min(max(silent_at, loop.time() + SILENT_AFTER), silent_at + DRIP_MOST))
+
         try:
-            async with asyncio.timeout(wait + SLACK):
-                return read_list(await self._call(target))
-        except (NotSent, Cut, Malformed, TimeoutError) as error:
+            async with asyncio.timeout_at(silent_at) as limit:
+                answer = await self._call(target, heard)
+            if answer.status != 200:
+                raise Unusable(f"status {answer.status}", Input.REFUSAL)
+            return read_list(_parsed(answer.body))
+        except TimeoutError as error:
+            self.close()
+            raise Unusable("silent", Input.SILENCE) from error
+        except (NotSent, Cut, Malformed) as error:
             self.close()
             raise Unusable(str(error) or type(error).__name__) from error
         except BaseException:
@@ -131,22 +153,23 @@
             self._connection.close()
             self._connection = None
 
-    async def _call(self, target: str) -> Any:
+    async def _call(self, target: str, heard: Callable[[], None]) -> Answer:
         connection = self._connection
         if connection is None or not connection.fit():
             self.close()
             connection = self._connection = Connection(self._address)
             await connection.open()
         request = Request("GET", target, {"host": text_of(self._address)})
-        answer = await connection.exchange(request, AnswerReader(LIST_MOST, LIST_MOST))
+        answer = await connection.exchange(request, AnswerReader(LIST_MOST, LIST_MOST), heard=heard)
         if answer.keep:
             connection.rest(0.0)
         else:
             self.close()
-        self._refused.append(answer.status == 503)
-        if answer.status != 200:
-            raise Unusable(f"status {answer.status}")
-        try:
-            return json.loads(answer.body)
-        except (ValueError, RecursionError) as error:
-            raise Unusable("no JSON") from error
+        return answer
+
+
+def _parsed(body: bytes) -> Any:
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise Unusable("no JSON") from error
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -15,6 +15,7 @@
 
 from notchjunction.checks import Unfit
 from notchjunction.decider import Ask, Decider, Follow, Listed, Probe, SetAside, Tell
+from notchjunction.following import Following
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
 from notchjunction.net import management, node_input, talk, words
@@ -54,7 +55,8 @@
         kept_back += talk.DESCRIPTORS if told.talk else 0
         self._descriptors = descriptors = Descriptors(told.sockets, kept_back)
         streams = Streams()
-        self._discovery = Discovery(told.discovery, told.terms.ask_within)
+        self._following = Following(told.terms.ask_within, told.pushed, told.terms.seed)
+        self._discovery = Discovery(told.discovery, self._following, self.now)
         self._servers = Servers(
             self.now,
             told.connect_within,
@@ -98,6 +100,8 @@
         counters.gauge("jobs_kept", lambda: self._decider.kept)
         counters.gauge("streams_open", lambda: streams.open)
         counters.gauge("descriptors_held", lambda: descriptors.held)
+        counters.gauge("list_calls_silent", lambda: self._discovery.silences)
+        counters.gauge("list_doubted_for", lambda: max(0.0, -self._discovery.told_in()))
         counters.gauge("loop_lag_most", lambda: max(self._decider.lags, default=0.0))
 
     def now(self) -> float:
@@ -129,14 +133,30 @@
         if self._handover is not None:
             self._start(self._offer())
         if told.known is not None and not self._ready:
-            self._discovery.remember(told.known.version)
-            self._hear(told.known, News.REMEMBERED)
+            first = self._following.waits_first()
+            if first > 0:
+                self._start(self._go_by_late(told.known, first))
+            else:
+                self._go_by(told.known)
         self._start(self._run_errands())
         self._start(self._follow_list())
         self._start(self._sweep())
         await self._stopping.wait()
         await self._drain()
 
+    def _go_by(self, known: ServerList) -> None:
+        """Serves by the remembered list, and asks for what came after it."""
+        self._discovery.remember(known.version)
+        self._hear(known, News.REMEMBERED)
+
+    async def _go_by_late(self, known: ServerList, after: float) -> None:
+        """The same where the agent says nothing for so long; until then the whole list is asked for."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(after):
+                await self._ready_now.wait()
+        if not self._ready:
+            self._go_by(known)
+
     def stop(self) -> None:
         """Begins the drain; a second call changes nothing."""
         if self._service.tell(Input.END) is Effect.CEASE:
@@ -440,7 +460,11 @@
                 # Guards against a second call for an earlier pause, which ran out while this one went on.
                 self._list_due.clear()
                 self._list_failed(error)
-                self._decider.report_list(News.FAILED)
+                pause = self._following.pause()
+                if pause is None:
+                    self._decider.report_list(News.FAILED)
+                else:
+                    self._loop.call_later(pause, self._list_due.set)
 
     def _list_failed(self, error: Exception) -> None:
         self.counters.add("list_calls_failed")
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -18,6 +18,7 @@
 LOOP_TICK = 0.01  # s by which timers of a loop on a shared core come late; 12 ms was the most seen
 SOCKETS = 1024  # descriptors where no limit is told
 CONNECT_WITHIN = 250.0  # ms where no connect time-out is told
+PUSHED = "automatic"  # the mode in which lists are pushed
 NOWHERE: Address = ("", 0)
 IDLE = 5000.0  # ms that servers keep an idle connection, where that is not told
 
@@ -39,6 +40,7 @@
     file: str | None = None
     talk: tuple[Address, list[Address]] | None = None  # where notes are heard, and the peers by number
     key_header: str = ""
+    pushed: bool = False  # an agent has the list, and what it has counts as told at once
     told: Mapping[str, Any] = field(default_factory=dict)
 
 
@@ -119,6 +121,7 @@
         connect_within=terms.number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
         idle_most=terms.number(paths, "limits.conn_idle", IDLE) / 1000,
         key_header=str(told.get("key_header", "")).lower(),
+        pushed=paths.get("registry_mode") == PUSHED,
         load_path=words.LOAD if terms.words(paths, "report.fields") else words.HEALTH,
         told=told,
     )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -302,6 +302,7 @@
     mgmt: Address | None = None,
     shared: Any = None,
     listen: Address | None = None,
+    pushed: bool = False,
     **terms: Any,
 ) -> AsyncIterator[tuple[Node, Address]]:
     """A node on a free port of the loopback address, with its list remembered or not."""
@@ -320,6 +321,7 @@
         mgmt=mgmt,
         shared=shared and str(shared),
         file=file and str(file),
+        pushed=pushed,
     )
     node = Node(told)
     run = asyncio.create_task(node.run())
