--- a/notchjunction/emulator/checkers.py
+++ b/notchjunction/emulator/checkers.py
@@ -2,10 +2,24 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
-from collections.abc import Iterator
-
-from notchjunction.emulator.trace import Answered, Final, Probed, Ran, Row, Sent, Story, Taken, Tipped, Told
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterable, Iterator
+from math import inf
+from typing import NamedTuple
+
+from notchjunction.emulator.trace import (
+    Answered,
+    Final,
+    Landed,
+    Probed,
+    Ran,
+    Row,
+    Sent,
+    Story,
+    Taken,
+    Tipped,
+    Told,
+)
 from notchjunction.interface import Effect, Group, Presence
 
 RETRY_SHARE = 0.2  # retries a first send at most; the design's bound
@@ -122,6 +136,61 @@
     return -1 if isinstance(row, Tipped) else row.node
 
 
+class Use(NamedTuple):
+    """Dispatches out over a span."""
+
+    peak: int  # the most at one moment
+    mean: float  # over its seconds
+
+
+def limit_held(rows: Iterable[Row], most: int, slack: float = 0.0) -> Iterator[str]:
+    """A hard limit: over all nodes together no more than `most` dispatches are ever out.
+
+    What goes over for `slack` seconds or less is forgiven: on sockets the two ends of a connection see its
+    end at different moments.
+    """
+    rows = tuple(rows)
+    # Guards against blaming a run for its end: how long such an excess lasts nobody saw.
+    latest = rows[-1].at - slack if rows else 0.0
+    out, peak, since = 0, 0, 0.0
+    for at, change in _changes(rows):
+        was, out = out, out + change
+        if was <= most < out:
+            peak, since = out, at
+        elif out <= most < was and at - since > slack and since <= latest:
+            yield f"{since:.3f} {peak} are out where {most} may be, for {at - since:.3f} s"
+        peak = max(peak, out)
+
+
+def use(rows: Iterable[Row], since: float, until: float) -> Use:
+    """What was out from `since` to `until`, seconds on the rows' clock."""
+    peak, area, reached, out = 0, 0.0, since, 0
+    for at, change in [*_changes(rows), (inf, 0)]:
+        end = min(at, until)
+        if end > reached:
+            peak = max(peak, out)
+            area += out * (end - reached)
+            reached = end
+        out += change
+    return Use(peak, area / (until - since))
+
+
+def _changes(rows: Iterable[Row]) -> list[tuple[float, int]]:
+    """By how many more or fewer are out from which moment on, in order of time."""
+    sent: dict[tuple[int, int, int], Sent] = {}
+    ends: dict[tuple[int, int, int], float] = {}
+    for row in rows:
+        if isinstance(row, Sent):
+            sent[row.node, row.job, row.dispatch] = row
+        elif isinstance(row, Landed):
+            ends.setdefault((row.node, row.job, row.dispatch), row.at)
+    changes: Counter[float] = Counter()
+    for key, row in sent.items():
+        changes[row.at] += 1
+        changes[min(ends.get(key, inf), row.until)] -= 1
+    return sorted(changes.items())
+
+
 CHECKERS = (one_answer, no_double_effects, clean_drains, gentle_fail_back, retry_bound, probe_bound)
 
 
--- a/notchjunction/emulator/discovery.py
+++ b/notchjunction/emulator/discovery.py
@@ -6,8 +6,8 @@
 from functools import partial
 
 from notchjunction.emulator.clock import Clock
-from notchjunction.emulator.fleet import Server
 from notchjunction.emulator.scenario import Scenario
+from notchjunction.emulator.servers import Server
 from notchjunction.interface import ServerEntry
 
 Heard = Callable[[Sequence[ServerEntry] | None, int], None]  # None: the call failed; the version
--- a/notchjunction/emulator/faults.py
+++ b/notchjunction/emulator/faults.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple, Protocol
 
 from notchjunction.emulator.discovery import Discovery
-from notchjunction.emulator.fleet import Server
 from notchjunction.emulator.scenario import Fault, Kind
+from notchjunction.emulator.servers import Server
 from notchjunction.interface import Presence
 
 
--- a/notchjunction/emulator/node.py
+++ b/notchjunction/emulator/node.py
@@ -5,10 +5,14 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING
-
-from notchjunction.emulator.fleet import Call, Server
-from notchjunction.emulator.trace import Answered, Final, Probed, Sent, Taken
+from random import Random
+from typing import Protocol
+
+from notchjunction.emulator.clock import Clock
+from notchjunction.emulator.discovery import Discovery
+from notchjunction.emulator.scenario import Scenario
+from notchjunction.emulator.servers import Call, Server
+from notchjunction.emulator.trace import Answered, Final, Landed, Probed, Row, Sent, Taken
 from notchjunction.emulator.trace import Told as Heard
 from notchjunction.interface import (
     Decisions,
@@ -24,9 +28,6 @@
     Told,
 )
 
-if TYPE_CHECKING:
-    from notchjunction.emulator.world import World
-
 TICK = 0.005  # s; what a node is told its timers may be late by
 ASK_WITHIN = 10.0  # s in which a node has to ask for the list
 PROBE_WITHIN = 0.3  # s that a probe may take
@@ -38,6 +39,23 @@
 NO_TRY = -1  # the first try of a call that a server makes
 
 
+class Surroundings(Clock, Protocol):
+    """What a node needs of the world that it stands in."""
+
+    scenario: Scenario
+    discovery: Discovery
+    random: Random
+    rows: list[Row]
+    servers: list[Server]  # by number
+    tiers: list[list[Server]]
+
+    def hop(self) -> float:
+        """Seconds that a message takes within a zone; drawn anew each time."""
+
+    def carry(self, here: int, there: int, due: Callable[[], None]) -> None:
+        """A message from one zone to another, which calls `due` as it arrives."""
+
+
 @dataclass(slots=True)
 class Asked:
     """A job as its caller has it; `done` hears the final answer, and the advice of a turn-back."""
@@ -85,7 +103,7 @@
 class Links:
     """The connections of one node; none is counted where they cost nothing."""
 
-    world: World
+    world: Surroundings
     idle: dict[int, list[Link]] = field(default_factory=dict)
 
     def take(self, server: Server) -> Link | None:
@@ -121,7 +139,9 @@
 class Node:
     """Before `tier`, in `zone`; `group` nodes stand there in all."""
 
-    def __init__(self, world: World, number: int, tier: int, zone: int, group: int, make: Make) -> None:
+    def __init__(
+        self, world: Surroundings, number: int, tier: int, zone: int, group: int, make: Make
+    ) -> None:
         self.world = world
         self.number, self.tier, self.zone = number, tier, zone
         self.alive = True
@@ -177,7 +197,8 @@
         self.alive = False
         for job in list(self._asked):
             self._answer(job, Final.WITHDRAWN)
-        for out in list(self._out.values()):
+        for key, out in list(self._out.items()):
+            self._has_landed(key, out)
             self._let_go(out)
         self._out.clear()
         self._links.close_all()
@@ -189,7 +210,7 @@
         number = self._count.get(job, 0)
         self._count[job] = number + 1
         world, now = self.world, self.world.now
-        world.rows.append(Sent(now, self.number, job, number, server))
+        world.rows.append(Sent(now, self.number, job, number, server, now + within))
         asked = self._asked.get(job)
         to = world.servers[server]
         key = (job, number)
@@ -244,6 +265,7 @@
         out = self._out.pop(key, None)
         if out is None or not self.alive:
             return
+        self._has_landed(key, out)
         job, number = key
         gave_up = result in (Result.TIMED_OUT, Result.RECALLED)
         if gave_up:
@@ -259,6 +281,9 @@
         seconds = self.world.now - out.at
         self._core.outcome(Outcome(job, number, out.server.number, result, seconds, over))
 
+    def _has_landed(self, key: tuple[int, int], out: Out) -> None:
+        self.world.rows.append(Landed(self.world.now, self.number, *key, out.server.number))
+
     def _let_go(self, out: Out) -> None:
         self.world.carry(self.zone, out.server.zone, partial(out.server.drop, out.call))
 
--- a/notchjunction/emulator/scenario.py
+++ b/notchjunction/emulator/scenario.py
@@ -1,4 +1,4 @@
-"""A run as data: fleet, traffic, faults. Times in seconds, shares from 0 to 1."""
+"""A run as data: servers, traffic, faults. Times in seconds, shares from 0 to 1."""
 
 from __future__ import annotations
 
--- a/notchjunction/emulator/fleet.py
+++ b/notchjunction/emulator/servers.py
@@ -60,7 +60,7 @@
 
 
 class Memory:
-    """What each group of a fleet's servers remembers; each zone is a cell."""
+    """What each group of a scenario's servers remembers; each zone is a cell."""
 
     def __init__(self, profiles: Sequence[Profile]) -> None:
         self._profiles = profiles
--- a/notchjunction/emulator/trace.py
+++ b/notchjunction/emulator/trace.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from math import inf
 
 from notchjunction.interface import Presence, Profile
 
@@ -32,6 +33,18 @@
     job: int
     dispatch: int
     server: int
+    until: float = inf  # when the time that it was given is over
+
+
+@dataclass(frozen=True, slots=True)
+class Landed:
+    """It is out no more: answered, reset or closed, as the row's writer saw it."""
+
+    at: float
+    node: int
+    job: int
+    dispatch: int
+    server: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +90,7 @@
     knowing: float  # share of the work that came from nodes that had been told of its start
 
 
-Row = Taken | Sent | Ran | Answered | Told | Probed | Tipped
+Row = Taken | Sent | Landed | Ran | Answered | Told | Probed | Tipped
 
 
 @dataclass(frozen=True, slots=True)
--- a/notchjunction/emulator/world.py
+++ b/notchjunction/emulator/world.py
@@ -13,9 +13,9 @@
 
 from notchjunction.emulator import faults
 from notchjunction.emulator.discovery import Discovery
-from notchjunction.emulator.fleet import Below, Call, Server, build
 from notchjunction.emulator.node import TICK, Asked, Make, Node
 from notchjunction.emulator.scenario import Fault, Scenario, Stream
+from notchjunction.emulator.servers import Below, Call, Server, build
 from notchjunction.emulator.trace import Final, Ran, Row, Story, Tipped
 from notchjunction.interface import Effect
 from notchjunction.rules import Balancer
--- a/notchjunction/lab/baselines.py
+++ b/notchjunction/lab/baselines.py
@@ -6,8 +6,8 @@
 from random import Random
 from typing import Any
 
-from notchjunction.emulator.fleet import Server
 from notchjunction.emulator.node import Node
+from notchjunction.emulator.servers import Server
 from notchjunction.interface import (
     Decisions,
     Host,
--- a/notchjunction/standins/process.py
+++ b/notchjunction/standins/process.py
@@ -23,6 +23,7 @@
 
 READY_WITHIN = 20.0  # s for a node to be ready, where many start on few cores
 READY_LOOK = 0.05  # s between looks
+GONE_LOOK = 0.01  # s between looks whether a process has ended; a story waits for little else
 PROGRAM = [sys.executable, "-m", "notchjunction"]
 EFFECT_WORDS = {effect: word for word, effect in EFFECTS.items()}
 GROUP_WORDS = {group: word for word, group in GROUPS.items()}
@@ -78,9 +79,12 @@
 
 
 class NodeProcess:
+    """A node's program with its file and its log; both stay where it is started again."""
+
     def __init__(self, number: int, listen: Address, folder: Path) -> None:
         self.number = number
         self.listen = listen
+        self.told: dict[str, Any] = {}  # what its file says
         self._file = folder / f"node-{number}.json"
         self._log = folder / f"node-{number}.log"
         self._process: subprocess.Popen[bytes] | None = None
@@ -93,16 +97,31 @@
         group: int,
         discovery: Address,
         known: Mapping[str, Any],
+        more: Mapping[str, Any] | None = None,
     ) -> None:
-        told = {
-            "name": f"n{self.number}",
-            "listen": text_of(self.listen),
-            "discovery": text_of(discovery),
-            "seed": f"{scenario.seed:x}{self.number:04x}",
-            "known": known,
-            "settings": settings(scenario, tier, zone, group),
-        }
-        self._file.write_text(json.dumps(told))
+        """`more` are further parts of its file, as a section `fleet`."""
+        self.tell(
+            {
+                "name": f"n{self.number}",
+                "listen": text_of(self.listen),
+                "discovery": text_of(discovery),
+                "seed": f"{scenario.seed:x}{self.number:04x}",
+                "known": known,
+                "settings": settings(scenario, tier, zone, group),
+                **(more or {}),
+            }
+        )
+        self.launch()
+
+    def tell(self, told: Mapping[str, Any]) -> None:
+        """Writes its file anew, at one go."""
+        self.told = dict(told)
+        written = self._file.with_suffix(".new")
+        written.write_text(json.dumps(self.told))
+        written.replace(self._file)
+
+    def launch(self) -> None:
+        """Starts the program with the file as it is."""
         environment = {"PATH": os.environ.get("PATH", ""), "GW_CONFIG": str(self._file)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -120,18 +139,47 @@
                     raise RuntimeError(f"node {self.number} ended: {self._log.read_text()[-500:]}")
                 await asyncio.sleep(READY_LOOK)
 
+    def pause(self) -> None:
+        """It does nothing until it goes on; its connections stay, and its clock runs."""
+        self._signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self._signal(signal.SIGCONT)
+
+    def hang_up(self, changed: Mapping[str, Any]) -> None:
+        """Its file is from now on this, and it is asked to read it."""
+        self.tell(changed)
+        self._signal(signal.SIGHUP)
+
     def kill(self) -> None:
-        if self._process is not None:
-            self._process.kill()
+        self._signal(signal.SIGKILL)
+
+    async def gone(self) -> None:
+        """Waits until no process of it is left."""
+        while self._process is not None and self._process.poll() is None:
+            await asyncio.sleep(GONE_LOOK)
+
+    async def restart(self) -> None:
+        """Kills it where it still runs, and starts it with the same file."""
+        self.kill()
+        await self.gone()
+        self.launch()
 
     async def end(self) -> Mapping[str, float]:
         """Ends it as the platform does; its counters, as it prints them at its exit."""
-        assert self._process is not None
-        if self._process.poll() is None:
-            self._process.send_signal(signal.SIGTERM)
-        await asyncio.to_thread(self._process.wait)
-        lines = self._log.read_text().splitlines()
-        return counters_in(lines)
+        self._signal(signal.SIGTERM)
+        # Guards against a paused process, which would not hear of its end.
+        self.go_on()
+        await self.gone()
+        return counters_in(self.lines())
+
+    def lines(self) -> list[str]:
+        """Its log so far, over all its starts."""
+        return self._log.read_text().splitlines() if self._log.exists() else []
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None:
+            self._process.send_signal(number)
 
 
 def counters_in(lines: Sequence[str]) -> dict[str, float]:
--- a/notchjunction/standins/server.py
+++ b/notchjunction/standins/server.py
@@ -11,7 +11,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from notchjunction.emulator.clock import Clock
-from notchjunction.emulator.fleet import Call, Server
+from notchjunction.emulator.servers import Call, Server
 from notchjunction.http1.encoder import encode_answer
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import RequestReader
@@ -32,6 +32,7 @@
 HARD_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 
 Came = Callable[[int, Request], bool]  # a node, and what came from it; whether it knows of the last start
+Landed = Callable[[int, Request], None]  # the same request, as it is answered or its connection ends
 
 
 def free_listener() -> socket.socket:
@@ -89,6 +90,7 @@
         finally:
             if call is not None:
                 server.drop(call)  # whoever closes waits no more
+                self._standin.land(self, call)
             if held:
                 server.disconnect(life)
             self._writers.discard(writer)
@@ -98,14 +100,22 @@
         if not self.silent and not writer.is_closing():
             writer.write(encode_answer(answer))
 
-    def end(self, writer: asyncio.StreamWriter, result: Result) -> None:
+    def end(self, writer: asyncio.StreamWriter, call: Call, result: Result) -> None:
         """How a call ended, as its node sees it."""
+        if self.silent:
+            return
+        self._standin.land(self, call)
         if result in ANSWERS:
             self.say(writer, ANSWERS[result])
-        elif not self.silent:
+        else:
             reset(writer)
 
 
+def time_left(request: Request) -> float:
+    """Seconds that its sender waits."""
+    return int(request.headers.get(words.TIME_LEFT, "1000")) / 1000
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     with suppress(OSError):
         writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, HARD_CLOSE)
@@ -113,12 +123,24 @@
 
 
 class ServerStandIn:
-    """One server of a scenario; `came` hears of each request for a job, `probed` of each probe's node."""
-
-    def __init__(self, server: Server, clock: Clock, came: Came, probed: Callable[[int], None]) -> None:
+    """One server of a scenario.
+
+    `came` hears of each request for a job, `landed` of the same as it is out no more, `probed` of the node of
+    each probe.
+    """
+
+    def __init__(
+        self,
+        server: Server,
+        clock: Clock,
+        came: Came,
+        probed: Callable[[int], None],
+        landed: Landed = lambda node, request: None,
+    ) -> None:
         self.server = server
         self._clock = clock
-        self._came, self._probed = came, probed
+        self._came, self._probed, self._landed = came, probed, landed
+        self._out: dict[Call, Request] = {}
         self.doors: dict[int, Door] = {}
 
     async def open_to(self, node: int) -> Address:
@@ -153,16 +175,23 @@
     def call(self, door: Door, request: Request, writer: asyncio.StreamWriter) -> Call:
         headers = request.headers
         query = parse_qs(urlsplit(request.target).query)
-        within = int(headers.get(words.TIME_LEFT, "1000")) / 1000
-        return Call(
+        call = Call(
             name=(door.node, headers.get(words.JOB_ID, ""), 0),
             profile=int(headers.get(words.PROFILE, "p0")[1:]),
             seconds=float(query.get(WORK, [str(WORK_LEAST)])[0]),
-            until=self._clock.now + within,
-            answer=lambda result: door.end(writer, result),
+            until=self._clock.now + time_left(request),
+            answer=lambda result: door.end(writer, call, result),
             number=headers.get(words.NUMBER),
             knowing=self._came(door.node, request),
         )
+        self._out[call] = request
+        return call
+
+    def land(self, door: Door, call: Call) -> None:
+        """It is out no more; only the first word of it counts."""
+        request = self._out.pop(call, None)
+        if request is not None:
+            self._landed(door.node, request)
 
     def probe(self, door: Door, request: Request, writer: asyncio.StreamWriter) -> None:
         self._probed(door.node)
--- a/notchjunction/standins/stage.py
+++ b/notchjunction/standins/stage.py
@@ -25,10 +25,22 @@
     retry_bound,
 )
 from notchjunction.emulator.discovery import Discovery
-from notchjunction.emulator.fleet import Below, Call, Server, build
 from notchjunction.emulator.node import NO_TRY
 from notchjunction.emulator.scenario import Fault, Scenario, Stream
-from notchjunction.emulator.trace import Answered, Final, Probed, Ran, Row, Sent, Story, Taken, Tipped, Told
+from notchjunction.emulator.servers import Below, Call, Server, build
+from notchjunction.emulator.trace import (
+    Answered,
+    Final,
+    Landed,
+    Probed,
+    Ran,
+    Row,
+    Sent,
+    Story,
+    Taken,
+    Tipped,
+    Told,
+)
 from notchjunction.http1.messages import Request
 from notchjunction.interface import Effect, ServerEntry
 from notchjunction.net import words
@@ -37,7 +49,7 @@
 from notchjunction.standins.clock import LoopClock
 from notchjunction.standins.discovery import DiscoveryStandIn, list_text
 from notchjunction.standins.process import NodeProcess
-from notchjunction.standins.server import WORK, ServerStandIn, free_listener
+from notchjunction.standins.server import WORK, ServerStandIn, free_listener, time_left
 
 GRACE = 0.55  # s after word of a drain within which a send is forgiven; the rule's, and its slack on sockets
 SLACK = 0.1  # s past the abandon time within which a final answer is forgiven, on a busy machine
@@ -78,6 +90,7 @@
         self._callers = Callers()
         self._starts: dict[tuple[int, int], float] = {}  # by node and server, as told
         self._dispatches: dict[tuple[int, str], int] = {}
+        self._out: dict[int, Sent] = {}  # by the request's identity: two dispatches of a job may be equal
         self._jobs: dict[tuple[int, str], int] = {}
         self._asked = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -88,7 +101,13 @@
         self.tiers = build(scenario, self.clock, self.random, self._ran, self._tipped, self._call_below)
         self.servers = [server for row in self.tiers for server in row]
         self._standins = [
-            ServerStandIn(server, self.clock, partial(self._came, server), partial(self._probed, server))
+            ServerStandIn(
+                server,
+                self.clock,
+                partial(self._came, server),
+                partial(self._probed, server),
+                self._has_landed,
+            )
             for server in self.servers
         ]
         self.discovery = Discovery(scenario, self.clock, len(self.tiers))
@@ -104,10 +123,10 @@
             for depth, row in enumerate(self.tiers[:-1]):
                 for server in row:
                     self.below[server.number] = await self._node(depth + 1, server.zone, len(row))
-            for place in self._places.values():
-                await place.process.ready(self._callers)
+            await self._all_ready()
             self.rows.clear()
             began = self.clock.now
+            self._begin()
             for stream in scenario.streams:
                 self._start(self._arrivals(stream, began))
             for fault in scenario.faults:
@@ -130,6 +149,17 @@
             self._callers.close()
         return Story(story_rows, scenario.profiles, GRACE, SLACK, ended)
 
+    async def _all_ready(self) -> None:
+        for place in self._places.values():
+            await place.process.ready(self._callers)
+
+    def _begin(self) -> None:
+        """What else goes wrong, from now on."""
+
+    def _more(self, number: int) -> Mapping[str, Any]:
+        """Further parts of a node's file."""
+        return {}
+
     def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -156,7 +186,8 @@
         )
         process = NodeProcess(number, listen, self._folder)
         known = json.loads(list_text(whole(), self.discovery.version(tier), True, addresses.__getitem__))
-        process.start(self.scenario, tier, zone, group, await standin.open(), known)
+        more = self._more(number)
+        process.start(self.scenario, tier, zone, group, await standin.open(), known, more)
         self._places[number] = NodePlace(process, standin, tier)
         return number
 
@@ -278,9 +309,16 @@
         number = self._dispatches.get((node, name), 0)
         self._dispatches[node, name] = number + 1
         job = self._jobs.get((node, name), 0)
-        self.rows.append(Sent(self.clock.now, node, job, number, server.number))
+        now = self.clock.now
+        sent = Sent(now, node, job, number, server.number, now + time_left(request))
+        self.rows.append(sent)
+        self._out[id(request)] = sent
         return self._starts.get((node, server.number), 0.0) >= server.started_at
 
+    def _has_landed(self, node: int, request: Request) -> None:
+        sent = self._out.pop(id(request))
+        self.rows.append(Landed(self.clock.now, node, sent.job, sent.dispatch, sent.server))
+
     def _probed(self, server: Server, node: int) -> None:
         self.rows.append(Probed(self.clock.now, node, server.number))
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -15,8 +15,8 @@
 import pytest
 
 from notchjunction.emulator.discovery import Discovery
-from notchjunction.emulator.fleet import Server
 from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream, Tier
+from notchjunction.emulator.servers import Server
 from notchjunction.emulator.trace import Ran, Told
 from notchjunction.http1.messages import Request
 from notchjunction.interface import Effect, Presence, Profile, ServerEntry
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -16,9 +16,9 @@
 
 from notchjunction.emulator.checkers import breaches
 from notchjunction.emulator.discovery import Discovery
-from notchjunction.emulator.fleet import Call, Numbers, Server
 from notchjunction.emulator.node import NO_TRY, Link, Links
 from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream, Tier
+from notchjunction.emulator.servers import Call, Numbers, Server
 from notchjunction.emulator.trace import Answered, Final, Row, Sent, Taken, Told
 from notchjunction.emulator.world import World
 from notchjunction.interface import Effect, Group, Presence, Profile, Result
