Who is there: nodes find one another, suspect, refute and bury, under a seal that bounds replays

Need: limits and verdicts over a fleet rest on nodes that know of one another through loss, cuts, pauses and restarts.

Measured in virtual time at 5, 50 and 200 nodes: the dead are buried within the stated bound, 30% loss buries nobody in 120 s, two sides heal within 30 s also when cut again in the middle.

--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,399 @@
+"""Who is there: rosters and envelopes in virtual time, over a network that loses, delays and cuts."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from notchjunction.errors import FleetError
+from notchjunction.fleet import envelope as env
+from notchjunction.fleet import roster as ros
+from notchjunction.fleet.envelope import Envelope, Key, Out, Sender
+from notchjunction.fleet.roster import (
+    Ack,
+    Digest,
+    Hello,
+    Member,
+    Message,
+    Ping,
+    Roster,
+    Rumour,
+    State,
+    Told,
+    Welcome,
+    join,
+)
+
+ALIVE, SUSPECT, DEAD, LEFT = State
+KEYS = [Key(1, b"k" * 16)]
+DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+class Node:
+    def __init__(self, net: Net, me: Sender, address: str, rate: float) -> None:
+        self.net, self.me, self.address, self.rate = net, me, address, rate
+        self.roster = Roster(me, address, ["a0"], net.random.randrange(1 << 30))
+        self.envelope = Envelope(me, KEYS)
+        self.up, self.paused_until, self.sent = True, 0.0, 0
+        self.waiting: list[tuple[str, bytes]] = []
+        self.refused: list[FleetError] = []
+        self.dead: list[str] = []  # names, each time it takes one for dead
+
+    def clock(self) -> float:
+        return 500.0 + self.net.now * self.rate
+
+    def away(self) -> bool:
+        return self.roster.away(self.clock())
+
+    def states(self) -> dict[str, State]:
+        return {name: held.state for name, held in self.roster.members().items()}
+
+    def tick(self) -> None:
+        self.net.at(max(self.net.now + 0.1 / self.rate, self.paused_until), self.tick)
+        if self.up and self.net.now >= self.paused_until:
+            self.say(self.roster.tick(self.clock()))  # before what waits: the order that is worse
+            while self.waiting:
+                self.hear(*self.waiting.pop(0))
+            for address, message in self.roster.greet(self.clock()):
+                self.net.post(self, address, Sender("", 0), message)
+            events = self.roster.take_events()
+            self.dead += [name for name, _, after in events if after and after.state is DEAD]
+
+    def say(self, outs: list[Out]) -> None:
+        for to, message in outs:
+            place = self.roster.address_of(to) or ""
+            self.net.post(self, place, Sender(to, self.roster.start_of(to)), message)
+
+    def hear(self, source: str, data: bytes) -> None:
+        if self.net.now < self.paused_until:
+            return self.waiting.append((source, data))
+        try:
+            opened = self.envelope.open(data)
+        except FleetError as error:
+            return self.refused.append(error)
+        message = DECODER.decode(opened.payload)
+        if not opened.greeting:
+            return self.say(self.roster.hear(self.clock(), opened.sender, message))
+        for answer in self.roster.hear_greeting(self.clock(), opened.sender, message):
+            self.net.post(self, source, opened.sender, answer)
+
+
+class Net:
+    def __init__(self, nodes: int, loss: float = 0.0, seed: int = 1) -> None:
+        self.now, self.loss, self.random, self.turn = 0.0, loss, Random(seed), itertools.count(1)
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.places: dict[str, Node] = {}
+        self.cut: Callable[[str, str], bool] = lambda source, to: False
+        for number in range(nodes):
+            self.add(f"n{number}", f"a{number}", self.random.uniform(0.95, 1.05))
+        self.until(lambda: all(len(node.roster.live()) == nodes - 1 for node in self.up()), 60.0)
+
+    def add(self, name: str, address: str, rate: float = 1.0) -> Node:
+        node = self.places[address] = Node(self, Sender(name, next(self.turn)), address, rate)
+        self.at(self.now + self.random.random(), node.tick)
+        return node
+
+    def up(self) -> list[Node]:
+        return [node for node in self.places.values() if node.up]
+
+    def at(self, time: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (time, next(self.turn), call))
+
+    def post(self, node: Node, address: str, to: Sender, message: Message) -> None:
+        payload = msgspec.msgpack.encode(message)
+        data, place = node.envelope.seal(*to, payload), self.places[address]
+        node.sent += len(payload)
+        if self.random.random() >= self.loss and not self.cut(node.address, address):
+            late = self.random.uniform(0.001, 0.05)
+            self.at(self.now + late, lambda: place.hear(node.address, data) if place.up else None)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.queue[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.queue)
+            call()
+        self.now = end
+
+    def until(self, so: Callable[[], bool], most: float) -> None:
+        end = self.now + most
+        while not so():
+            assert self.now < end, [node.states() for node in self.up()][:3]
+            self.run(0.5)
+
+    def settle(self, most: float = ros.HEALED_WITHIN, **others: State) -> None:
+        """Until all nodes that run hold each other alive, and the others as told."""
+        self.cut = lambda source, to: False
+        view = {node.me.name: ALIVE for node in self.up()} | others
+        self.until(lambda: all(node.states() == view for node in self.up()), most)
+
+
+@pytest.mark.parametrize("nodes", [2, 3, 5, 50, 200])
+def test_all_find_each_other_from_one_seed_and_bury_the_dead_in_time(nodes: int) -> None:
+    net = Net(nodes, seed=nodes)
+    newcomer = net.add("n", "a")
+    net.settle()
+    net.run(10.0)  # until it is no news
+    before = {node: node.sent for node in net.up()}
+    net.run(10.0)
+    assert max(node.sent - before[node] for node in net.up()) <= 10.0 * ros.CALM_BYTES
+    newcomer.up = False
+    net.settle(ros.buried_within(nodes) / 0.95, n=DEAD)
+    assert all(node.sent / net.now <= ros.TROUBLE_BYTES and not node.refused for node in net.up())
+
+
+def test_a_third_of_datagrams_lost_buries_nobody() -> None:
+    net = Net(8, loss=0.3)
+    net.run(120.0)
+    assert not any(node.dead for node in net.up())
+
+
+@pytest.mark.parametrize("fault", ["between two", "deaf", "late"])
+def test_a_node_with_bad_links_or_a_late_timer_buries_nobody_else(fault: str) -> None:
+    net, deaf, late = Net(8), fault == "deaf", fault == "late"
+    net.cut = lambda source, to: to == "a1" and (deaf or (source == "a2" and not late))
+    for _ in range(60):
+        net.places["a1"].paused_until = net.now + 0.9 * late
+        net.run(1.0)
+    dead = {(node.me.name, name) for node in net.up() for name in node.dead}
+    assert {name for by, name in dead if by != "n1"} == ({"n1"} if deaf else set())
+    assert len([name for by, name in dead if by == "n1"]) < 7 * deaf + 1 - deaf  # it doubts itself first
+    net.settle()
+
+
+@pytest.mark.parametrize(("nodes", "span"), [(6, ros.TOMB_SPAN), (50, ros.TOMB_SPAN), (6, 20.0)])
+def test_two_sides_heal_even_if_cut_again_in_the_middle(
+    nodes: int, span: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ros, "TOMB_SPAN", span)
+    net, forgotten = Net(nodes), span < 100.0
+    net.places["a0"].up = forgotten  # who has forgotten the other side needs the seed, and nobody else
+    for healed in (2.0, 0.0):
+        net.cut = lambda source, to: int(source[1:]) % 2 != int(to[1:]) % 2
+        net.run(100.0)
+        assert all(len(node.roster.live()) < nodes // 2 for node in net.up())
+        net.cut = lambda source, to: False
+        net.run(healed)
+    net.settle(**({} if forgotten else {"n0": DEAD}))
+    assert all(node.sent / net.now <= ros.TROUBLE_BYTES for node in net.up())
+
+
+@pytest.mark.parametrize("seconds", [3.0, 60.0])
+def test_a_paused_node_is_away_until_peers_answer_and_accuses_nobody(seconds: float) -> None:
+    net = Net(5)
+    sleeper = net.places["a4"]
+    sleeper.paused_until = net.now + seconds
+    assert sleeper.roster.away(sleeper.clock() + 2.5)  # whoever asks before its timer does
+    net.run(seconds - 0.5)
+    net.cut = lambda source, to: "a4" in (source, to)
+    net.run(8.0)
+    assert sleeper.away() and set(sleeper.states().values()) == {ALIVE}
+    net.settle()
+    assert not sleeper.away()
+
+
+def test_a_node_that_wakes_alone_learns_it() -> None:
+    net = Net(3)
+    sleeper = net.places["a2"]
+    sleeper.paused_until = net.now + 5.0
+    net.places["a0"].up = net.places["a1"].up = False
+    net.run(5.0 + ros.AWAY_MOST)
+    assert sleeper.away() and not sleeper.dead
+    net.until(lambda: not sleeper.away(), 60.0)
+    assert sorted(sleeper.dead) == ["n0", "n1"]
+
+
+def test_a_restart_is_a_later_start_and_one_that_leaves_is_gone() -> None:
+    net = Net(4)
+    net.places["a1"].up = False
+    again = net.add("n1", "a9")
+    net.settle()
+    assert {node.roster.start_of("n1") for node in net.up()} == {again.me.start}
+    assert again.roster.fault(again.clock()) is None
+    again.say(again.roster.leave(again.clock()))
+    net.run(5.0)
+    assert {node.states()["n1"] for node in net.up()} == {LEFT}
+
+
+def test_twins_are_reported_by_all_who_hear_both_and_refute_nothing() -> None:
+    net = Net(4)
+    older, newer, third = net.places["a1"], net.add("n1", "a9"), net.places["a2"]
+    net.run(30.0)
+    false = Told((Rumour("n1", "a1", older.me.start, 0, DEAD, 0, ()), Rumour("x", "x", 1, 0, ALIVE, 0, ())))
+    third.roster.hear(third.clock(), older.me, false)
+    older.roster.hear(older.clock(), third.me, false)
+    faults = [node.roster.fault(node.clock()) for node in (older, newer, third)]
+    assert [type(fault) for fault in faults] == [ros.Replaced, ros.Twins, ros.Twins]
+    assert all(fault and fault.remedy for fault in faults) and not any(node.dead for node in net.up())
+    assert {node.roster.start_of("n1") for node in net.up() if node is not older} == {newer.me.start}
+    assert "x" not in third.states() and older.roster.members()["n1"].incarnation == 0
+
+
+PEER = Rumour("peer", "p", 1, 0, ALIVE, 0, ())
+
+
+def told(roster: Roster, *rumours: Rumour) -> list[State | None]:
+    outs = [roster.hear(0.0, Sender("peer", 1), Told((PEER, rumour))) for rumour in rumours]
+    held = roster.members()
+    return [held[rumour.name].state if rumour.name in held else None for rumour in rumours][len(outs) - 1 :]
+
+
+def test_old_deaths_are_no_news_and_are_forgotten() -> None:
+    roster = Roster(Sender("me", 5), "m", [], 1)
+    for state, start, age, then in (
+        (DEAD, 3, int(ros.TOMB_NEWS) + 1, None),
+        (DEAD, 3, 10, DEAD),
+        (ALIVE, 3, 0, DEAD),
+        (ALIVE, 4, 0, ALIVE),
+        (DEAD, 3, 0, ALIVE),
+        (DEAD, 4, 0, SUSPECT),  # by hearsay
+        (DEAD, 5, 0, SUSPECT),
+    ):
+        assert told(roster, Rumour("x", "ax", start, 0, state, age, ())) == [then]
+    assert told(roster, Rumour("y", "ay", 3, 0, DEAD, 10, ())) == [DEAD]
+    for now in range(int(ros.TOMB_SPAN) + 20):
+        roster.tick(float(now))
+    assert "y" not in roster.members()
+
+
+def test_who_slept_longer_than_the_dead_are_remembered_tells_only_of_itself_and_joins_anew() -> None:
+    roster = Roster(Sender("me", 5), "m", [], 1)
+    told(roster, Rumour("x", "ax", 3, 0, ALIVE, 0, ()))
+    roster.tick(0.0)
+    now, peer = ros.TOMB_SPAN + 10.0, Sender("peer", 1)
+    outs = (
+        roster.hear(now, peer, Ping(1, ()))
+        + roster.tick(now)
+        + roster.hear(now, peer, Digest(bytes(256), ()))
+    )
+    assert {rumour.name for out in outs for rumour in out.message.told} == {"me"}
+    roster.hear(now, peer, Ack(0, (PEER,)))  # to what it asked before
+    assert roster.away(now)
+    roster.hear(
+        now, peer, Ack(next(out.message.seq for out in outs if isinstance(out.message, Ping)), (PEER,))
+    )
+    assert not roster.away(now) and list(roster.members()) == ["me", "peer"]
+
+
+def test_time_in_which_a_node_did_not_look_is_nobodys_silence() -> None:
+    roster = Roster(Sender("me", 5), "m", [], 1)
+    told(roster, PEER)
+    now, asked = 0.0, [0]
+    while len(asked) == len(set(asked)):  # until it asks again what was not answered
+        asked += [out.message.seq for out in roster.tick(now) if isinstance(out.message, Ping)]
+        now += 0.1
+    roster.tick(now + 1.9)
+    assert roster.members()["peer"].state is ALIVE
+    for tick in range(20):
+        roster.tick(now + 1.9 + tick / 10)
+    assert roster.members()["peer"].state is SUSPECT
+
+
+def test_what_is_said_at_once_is_bounded_however_many_ask_and_there_are() -> None:
+    roster = Roster(Sender("me", 5), "m", [], 1)
+    told(roster, *(Rumour(f"n{number}", "a", 3, 0, ALIVE, 0, ()) for number in range(200)))
+    sizes = [
+        len(msgspec.msgpack.encode(out.message))
+        for number in range(20)
+        for out in roster.hear(0.0, Sender("peer", 1), Digest(bytes(256), ()))
+    ]
+    assert max(sizes) <= ros.GOSSIP_MOST + 300 and sum(sizes) <= ros.GOSSIP_RATE + 20 * 300
+
+
+def test_a_greeting_is_answered_so_often_and_never_believed() -> None:
+    roster = Roster(Sender("me", 5), "m", [], 1)
+    told(roster, PEER)
+    before = roster.members()
+    answers = [roster.hear_greeting(0.0, Sender(f"n{n}", 1), Hello(1)) for n in range(2 * ros.GREETED_MOST)]
+    assert sum(map(len, answers)) == ros.GREETED_MOST
+    assert roster.hear_greeting(2.0, Sender("n1", 1), Ping(1, ())) == []
+    assert roster.hear(2.0, Sender("n1", 1), Hello(1)) == []
+    [answer] = roster.hear_greeting(2.0, Sender("n1", 1), Hello(1))
+    assert isinstance(answer, Welcome) and len(answer.told) == 1 and roster.members() == before
+
+
+def sealed(start: int = 1, to: str = "b", to_start: int = 7, key: Key = KEYS[0]) -> bytes:
+    return Envelope(Sender("a", start), [key]).seal(to, to_start, b"payload")
+
+
+REFUSED: dict[str, tuple[type[FleetError], bytes]] = {
+    "forged": (env.Forged, sealed()[:-1] + b"!"),
+    "altered": (env.Forged, sealed().replace(b"payload", b"Payload")),
+    "cut": (env.Forged, sealed()[:-1]),
+    "cut short": (env.Malformed, sealed()[:20]),
+    "oversized": (env.Oversized, sealed() + bytes(env.MOST)),
+    "other version": (env.UnknownVersion, b"\x09" + sealed()[1:]),
+    "other key": (env.UnknownKey, sealed(key=Key(2, b"k" * 16))),
+    "changed key": (env.Forged, sealed(key=Key(1, b"c" * 16))),
+    "other name": (env.NotForMe, sealed(to="c")),
+    "earlier start of the receiver": (env.NotForMe, sealed(to_start=6)),
+    "earlier start of the sender": (env.Replayed, sealed(start=0)),
+    "again": (env.Replayed, sealed()),
+}
+
+
+@pytest.mark.parametrize(("error", "data"), REFUSED.values(), ids=REFUSED)
+def test_what_must_not_be_heard_is_refused(error: type[FleetError], data: bytes) -> None:
+    receiver = Envelope(Sender("b", 7), KEYS)
+    assert receiver.open(sealed()).payload == b"payload"
+    with pytest.raises(error) as refusal:
+        receiver.open(data)
+    assert refusal.type is error and refusal.value.remedy and refusal.value.where
+
+
+def test_order_may_change_within_the_window_and_senders_are_bounded() -> None:
+    sender, receiver = Envelope(Sender("a", 1), KEYS), Envelope(Sender("b", 7), KEYS)
+    data = [sender.seal("b", 7, b"") for _ in range(env.WINDOW + 2)]
+    for piece in (data[1], data[-1], data[2]):
+        receiver.open(piece)
+    for piece in (data[0], data[1], data[2], data[-1]):
+        with pytest.raises(env.Replayed):
+            receiver.open(piece)
+    greeting = sender.seal("", 0, b"")
+    assert [receiver.open(greeting).greeting for _ in range(2)] == [True, True]
+    sender._sequence = 1 << 62  # as one that lies
+    receiver.open(sender.seal("b", 7, b""))
+    for number in range(env.SENDERS_MOST):
+        receiver.open(Envelope(Sender(f"n{number}", 1), KEYS).seal("b", 7, b""))
+    assert receiver.open(data[-1])  # what forgetting costs
+    assert len(sender.seal("b", 7, bytes(sender.room("b")))) == env.MOST
+    for refused, act in (
+        (env.Oversized, lambda: sender.seal("b", 7, bytes(sender.room("b") + 1))),
+        (env.Malformed, lambda: Envelope(Sender("n" * 65, 1), KEYS)),
+        (env.UnusableKeys, lambda: sender.renew([])),
+        (env.UnusableKeys, lambda: sender.renew([Key(1, b"short")])),
+        (env.UnusableKeys, lambda: sender.renew([*KEYS, *KEYS])),
+        (env.UnusableKeys, lambda: sender.renew([Key(1 << 16, b"k" * 16)])),
+    ):
+        with pytest.raises(refused):
+            act()
+
+
+def test_a_rolling_change_of_keys_loses_nothing() -> None:
+    net = Net(5)
+    new = Key(2, b"n" * 16)
+    for keys in ([*KEYS, new], [new, *KEYS], [new]):
+        for node in net.up():
+            node.envelope.renew(keys)
+            net.run(0.3)
+    assert not any(node.refused for node in net.up())
+
+
+ACCUSERS = st.sets(st.sampled_from("abcdef"), max_size=4).map(lambda names: tuple(sorted(names)))
+PLACES, STATES, TIMES = st.sampled_from(["a1", "a2"]), st.sampled_from(State), st.sampled_from([0.0, 1.0])
+RECORDS = st.builds(
+    Member, st.just("x"), PLACES, st.integers(1, 2), st.integers(0, 1), STATES, TIMES, ACCUSERS
+)
+
+
+@given(RECORDS, RECORDS, RECORDS)
+def test_joining_records_is_commutative_associative_and_idempotent(a: Member, b: Member, c: Member) -> None:
+    assert join(a, b) == join(b, a) and join(a, a) == a
+    assert join(join(a, b), c) == join(a, join(b, c))
+    assert join(a, b).version == max(a.version, b.version)
