Hard limits over the fleet: rights owned and lent; small worlds searched in full find each guard

Need: a limit on dispatches out that no loss, repeat, cut, pause, kill, restart or clock drift gets past.

Owners by the file, each alone; leases that the borrower counts from its asking and the owner longer by what clocks may drift; a right is asked for again at the writing; a start spends nothing until what an earlier one lent is surely over and another owner vouches for the split; a changed split only shrinks until all owners before have settled.

--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,330 @@
+"""Limits that hold for the whole fleet: small worlds searched in full, guards taken out, and use over a
+network.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable, Sequence
+from functools import partial
+from random import Random
+from typing import Any
+
+import pytest
+
+from notchjunction.fleet import limits as module
+from notchjunction.fleet.envelope import Out, Sender
+from notchjunction.fleet.limits import ASK_WITHIN, Limits, NotSettled, OtherSplit, Permit, Phase, Plan, Split
+from notchjunction.fleet.worlds import Move, World, explore, walk
+
+DRIFT = 0.05
+TWO = Plan("l", Split(1, {"a": 1, "b": 1}))
+SLOW_FAST = (1 / 1.05, 1.05, 1.0)  # rates of a's, b's and c's clock, as far apart as is allowed
+CALM = 8.0  # s in which every node's quarantine is over
+
+
+def world(
+    *kinds: str, plan: Plan = TWO, rates: Sequence[float] = (1.05, 1.0, 1 / 1.05), **more: Any
+) -> World:
+    """a and b own a right each, c borrows; a's clock runs fast and c's slow."""
+    plans: dict[str, Sequence[Plan]] = {name: [plan, *more.pop(name, [])] for name in "abc"}
+    return World(plans, rates, DRIFT, kinds=("deliver", "pass", *kinds), **more).settle(CALM)
+
+
+def borrowed(*kinds: str, **more: Any) -> World:
+    """The same, where c holds a's right, and b's is out."""
+    found = world(*kinds, **more)
+    for move in (Move("seek", 2), Move("deliver"), Move("deliver"), Move("spend", 1)):
+        found.do(move)
+    assert len(found.out) == 1
+    return found
+
+
+ALONE = Plan("l", Split(1, {"a": 1}))
+
+
+def lent(*kinds: str, way: float = 0.0, **more: Any) -> World:
+    """a owns the one right there is, and has lent it to c; the grant was so long on its way (s)."""
+    found = world(*kinds, plan=ALONE, **more)
+    found.do(Move("seek", 2))
+    found.do(Move("deliver"))
+    found.now += way
+    found.do(Move("deliver"))
+    return found
+
+
+def lowered(*kinds: str, **more: Any) -> World:
+    """From a right each to none at a and two at b; the nodes learn of it one by one."""
+    after = [Plan("l", Split(2, {"a": 0, "b": 2}), TWO.split)]
+    return world(*kinds, a=after, b=after, c=after, **more)
+
+
+SITUATIONS: dict[str, Callable[[], World]] = {
+    "lent by a fast clock to a slow one": lambda: lent("near", "spend", "end"),
+    "a grant that is late": lambda: lent("near", "spend", "end", way=0.24),
+    "paused between right and writing": lambda: lent("near", "take", "write", "pause", "wake", "spend"),
+    "repeated and lost": lambda: world("seek", "spend", "lose", "repeat", losses=2, repeats=3),
+    "given back and asked again": lambda: borrowed("seek", "spend", "end", "repeat", repeats=2),
+    "killed and started again": lambda: lent("spend", "crash", crashes=2),
+    "changed while some are cut off": lambda: lowered(
+        "spend", "replan", "lose", "crash", losses=2, crashes=1
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SITUATIONS)
+def test_no_order_of_events_gets_more_out_than_the_limit(name: str) -> None:
+    begun = SITUATIONS[name]()
+    found = explore(begun, moves=5, worlds_most=2500)
+    assert found.way is None and found.worlds >= 100, found
+    for seed in range(6):
+        walked = walk(begun, seed, 250, {"deliver": 6.0, "spend": 3.0, "lose": 0.3})
+        assert walked.way is None, walked
+
+
+def _free_at_term(self: Limits, now: float) -> float:
+    return now + self.term
+
+
+def _count_from_grant(self: Limits, side: Any, now: float, sender: Sender, grant: Any) -> list[Out]:
+    lease = side.leases.get(grant.serial)
+    if lease is not None:
+        lease.held, lease.count, lease.end = True, grant.count, now + grant.term
+    return []
+
+
+def _never_looked_at(self: Limits, now: float, permit: Permit, until: float) -> bool:
+    return True
+
+
+def _grown_at_once(self: Limits, side: Any) -> bool:
+    return True
+
+
+def _no_quarantine(self: Limits, now: float, plans: Sequence[Plan]) -> None:
+    Limits_replan(self, now, plans)
+    for side in self._sides.values():
+        side.quarantine_ends = now
+
+
+Limits_replan = Limits.replan
+GUARDS = [
+    ("_loan_end", _free_at_term, "lent by a fast clock to a slow one"),
+    ("_on_grant", _count_from_grant, "a grant that is late"),
+    ("extend", _never_looked_at, "paused between right and writing"),
+    ("replan", _no_quarantine, "killed and started again"),
+    ("_all_settled", _grown_at_once, "changed while some are cut off"),
+]
+
+
+@pytest.mark.parametrize(("name", "broken", "situation"), GUARDS)
+def test_each_guard_taken_out_is_found_by_the_search(
+    name: str, broken: Callable[..., Any], situation: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Limits, name, broken)
+    found = explore(SITUATIONS[situation](), moves=8, worlds_most=8000)
+    assert found.way is not None
+
+
+def test_an_ask_that_comes_twice_is_lent_for_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    plan = Plan("l", Split(1, {"a": 3}))
+    owner = started("a", plan)
+    ask = module.Ask("l", 1, 0, 1)
+    grants = [out for _ in range(3) for out in owner.hear(10.0, Sender("c", 1), ask)]
+    assert len(grants) == 3 and owner.figures(10.0, "l").lent == 1
+    # What is given back before it is asked for is not lent at all, and giving back never adds.
+    owner.hear(10.0, Sender("c", 1), module.GiveBack("l", 2, 0))
+    assert isinstance(owner.hear(10.0, Sender("c", 1), module.Ask("l", 2, 0, 1))[0].message, module.Refuse)
+    owner.hear(10.0, Sender("c", 1), module.GiveBack("l", 1, 7))
+    assert owner.figures(10.0, "l").lent == 1
+
+
+def started(name: str, plan: Plan, longest: float = 1.0, now: float = 0.0) -> Limits:
+    """A node whose quarantine is over, and for whose split the other owners have vouched."""
+    limits = Limits(Sender(name, 1), [plan], DRIFT, longest, 1, now - 10 * longest)
+    for other in plan.split.owners:
+        limits.hear(now, Sender(other, 1), module.Standing("l", plan.split.revision, Phase.GROWN, False))
+    limits.tick(now)
+    return limits
+
+
+@pytest.mark.parametrize(
+    ("plan", "error"),
+    [
+        (Plan("l", Split(1, {"a": 2, "b": 1})), OtherSplit),
+        (Plan("l", Split(3, {"a": 2, "b": 1}), Split(2, {"a": 1, "b": 1})), OtherSplit),
+        (Plan("l", Split(2, {"a": 2, "b": 1})), OtherSplit),
+        (Plan("l", Split(2, {"a": 2, "b": 1}), Split(1, {"a": 2, "b": 1})), OtherSplit),
+    ],
+)
+def test_a_split_that_does_not_follow_is_refused_whole_and_says_what_to_do(
+    plan: Plan, error: type[Exception]
+) -> None:
+    limits = started("a", TWO)
+    with pytest.raises(error) as refused:
+        limits.replan(1.0, [plan])
+    assert "fleet.limits l" in str(refused.value) and limits.figures(1.0, "l").revision == 1
+
+
+def test_owners_change_twice_during_a_partition_and_the_second_change_waits_for_the_first() -> None:
+    second = Plan("l", Split(2, {"a": 3, "b": 1}), TWO.split)
+    third = Plan("l", Split(3, {"a": 5, "b": 1}), second.split)
+    limits = started("a", TWO)
+    limits.replan(1.0, [second])
+    limits.tick(1.0)
+    assert limits.figures(1.0, "l").owned == 1  # the smaller of both
+    with pytest.raises(NotSettled):
+        limits.replan(2.0, [third])
+    with pytest.raises(NotSettled):
+        limits.replan(2.0, [Plan("l", second.split)])
+    limits.hear(3.0, Sender("b", 1), module.Standing("l", 2, Phase.SHRUNK, False))
+    limits.tick(3.0)
+    assert limits.figures(3.0, "l").owned == 3
+    limits.replan(4.0, [third])
+    # The operator's word that b is stopped for good stands in for b's own.
+    limits.replan(5.0, [Plan("l", third.split, Split(2, second.split.owners, ended=("b",)))])
+    limits.tick(5.0)
+    assert limits.figures(5.0, "l").owned == 5
+
+
+@pytest.mark.parametrize(("revision", "phase", "owned"), [(1, Phase.GROWN, 1), (2, Phase.SHRUNK, 0)])
+def test_a_node_that_starts_with_an_old_file_spends_nothing_and_says_why(
+    revision: int, phase: Phase, owned: int
+) -> None:
+    limits = Limits(Sender("a", 2), [TWO], DRIFT, 1.0, 1, 0.0)
+    limits.tick(100.0)
+    assert limits.figures(100.0, "l").owned == 0  # nobody has vouched for its split yet
+    limits.hear(100.0, Sender("b", 1), module.Standing("l", revision, phase, False))
+    limits.tick(100.1)
+    assert limits.figures(100.1, "l").owned == owned
+    assert [fault.remedy[:4] for fault in limits.faults] == ([] if owned else ["give"])
+
+
+# Use, over a network in virtual time.
+
+
+class Net:
+    """Nodes whose jobs ask for a right, wait for it as in the node's host, and hold it for their work."""
+
+    def __init__(self, nodes: int, owners: int, most: int, loss: float = 0.0, work: float = 0.1) -> None:
+        names = [f"n{number}" for number in range(nodes)]
+        split = Split(1, {name: most // owners for name in names[:owners]})
+        self.most, self.work, self.loss = split.most, work, loss
+        self.random = Random(7)
+        self.now = 0.0
+        self.count = itertools.count()
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.cut: set[str] = set()
+        self.nodes = {
+            name: Limits(Sender(name, 1), [Plan("l", split)], 0.01, 1.0, n, 0.0)
+            for n, name in enumerate(names)
+        }
+        self.waiting: dict[str, list[float]] = {name: [] for name in names}
+        self.out = self.refused = 0
+        self.busy = 0.0  # rights out, times s
+        self.peak = 0
+        for name in names:
+            self.after(0.02 * self.random.random(), partial(self.tick, name))
+
+    def after(self, delay: float, do: Callable[[], None]) -> None:
+        heapq.heappush(self.due, (self.now + delay, next(self.count), do))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.due and self.due[0][0] <= until:
+            at, _, do = heapq.heappop(self.due)
+            self.busy += self.out * (at - self.now)
+            self.now = at
+            do()
+        self.busy += self.out * (until - self.now)
+        self.now = until
+
+    def carry(self, name: str, outs: Sequence[Out]) -> None:
+        for out in outs:
+            parted = (name in self.cut) != (out.to in self.cut)
+            if not parted and self.random.random() >= self.loss:
+                hear = partial(self.heard, out.to, Sender(name, 1), out.message)
+                self.after(0.001 * self.random.uniform(0.5, 2), hear)
+
+    def heard(self, name: str, sender: Sender, message: Any) -> None:
+        self.carry(name, self.nodes[name].hear(self.now, sender, message))
+        self.look(name)
+
+    def tick(self, name: str) -> None:
+        self.after(0.025, partial(self.tick, name))
+        self.carry(name, self.nodes[name].tick(self.now))
+        self.look(name)
+
+    def job(self, name: str) -> None:
+        self.waiting[name].append(self.now + ASK_WITHIN)
+        self.carry(name, self.nodes[name].seek(self.now, "l", len(self.waiting[name])))
+        self.look(name)
+
+    def look(self, name: str) -> None:
+        limits, waiting = self.nodes[name], self.waiting[name]
+        before = len(waiting)
+        while waiting and (permit := limits.spend(self.now, "l", self.now + 1.0)) is not None:
+            waiting.pop(0)
+            self.out += 1
+            self.peak = max(self.peak, self.out)
+            self.after(self.work * self.random.uniform(0.5, 1.5), partial(self.ended, name, permit))
+        late = [at for at in waiting if self.now >= at or not limits.seeking("l")]
+        self.refused += len(late)
+        self.waiting[name] = [at for at in waiting if at not in late]
+        if len(self.waiting[name]) != before:
+            self.carry(name, limits.seek(self.now, "l", len(self.waiting[name])))
+
+    def ended(self, name: str, permit: Permit) -> None:
+        self.out -= 1
+        self.carry(name, self.nodes[name].release(self.now, permit))
+        self.look(name)
+
+    def load(self, names: Sequence[str], rate: float, seconds: float) -> float:
+        """Open-loop jobs at these nodes for so long; the part of the limit that was in use after a second."""
+        began = self.now
+        while self.now < began + seconds:
+            if self.now - began < 1.0:
+                self.busy = 0.0
+                measured = self.now
+            self.run(self.random.expovariate(rate))
+            self.job(self.random.choice(names))
+        return self.busy / (self.now - measured) / self.most
+
+
+@pytest.mark.parametrize(
+    ("nodes", "owners", "callers", "loss"),
+    [(5, 5, 1, 0.0), (5, 5, 5, 0.0), (50, 5, 50, 0.0), (5, 5, 1, 0.3), (200, 5, 200, 0.0)],
+)
+def test_at_least_nine_tenths_are_used_wherever_the_demand_is_and_never_more(
+    nodes: int, owners: int, callers: int, loss: float
+) -> None:
+    net = Net(nodes, owners, 20, loss)
+    net.run(8.0)
+    used = net.load(list(net.nodes)[-callers:], rate=20 / net.work * 1.5, seconds=5.0)
+    assert net.peak <= 20 and used >= (0.95 if not loss else 0.8), (used, net.peak)
+
+
+def test_a_fleet_cut_in_half_keeps_to_the_limit_and_spreads_back_within_two_seconds() -> None:
+    net = Net(4, 4, 20)
+    net.run(8.0)
+    names = list(net.nodes)
+    assert net.load(names[:1], rate=300, seconds=3.0) >= 0.9
+    net.cut = set(names[2:])
+    parted = net.load(names[:1], rate=300, seconds=8.0)
+    assert (
+        0.4 <= parted <= 0.75 and net.peak <= 20
+    )  # its own side's ten, and for a while what it had borrowed
+    alone = net.nodes[names[0]].figures(net.now, "l")
+    assert alone.in_use <= 10 and alone.age is not None and alone.age > 5.0
+    net.cut = set()
+    net.run(2.0)
+    assert net.load(names[:1], rate=300, seconds=3.0) >= 0.9 and net.peak <= 20
+
+
+def test_one_node_alone_and_one_whose_time_to_come_back_is_true() -> None:
+    net = Net(1, 1, 2, work=0.2)
+    net.run(8.0)
+    assert net.load(["n0"], rate=100, seconds=3.0) >= 0.9 and net.refused > 50
+    free_in = net.nodes["n0"].free_in(net.now, "l")
+    assert 0.05 <= free_in <= 0.6
