--- a/notchjunction/checks.py
+++ b/notchjunction/checks.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -27,6 +28,8 @@
 
 ERRORS_MOST = 20  # named at once; a file with more is another kind of file
 PORT_MOST = 65535
+DRIFT_MOST = 0.2  # part by which clocks may be said to run off; past it rights are mostly waited for
+NAME_MOST = 64  # bytes of a node's name that go into each message between nodes
 
 
 class Unfit(Exception):
@@ -58,6 +61,12 @@
     return value
 
 
+def _secret(value: Any) -> str:
+    if not isinstance(value, str) or not re.fullmatch(r"([0-9a-fA-F]{2}){16,64}", value):
+        raise Invalid("expected 16 to 64 bytes in hexadecimal")
+    return value
+
+
 def _profiles(value: list[dict[str, Any]]) -> list[dict[str, Any]]:
     names = [profile["name"] for profile in value]
     twice = sorted({name for name in names if names.count(name) > 1})
@@ -89,6 +98,33 @@
     Optional("max_retry_after"): FROM_0,
     **{Optional(name): FLAG for name in ("cancel", "may_tell", "probes", "retry_after", "second_copies")},
 }
+OWNERS = {WORD: All(whole_number, Range(min=0))}
+FLEET_LIMIT = {
+    Required("name"): WORD,
+    Required("revision"): All(whole_number, Range(min=1)),
+    Required("owners"): All(OWNERS, Length(min=1, msg="expected one owner at least")),
+    Optional("before"): {
+        Required("revision"): All(whole_number, Range(min=1)),
+        Required("owners"): OWNERS,
+        Optional("ended"): [WORD],
+    },
+    Optional("profiles"): [WORD],
+    Optional("operators"): [WORD],
+}
+FLEET = Schema(
+    {
+        Required("listen"): _address,
+        Optional("advertise"): _address,
+        Required("seeds"): All([_address], Length(min=1, msg="expected one seed at least")),
+        Required("keys"): All(
+            [{Required("number"): All(whole_number, Range(min=0, max=255)), Required("secret"): _secret}],
+            Length(min=1, msg="expected one key at least"),
+        ),
+        Optional("clock_drift"): All(_number, Range(min=0, max=DRIFT_MOST)),
+        Optional("clock_rate"): All(_number, Range(min=0.5, max=2)),
+        Optional("limits"): [FLEET_LIMIT],
+    }
+)
 FAMILIES = ("chain", BESIDE_CLIENTS)  # tiers behind a pool of nodes, or a node beside each client
 SCHEMA = Schema(
     {
@@ -166,7 +202,46 @@
         (not warm and "key_header" in found, "key_header: given, and settings.extra.warm_keys is not true"),
     ]
     found_wrong = [line for wrong, line in rows if wrong]
-    return found_wrong + (_peers(found["talk"], paths) if tells and "talk" in found else [])
+    found_wrong += _peers(found["talk"], paths) if tells and "talk" in found else []
+    return found_wrong + fleet_errors(found)
+
+
+def fleet_errors(found: Mapping[str, Any]) -> list[str]:
+    """What is wrong with the section `fleet`, where there is one; checked at a start too."""
+    if "fleet" not in found:
+        return []
+    fleet, stem = found["fleet"], "fleet"
+    if errors := errors_of(FLEET, fleet):
+        return [stem if error.startswith("the file: ") else f"{stem}.{error}" for error in errors]
+    profiles = {str(each.get("name")) for each in found.get("settings", {}).get("profiles", ())}
+    numbers = [key["number"] for key in fleet["keys"]]
+    limits = fleet.get("limits", [])
+    names = [limit["name"] for limit in limits]
+    rows = [
+        (
+            not 0 < len(str(found.get("name", "")).encode()) <= NAME_MOST,
+            f"name: expected up to {NAME_MOST} bytes",
+        ),
+        (len(set(numbers)) < len(numbers), f"{stem}.keys: a number is given twice"),
+        (len(set(names)) < len(names), f"{stem}.limits: a name is given twice"),
+        (
+            "talk" in found and found["talk"].get("listen") == fleet["listen"],
+            f"{stem}.listen: taken by talk.listen",
+        ),
+    ]
+    for index, limit in enumerate(limits):
+        at = f"{stem}.limits.{index}"
+        unknown = sorted(set(limit.get("profiles", ())) - profiles)
+        before = limit.get("before")
+        rows += [
+            (bool(unknown), f"{at}.profiles: not in settings.profiles: {', '.join(unknown)}"),
+            (not sum(limit["owners"].values()), f"{at}.owners: expected one right at least"),
+            (
+                before is not None and before["revision"] != limit["revision"] - 1,
+                f"{at}.before.revision: expected the one before {at}.revision",
+            ),
+        ]
+    return [line for wrong, line in rows if wrong]
 
 
 def _peers(talk: Any, paths: Paths) -> list[str]:
@@ -186,7 +261,7 @@
 def check(found: Mapping[str, Any], before: Mapping[str, Any] | None = None) -> None:
     """Raises Unfit with all errors; `before` is the one in force, no key of which may be missing."""
     errors = errors_of(SCHEMA, dict(found)) or mixes(found)
-    for missing in _missing(before or {}, found, ()):
+    for missing in _missing(_lasting(before or {}), _lasting(found), ()):
         # Guards against a file short of a key: what it said would silently fall back to a reading of our own.
         line = f"{place(missing)}: in force, and missing"
         if not any(error.startswith(place(missing) + ":") for error in errors):
@@ -195,6 +270,14 @@
         raise Unfit(errors[:ERRORS_MOST])
 
 
+def _lasting(found: Mapping[str, Any]) -> dict[str, Any]:
+    """Without what a file may leave out later: a limit between nodes goes, and so does its split before."""
+    fleet = found.get("fleet")
+    if not isinstance(fleet, Mapping):
+        return dict(found)
+    return {**found, "fleet": {name: value for name, value in fleet.items() if name != "limits"}}
+
+
 def _missing(before: Any, found: Any, path: tuple[object, ...]) -> list[tuple[object, ...]]:
     """Paths of what the one says and the other does not; a list of objects is held to what all of it say."""
     if isinstance(before, Mapping) and isinstance(found, Mapping):
--- /dev/null
+++ b/notchjunction/fleet/member.py
@@ -0,0 +1,190 @@
+"""One node's part in its fleet: its seal, its view of who is there, and its rights, behind two calls. Pure.
+
+`hear` takes a datagram and `tick` the time; both give the datagrams to send. Nothing here knows a socket or
+a clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import msgspec
+
+from notchjunction.errors import FleetError
+from notchjunction.fleet import limits as limits_module
+from notchjunction.fleet import roster as roster_module
+from notchjunction.fleet.envelope import Envelope, Key, Malformed, Out, Sender
+from notchjunction.fleet.limits import Limits, Plan, Split
+from notchjunction.fleet.roster import Roster
+
+ROSTER_EVERY = 0.1  # s between looks at who is there; a tenth of the time between two probes
+DRIFT = (
+    0.01  # part by which clocks may run off where the file does not say; a hundred times that of plain quartz
+)
+
+Message = roster_module.Message | limits_module.Message
+DECODER = msgspec.msgpack.Decoder(list[Message])
+ENCODER = msgspec.msgpack.Encoder()
+
+
+class Datagram(NamedTuple):
+    address: str  # "host:port"
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """The jobs that a limit is about; empty: of all profiles, or of all operators."""
+
+    profiles: frozenset[str]
+    operators: frozenset[str]
+
+    def covers(self, profile: str, operator: str) -> bool:
+        return (not self.profiles or profile in self.profiles) and (
+            not self.operators or operator in self.operators
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class FleetInput:
+    """The file's section `fleet`, as typed values; times in seconds."""
+
+    listen: str
+    advertise: str
+    seeds: tuple[str, ...]
+    keys: tuple[Key, ...]
+    drift: float
+    rate: float  # at which the node's clock is said to run, in tests; 1 elsewhere
+    plans: tuple[Plan, ...]
+    scopes: Mapping[str, Scope]
+
+
+def read_section(section: Mapping[str, Any]) -> FleetInput:
+    """The section after its check."""
+    limits = section.get("limits", [])
+    return FleetInput(
+        listen=section["listen"],
+        advertise=section.get("advertise", section["listen"]),
+        seeds=tuple(section["seeds"]),
+        keys=tuple(Key(int(key["number"]), bytes.fromhex(key["secret"])) for key in section["keys"]),
+        drift=float(section.get("clock_drift", DRIFT)),
+        rate=float(section.get("clock_rate", 1.0)),
+        plans=tuple(
+            Plan(limit["name"], _split(limit), _split(limit["before"]) if "before" in limit else None)
+            for limit in limits
+        ),
+        scopes={
+            limit["name"]: Scope(frozenset(limit.get("profiles", ())), frozenset(limit.get("operators", ())))
+            for limit in limits
+        },
+    )
+
+
+def _split(told: Mapping[str, Any]) -> Split:
+    owners = {name: int(count) for name, count in told["owners"].items()}
+    return Split(int(told["revision"]), owners, tuple(told.get("ended", ())))
+
+
+class Member:
+    """`start`: larger for a later start of the same name; `longest`: s that a job's time may be at most."""
+
+    def __init__(
+        self, name: str, start: int, told: FleetInput, longest: float, seed: int, now: float
+    ) -> None:
+        me = Sender(name, start)
+        self.envelope = Envelope(me, told.keys)
+        self.roster = Roster(me, told.advertise, told.seeds, seed)
+        self.limits = Limits(me, told.plans, told.drift, longest, seed, now)
+        self.unknown_peers = 0  # messages for nodes that are not known to be there
+        self._roster_at = now
+        self._keys = told.keys
+
+    def renew(self, now: float, told: FleetInput) -> None:
+        """Other keys and limits from now on; a FleetError where the limits can't be taken yet."""
+        self.envelope.renew(told.keys)
+        try:
+            self.limits.replan(now, told.plans)
+        except FleetError:
+            # Guards against half a file in force.
+            self.envelope.renew(self._keys)
+            raise
+        self._keys = told.keys
+
+    def tick(self, now: float) -> list[Datagram]:
+        """What is due; to be called every 20 to 50 ms."""
+        outs = self.limits.tick(now)
+        found: list[Datagram] = []
+        if now >= self._roster_at:
+            self._roster_at = now + ROSTER_EVERY
+            outs += self.roster.tick(now)
+            for address, hello in self.roster.greet(now):
+                found.append(Datagram(address, self.envelope.seal("", 0, ENCODER.encode([hello]))))
+        return found + self.packed(outs)
+
+    def hear(self, now: float, data: bytes, source: str) -> list[Datagram]:
+        """A datagram that came from this address; a FleetError where it must not be heard."""
+        opened = self.envelope.open(data)
+        try:
+            messages = DECODER.decode(opened.payload)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            what = f"{opened.sender.name} says what can't be read: {error}"
+            raise Malformed(what, "a datagram", "run one release on all nodes, or two that follow") from error
+        sender = opened.sender
+        if opened.greeting:
+            answers = [each for message in messages for each in self._greeted(now, sender, message)]
+            sealed = (
+                self.envelope.seal(sender.name, sender.start, ENCODER.encode([each])) for each in answers
+            )
+            return [Datagram(source, data) for data in sealed]
+        outs: list[Out] = []
+        for message in messages:
+            if isinstance(message, limits_module.Message):
+                outs += self.limits.hear(now, sender, message)
+            else:
+                outs += self.roster.hear(now, sender, message)
+        return self.packed(outs)
+
+    def _greeted(self, now: float, sender: Sender, message: Message) -> Iterable[Message]:
+        # Guards against rights asked for or given by what may be heard again without bound.
+        if isinstance(message, limits_module.Message):
+            return ()
+        return self.roster.hear_greeting(now, sender, message)
+
+    def leave(self, now: float) -> list[Datagram]:
+        return self.packed(self.roster.leave(now))
+
+    def packed(self, outs: Sequence[Out]) -> list[Datagram]:
+        """As few datagrams as the messages for each node fit in, in order."""
+        by_node: dict[str, list[bytes]] = {}
+        for out in outs:
+            by_node.setdefault(out.to, []).append(ENCODER.encode(out.message))
+        found: list[Datagram] = []
+        for name, messages in by_node.items():
+            address, start = self.roster.address_of(name), self.roster.start_of(name)
+            if address is None or not start:
+                self.unknown_peers += len(messages)
+                continue
+            room = self.envelope.room(name) - LIST_BYTES
+            piece: list[msgspec.Raw] = []
+            size = 0
+            for message in messages:
+                if piece and size + len(message) > room:
+                    found.append(self._sealed(address, name, start, piece))
+                    piece, size = [], 0
+                piece.append(msgspec.Raw(message))
+                size += len(message)
+            found.append(self._sealed(address, name, start, piece))
+        return found
+
+    def _sealed(self, address: str, name: str, start: int, messages: list[msgspec.Raw]) -> Datagram:
+        return Datagram(address, self.envelope.seal(name, start, ENCODER.encode(messages)))
+
+    def faults(self, now: float) -> list[FleetError]:
+        """What an operator has to mend."""
+        fault = self.roster.fault(now)
+        return self.limits.faults + ([fault] if fault is not None else [])
+
+
+LIST_BYTES = 5  # of a list's own head in msgpack, at most
--- a/notchjunction/lab/cli.py
+++ b/notchjunction/lab/cli.py
@@ -16,13 +16,16 @@
 import click
 
 from notchjunction import checks
+from notchjunction.emulator.checkers import limit_held, use
 from notchjunction.emulator.scenario import Scenario
+from notchjunction.emulator.trace import Story
 from notchjunction.lab import report as reports
 from notchjunction.lab.baselines import VARIANTS
 from notchjunction.lab.files import Experiment, read_experiment
 from notchjunction.lab.load import Load, Send, Shape, read_trace, schedule
 from notchjunction.lab.runs import Run, figures, kept, play, run_all, runs_of
 from notchjunction.net.connections import address_of
+from notchjunction.standins.fleet_stage import SEEN_LATE, FleetPart, staged
 from notchjunction.standins.stage import Stage
 from notchjunction.standins.stage import breaches as stage_breaches
 
@@ -96,7 +99,10 @@
 @click.option("--seed", default=1, show_default=True)
 def emulate(file: Path, scenario: str | None, variant: str, seed: int) -> None:
     """Play one scenario once, and print its figures as JSON; exit code 3 if a rule breaks."""
-    result = play(Run(one_of(file, scenario), variant, seed, revision()))
+    chosen = one_of(file, scenario)
+    if chosen.name in experiment_in(file).fleets:
+        raise click.ClickException(f"{file}: {chosen.name} is a fleet, and played with `sockets`")
+    result = play(Run(chosen, variant, seed, revision()))
     del result["course"]
     click.echo(json.dumps(result, indent=1))
     if result["breaches"]:
@@ -115,22 +121,48 @@
     node dies.
     """
     chosen = replace(one_of(file, scenario), seed=seed)
+    part = experiment_in(file).fleets.get(chosen.name)
     with tempfile.TemporaryDirectory() as folder:
         if logs is not None:
             logs.mkdir(parents=True, exist_ok=True)
         try:
-            result = asyncio.run(on_sockets(chosen, logs or Path(folder)))
+            into = logs or Path(folder)
+            result = asyncio.run(as_fleet(chosen, part, into) if part else on_sockets(chosen, into))
         except RuntimeError as error:
             click.echo(str(error), err=True)
             sys.exit(2)
-    emulated = play(Run(chosen, "module", seed, revision()))
-    del result["course"], emulated["course"]
-    shown = {name: [result.get(name), emulated.get(name)] for name in result}
-    click.echo(json.dumps({"sockets, emulator": shown}, indent=1))
+    del result["course"]
+    if part is not None:
+        click.echo(json.dumps(result, indent=1))
+    else:
+        emulated = play(Run(chosen, "module", seed, revision()))
+        shown = {name: [result.get(name), emulated.get(name)] for name in result}
+        click.echo(json.dumps({"sockets, emulator": shown}, indent=1))
     if result["breaches"]:
         sys.exit(3)
 
 
+async def as_fleet(scenario: Scenario, part: FleetPart, folder: Path) -> dict[str, Any]:
+    """The same of nodes that are one fleet under a limit, with what was out at the servers by the second."""
+    stage, story = await staged(scenario, part, folder)
+    began, seconds = stage.began, int(scenario.length)
+    spans = (use(story.rows, began + second, began + second + 1) for second in range(seconds))
+    over = [f"limit_held: {text}" for text in limit_held(story.rows, part.most, SEEN_LATE)]
+    return {
+        **figures(story, stage_breaches(sound(story, part)) + over, began),
+        "limit": part.most,
+        "most_out": use(story.rows, began, began + seconds).peak,
+        "out_by_second": [round(span.mean, 1) for span in spans],
+        "failures": sum(counters.get("failures", 0.0) for counters in stage.counters),
+    }
+
+
+def sound(story: Story, part: FleetPart) -> Story:
+    """Without the nodes that were paused or killed: what they had taken can't be answered in time."""
+    hit = {fault.node for fault in part.processes}
+    return replace(story, rows=tuple(row for row in story.rows if getattr(row, "node", None) not in hit))
+
+
 async def on_sockets(scenario: Scenario, folder: Path) -> dict[str, Any]:
     """A run on sockets; its figures, with how far the clients fell behind and what the nodes failed at."""
     stage = Stage(scenario, folder)
@@ -160,6 +192,8 @@
 def experiment(file: Path, into: Path, workers: int) -> None:
     """Play all runs of an experiment that the folder does not hold yet; exit code 2 if one died."""
     found = experiment_in(file)
+    if found.fleets:
+        raise click.ClickException(f"{file}: a fleet is played with `sockets`, a scenario at a time")
     runs = list(runs_of(found, revision()))
     there = sum(1 for run in runs if kept(into, run) is not None)
     click.echo(f"{found.name}: {len(runs)} runs, {there} there already")
--- a/notchjunction/lab/files.py
+++ b/notchjunction/lab/files.py
@@ -10,10 +10,13 @@
 
 from voluptuous import All, In, Length, Optional, Range, Required, Schema
 
-from notchjunction.checks import ABOVE_0, FROM_0, WORD, Unfit, errors_of, whole_number
+from notchjunction.checks import ABOVE_0, DRIFT_MOST, FROM_0, WORD, Unfit, errors_of, whole_number
 from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream, Tier
 from notchjunction.interface import Effect, Group, Profile
 from notchjunction.lab.baselines import VARIANTS
+from notchjunction.standins.fleet_stage import DRIFT, FleetPart, ProcessFault, ProcessKind
+from notchjunction.standins.links import Kind as LinkKind
+from notchjunction.standins.links import LinkFault
 
 VERSION = 1  # of the files; another one is refused
 RUNS_MOST = 10_000  # of one experiment; more is a slip of the pen
@@ -52,6 +55,26 @@
     Optional("tier"): All(whole_number, Range(min=0)),
     Optional("zones"): [All(whole_number, Range(min=0))],
 }
+AT: dict[Any, Any] = {Required("at"): FROM_0, Required("until"): ABOVE_0}
+LINK_FAULT: dict[Any, Any] = {
+    **AT,
+    Required("kind"): In([kind.value for kind in LinkKind]),
+    Optional("size"): FROM_0,
+    Optional("sides"): [[WORD]],
+    Optional("pairs"): [All([WORD], Length(min=2, max=2, msg="expected two nodes"))],
+}
+PROCESS_FAULT: dict[Any, Any] = {
+    **AT,
+    Required("kind"): In([kind.value for kind in ProcessKind]),
+    Required("node"): All(whole_number, Range(min=0)),
+}
+FLEET = {
+    Required("owners"): All([All(whole_number, Range(min=0))], Length(min=1)),
+    Optional("drift"): All(FROM_0, Range(max=DRIFT_MOST)),
+    Optional("rates"): [ABOVE_0],
+    Optional("links"): [LINK_FAULT],
+    Optional("processes"): [PROCESS_FAULT],
+}
 COUNTS = ("nodes", "servers", "zones", "workers", "queue_most", "client_tries")
 DEFAULT = Scenario("")
 PLAIN = [field.name for field in fields(Scenario) if isinstance(field.default, int | float)]
@@ -68,6 +91,7 @@
     Optional("tiers"): All([TIER], Length(min=1)),
     Optional("quotas"): [FROM_0],
     Optional("faults"): [FAULT],
+    Optional("fleet"): FLEET,
 }
 EXPERIMENT = Schema(
     {
@@ -86,6 +110,7 @@
     seeds: tuple[int, ...]
     variants: tuple[str, ...]
     scenarios: tuple[Scenario, ...]
+    fleets: Mapping[str, FleetPart]  # by scenario, of those whose nodes are one fleet
 
 
 def read_experiment(file: Path) -> Experiment:
@@ -110,7 +135,8 @@
     if errors:
         raise Unfit(errors)
     scenarios = tuple(_scenario(row) for row in told["scenarios"])
-    return Experiment(told["name"], tuple(told["seeds"]), tuple(told["variants"]), scenarios)
+    fleets = {row["name"]: _fleet(row["fleet"]) for row in told["scenarios"] if "fleet" in row}
+    return Experiment(told["name"], tuple(told["seeds"]), tuple(told["variants"]), scenarios, fleets)
 
 
 ONE_TIER = ("servers", "workers", "queue_most")  # said of the one tier, where there are no `tiers`
@@ -151,6 +177,32 @@
             found.append(f"{stem}.faults.{i}.zones: no such zone")
         if Kind(fault["kind"]) in SHARED and fault.get("size", 1.0) > 1:
             found.append(f"{stem}.faults.{i}.size: a share over 1")
+    return found + (_fleet_contradictions(stem + ".fleet", row) if "fleet" in row else [])
+
+
+def _fleet_contradictions(stem: str, row: Mapping[str, Any]) -> list[str]:
+    found, fleet, nodes = [], row["fleet"], row.get("nodes", DEFAULT.nodes)
+    names = {f"n{number}" for number in range(nodes)}
+    if "tiers" in row:
+        found.append(f"{stem}: with one tier alone")
+    for name in ("owners", "rates"):
+        if name in fleet and len(fleet[name]) != nodes:
+            found.append(f"{stem}.{name}: expected one for each node")
+    if not sum(fleet["owners"]):
+        found.append(f"{stem}.owners: expected one right at least")
+    for i, fault in enumerate(fleet.get("processes", ())):
+        if fault["node"] >= nodes:
+            found.append(f"{stem}.processes.{i}.node: no such node")
+    for i, fault in enumerate(fleet.get("links", ())):
+        strangers = {
+            name for each in (*fault.get("sides", ()), *fault.get("pairs", ())) for name in each
+        } - names
+        if strangers:
+            found.append(f"{stem}.links.{i}: no such node: {', '.join(sorted(strangers))}")
+    for what in ("processes", "links"):
+        for i, fault in enumerate(fleet.get(what, ())):
+            if fault["until"] <= fault["at"]:
+                found.append(f"{stem}.{what}.{i}.until: not after its beginning")
     return found
 
 
@@ -179,6 +231,21 @@
     return Scenario(**{field.name: told[field.name] for field in fields(Scenario) if field.name in told})
 
 
+def _fleet(row: Mapping[str, Any]) -> FleetPart:
+    links = (
+        {**fault, "kind": LinkKind(fault["kind"]), "pairs": [tuple(pair) for pair in fault.get("pairs", ())]}
+        for fault in row.get("links", ())
+    )
+    processes = ({**fault, "kind": ProcessKind(fault["kind"])} for fault in row.get("processes", ()))
+    return FleetPart(
+        owners=tuple(row["owners"]),
+        drift=row.get("drift", DRIFT),
+        rates=tuple(row.get("rates", ())),
+        links=tuple(LinkFault(**fault) for fault in links),
+        processes=tuple(ProcessFault(**fault) for fault in processes),
+    )
+
+
 def _profile(row: Mapping[str, Any]) -> Profile:
     told = dict(row)
     if "effect" in told:
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from base64 import b64decode, b64encode
-from collections.abc import Callable, Collection, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Collection, Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import replace
 from itertools import islice
@@ -24,7 +24,7 @@
 from notchjunction.net.connections import BUFFER_MOST, PIECE, Address, Cut, read_piece
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
-from notchjunction.net.jobs import Job, ask_of, own_failure, passed_on
+from notchjunction.net.jobs import Job, Rights, ask_of, own_failure, passed_on
 from notchjunction.net.logs import pairs
 from notchjunction.net.relay import Download, Streams, Upload
 
@@ -65,19 +65,25 @@
         """Hands a caller to another process, with its server where an answer is under way; whether it did."""
 
 
+# What stands before the decisions where limits hold for the whole fleet: rights, or the answer of a refusal.
+Admit = Callable[[Ask], Awaitable[Answer | tuple[Rights | None, Ask]]]
+
+
 class Callers:
     def __init__(
         self,
         clock: Callable[[], float],
-        take: Callable[[Ask, Request, Upload | None], Job],
+        take: Callable[[Ask, Request, Upload | None, Rights | None], Job],
         ready: Callable[[], bool],
         spare_one: Callable[[], bool],
         profiles: Collection[str],
         descriptors: Descriptors,
         counters: Counters,
         streams: Streams,
+        admit: Admit | None = None,
     ) -> None:
         self.clock = clock
+        self.admit = admit
         self.streams = streams
         self.take = take
         self.ready = ready
@@ -408,8 +414,15 @@
             return None, Answer(503)
         self._callers.ids.add(job_id)
         upload = Upload(self._callers.streams) if request.more else None
+        rights: Rights | None = None
         try:
-            job = self._callers.take(ask, request, upload)
+            if self._callers.admit is not None:
+                admitted = await self._callers.admit(ask)
+                if isinstance(admitted, Answer):
+                    self._callers.counters.add("answered_turned_back")
+                    return None, admitted
+                rights, ask = admitted
+            job = self._callers.take(ask, request, upload, rights)
             self._job, self._upload = job, upload
             return job, await self._answer(job, upload)
         except StreamClosedError:
@@ -420,6 +433,8 @@
         finally:
             self._callers.ids.discard(job_id)
             self._job = self._upload = None
+            if rights is not None:
+                rights.close()
             if upload is not None:
                 upload.close()
 
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import replace
 from functools import partial
+from typing import Protocol
 
 from notchjunction.decider import (
     Ask,
@@ -33,6 +34,7 @@
 DIGITS_MOST = 6  # digits of milliseconds: over a quarter of an hour is no time that a caller waits
 HINT_MOST = 8  # digits of microseconds: over a minute and a half is no work of one job
 LOST_AFTER = 0.03  # s past the abandon time; a job unanswered by then was lost by a failure of the node's own
+UNANSWERED = (Result.TIMED_OUT, Result.RECALLED, Result.UNKNOWN)
 WRITTEN_OFF = Answer(502)
 OWN_FAILURE = Answer(500)
 
@@ -53,6 +55,19 @@
     return Answer(503, {"retry-after": f"{come_back_in:.3f}"} if come_back_in > 0 else {})
 
 
+class Rights(Protocol):
+    """What a job may have out under limits of the whole fleet."""
+
+    def write(self, dispatch: int, within: float) -> bool:
+        """Whether a dispatch may be written now that its server is told to end within so many seconds."""
+
+    def landed(self, dispatch: int, answered: bool) -> None:
+        """It ended; without an answer its server may work on it until its time is over."""
+
+    def close(self) -> None:
+        """Nothing more will be written; what is out keeps its rights until it has landed."""
+
+
 class Job:
     def __init__(
         self,
@@ -63,6 +78,7 @@
         request: Request,
         upload: Upload | None = None,
         left: Callable[[], float] = lambda: math.inf,
+        rights: Rights | None = None,
     ) -> None:
         self._decider = decider
         self._servers = servers
@@ -70,6 +86,7 @@
         self._request = request
         self._upload = upload
         self._left = left  # s until the node itself ends
+        self._rights = rights  # under limits of the whole fleet; whoever took the job gives them back
         self._downloads: dict[int, Download] = {}
         self._after: asyncio.Task[None] | None = None
         self._limit: asyncio.Timeout | None = None
@@ -145,8 +162,14 @@
 
     def _send(self, order: Send) -> None:
         self._counters.add("dispatches_first" if order.dispatch == 0 else "dispatches_again")
+        rights = self._rights
         work = self._servers.dispatch(
-            order.server, self._request, order.within, self._upload, partial(self._begun, order.dispatch)
+            order.server,
+            self._request,
+            order.within,
+            self._upload,
+            partial(self._begun, order.dispatch),
+            partial(rights.write, order.dispatch) if rights is not None else None,
         )
         task = asyncio.create_task(work)
         self._tasks[order.dispatch] = task
@@ -174,6 +197,8 @@
             ended = exchanged.ended
             if exchanged.answer is not None:
                 self._answers[dispatch] = exchanged.answer
+        if self._rights is not None:
+            self._rights.landed(dispatch, ended.result not in UNANSWERED)
         self._counters.add_result("dispatches", ended.result)
         try:
             self._decider.report(self._ticket, dispatch, ended)
--- a/notchjunction/net/management.py
+++ b/notchjunction/net/management.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import re
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 from urllib.parse import unquote
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -32,7 +33,7 @@
 
 
 class Operated(Protocol):
-    """What operators may ask of a node; each says whether it was done."""
+    """What operators may ask of a node; each says whether it was done, or what is shown of it as JSON."""
 
     def control_ready(self) -> bool: ...
 
@@ -44,24 +45,32 @@
 
     async def in_service(self) -> bool: ...
 
+    def fleet_figures(self) -> Mapping[str, Any] | None: ...
+
 
 class Call(NamedTuple):
     method: str
     path: re.Pattern[str]
     refusal: int  # the status of a no
-    ask: Callable[[Operated, str], Awaitable[bool]]
+    ask: Callable[[Operated, str], Awaitable[bool | bytes]]
 
 
 async def _ready(node: Operated, _: str) -> bool:
     return node.control_ready()
 
 
+async def _fleet(node: Operated, _: str) -> bool | bytes:
+    figures = node.fleet_figures()
+    return False if figures is None else json.dumps(figures, indent=1).encode() + b"\n"
+
+
 CALLS = (
     Call("GET", re.compile(r"/control/(ready)"), 503, _ready),
     Call("PUT", re.compile(r"/control/servers/([^/]+)/offline"), 404, lambda node, id: node.take_offline(id)),
     Call("PUT", re.compile(r"/control/servers/([^/]+)/online"), 404, lambda node, id: node.bring_online(id)),
     Call("PUT", re.compile(r"/control/(out-of-service)"), 409, lambda node, _: node.out_of_service()),
     Call("PUT", re.compile(r"/control/(in-service)"), 409, lambda node, _: node.in_service()),
+    Call("GET", re.compile(r"/control/(fleet)"), 404, _fleet),
 )
 
 
@@ -160,4 +169,6 @@
             return Answer(500, keep=False)
         if call.method == "PUT":
             log.info("operator's call", extra=pairs(path=request.path, done=done))
+        if isinstance(done, bytes):
+            return Answer(200, {"content-type": "application/json"}, done, keep=False)
         return Answer(200 if done else call.refusal, keep=False)
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -11,10 +11,11 @@
 from collections.abc import Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from notchjunction.checks import Unfit
 from notchjunction.decider import Ask, Decider, Follow, Listed, Probe, SetAside, Tell
+from notchjunction.errors import NotchjunctionError
 from notchjunction.following import Following
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
@@ -27,7 +28,7 @@
 from notchjunction.net.ending import Effect as Do
 from notchjunction.net.ending import Ending
 from notchjunction.net.handover import Giver, Handover, Inherited
-from notchjunction.net.jobs import Job
+from notchjunction.net.jobs import Job, Rights
 from notchjunction.net.logs import pairs
 from notchjunction.net.management import Management
 from notchjunction.net.node_input import NodeInput
@@ -35,6 +36,9 @@
 from notchjunction.net.servers import Servers
 from notchjunction.net.service_state import Effect, Input, ServiceState, State
 
+if TYPE_CHECKING:
+    from notchjunction.net.fleet_talk import FleetTalk
+
 log = logging.getLogger(__name__)
 
 SWEEP_SPAN = 1.0  # s between looks at idle connections; short against the time they may stand idle
@@ -45,6 +49,11 @@
 IDLE_LEAST = 0.5  # s that a caller may stand idle while it is led away: its next request brings its end
 
 
+def _longest(told: NodeInput) -> float:
+    """s of the longest abandon time."""
+    return max((profile.abandon_time for profile in told.terms.profiles), default=0.0)
+
+
 class Node:
     def __init__(self, told: NodeInput) -> None:
         self._told = told
@@ -53,6 +62,7 @@
         self.counters = counters = Counters()
         kept_back = management.DESCRIPTORS if told.mgmt else 0
         kept_back += talk.DESCRIPTORS if told.talk else 0
+        kept_back += talk.DESCRIPTORS if told.fleet is not None else 0
         self._descriptors = descriptors = Descriptors(told.sockets, kept_back)
         streams = Streams()
         self._following = Following(told.terms.ask_within, told.pushed, told.terms.seed)
@@ -67,6 +77,7 @@
             counters,
             streams,
         )
+        self._fleet = self._share(told) if told.fleet is not None else None
         self._callers = Callers(
             self.now,
             self._take,
@@ -76,6 +87,7 @@
             descriptors,
             counters,
             streams,
+            self._fleet.admit if self._fleet is not None else None,
         )
         self._management = Management(self, counters)
         self._service = ServiceState()
@@ -104,6 +116,14 @@
         counters.gauge("list_doubted_for", lambda: max(0.0, -self._discovery.told_in()))
         counters.gauge("loop_lag_most", lambda: max(self._decider.lags, default=0.0))
 
+    def _share(self, told: NodeInput) -> FleetTalk:
+        # Loaded here and not above: where nothing is shared, nothing of it is in memory.
+        from notchjunction.net.fleet_talk import FleetTalk
+
+        assert told.fleet is not None
+        terms = told.terms
+        return FleetTalk(told.fleet, told.name, _longest(told), terms.seed, terms.advice_limit, self.counters)
+
     def now(self) -> float:
         """Unix time that never jumps."""
         return time.monotonic() + self._offset
@@ -129,6 +149,8 @@
             self._management.open(told.mgmt)
         if self._talk is not None:
             await self._talk.open()
+        if self._fleet is not None:
+            await self._fleet.open()
         self.listening.set()
         if self._handover is not None:
             self._start(self._offer())
@@ -273,6 +295,9 @@
     async def in_service(self) -> bool:
         return self._led(Input.IN) and await self._tell_others("out", False)
 
+    def fleet_figures(self) -> Mapping[str, Any] | None:
+        return self._fleet.figures() if self._fleet is not None else None
+
     def _led(self, event: Input) -> bool:
         effect = self._service.tell(event)
         if effect is Effect.LEAD:
@@ -310,6 +335,14 @@
                 log.error("new configuration unusable", extra=pairs(why=each))
             return
         self.counters.add("reloads")
+        if self._fleet is not None and told.fleet is not None:
+            try:
+                self._fleet.renew(told.fleet, _longest(told))
+            except NotchjunctionError as error:
+                # Guards against half a file: what the fleet can't take yet keeps all of it out.
+                self.counters.add("reloads_failed")
+                log.error("new configuration refused", extra=pairs(why=error))
+                return
         before, self._told = self._told, told
         self._decider.retune(told.terms, told.names)
         self._callers.profiles = frozenset(told.names.profiles)
@@ -377,6 +410,8 @@
             giver.close()
         if self._talk is not None:
             self._talk.close()
+        if self._fleet is not None:
+            self._fleet.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -392,13 +427,13 @@
     def _followed(self) -> bool:
         return self._handover is not None and self._handover.followed
 
-    def _take(self, ask: Ask, request: Request, upload: Upload | None) -> Job:
+    def _take(self, ask: Ask, request: Request, upload: Upload | None, rights: Rights | None) -> Job:
         # Guards against a job that the end of the node would leave unanswered.
         ask = replace(ask, time_left=min(ask.time_left, self._end_at - self.now()))
         if self._told.key_header:
             ask = replace(ask, key=request.headers.get(self._told.key_header, "")[:KEY_MOST])
         left = lambda: self._end_at - self.now()  # noqa: E731
-        return Job(self._decider, self._servers, self.counters, ask, request, upload, left)
+        return Job(self._decider, self._servers, self.counters, ask, request, upload, left, rights)
 
     # Timers.
 
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -41,6 +41,7 @@
     talk: tuple[Address, list[Address]] | None = None  # where notes are heard, and the peers by number
     key_header: str = ""
     pushed: bool = False  # an agent has the list, and what it has counts as told at once
+    fleet: Mapping[str, Any] | None = None  # the section of that name, checked; none: nothing is shared
     told: Mapping[str, Any] = field(default_factory=dict)
 
 
@@ -75,7 +76,8 @@
     found = checks.parse(Path(told.file).read_text(encoding="utf-8"))
     checks.check(found, told.told)
     settled = _settled(found)
-    if shape := _shape_changed(told.terms, settled.terms):
+    shape = _shape_changed(told.terms, settled.terms) + _fleet_changed(told.fleet, settled.fleet)
+    if shape:
         raise checks.Unfit([f"{key}: changes with a start only" for key in shape])
     return replace(
         settled,
@@ -101,6 +103,14 @@
     return [key for key, one, other in rows if one != other]
 
 
+def _fleet_changed(before: Mapping[str, Any] | None, after: Mapping[str, Any] | None) -> list[str]:
+    """What of the section `fleet` a node takes at a start only, and has changed; keys and limits may."""
+    if before is None or after is None:
+        return [] if before is after else ["fleet"]
+    fixed = ("listen", "advertise", "seeds", "clock_drift", "clock_rate")
+    return [f"fleet.{name}" for name in fixed if before.get(name) != after.get(name)]
+
+
 def _settled(told: Mapping[str, Any]) -> NodeInput:
     """What follows from the settings; the rest is blank."""
     paths = terms.flatten(told.get("settings", {}))
@@ -121,6 +131,7 @@
         connect_within=terms.number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
         idle_most=terms.number(paths, "limits.conn_idle", IDLE) / 1000,
         key_header=str(told.get("key_header", "")).lower(),
+        fleet=told.get("fleet"),
         pushed=paths.get("registry_mode") == PUSHED,
         load_path=words.LOAD if terms.words(paths, "report.fields") else words.HEALTH,
         told=told,
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -33,6 +33,10 @@
 PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
 
 
+class NoRight(NotSent):
+    """A limit that holds for the whole fleet has no right left for it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Exchanged:
     ended: Ended
@@ -100,8 +104,12 @@
         within: float,
         rest: Upload | None = None,
         begun: Callable[[Download], None] | None = None,
+        may_write: Callable[[float], bool] | None = None,
     ) -> Exchanged:
-        """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer."""
+        """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer.
+
+        `may_write` is asked at the very writing, with the time that the server is told (s).
+        """
         if rest is not None and rest.spent:
             # Guards against a body without its middle: what was sent on before is not kept.
             return Exchanged(Ended(Result.NEVER_SENT, 0.0, spent=True))
@@ -111,7 +119,7 @@
         }
         headers[words.TIME_LEFT] = str(max(1, int(within * 1000)))
         onward = replace(request, headers=headers)
-        exchanged = await self._exchange(server, onward, within, rest, begun)
+        exchanged = await self._exchange(server, onward, within, rest, begun, may_write)
         return replace(exchanged, ended=replace(exchanged.ended, spent=rest is not None and rest.spent))
 
     async def probe(self, server: str) -> Ended:
@@ -144,6 +152,7 @@
         within: float,
         rest: Upload | None = None,
         begun: Callable[[Download], None] | None = None,
+        may_write: Callable[[float], bool] | None = None,
     ) -> Exchanged:
         began = self._clock()
         connection: Connection | None = None
@@ -164,6 +173,8 @@
             # A body under way is bounded by its caller's pace; the wait for the answer counts from its end.
             async with asyncio.timeout(None if rest is not None else within) as limit:
                 connection = await self._connected(server, kept=self._may_be_kept(request))
+                if may_write is not None and not may_write(within):
+                    raise NoRight
                 answer = await connection.exchange(request, answers, rest, all_written)
             result = read_result(answer)
             keep = answer.keep
@@ -173,6 +184,8 @@
                 begun(download)
                 await download.ended
                 keep = answers.kept() and not download.moved
+        except NoRight:
+            result, keep = Result.NEVER_SENT, True
         except NoDescriptor:
             result = Result.NEVER_SENT
         except NotSent:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -303,11 +303,13 @@
     shared: Any = None,
     listen: Address | None = None,
     pushed: bool = False,
+    fleet: Mapping[str, Any] | None = None,
+    told: Mapping[str, Any] | None = None,
     **terms: Any,
 ) -> AsyncIterator[tuple[Node, Address]]:
     """A node on a free port of the loopback address, with its list remembered or not."""
     listen = listen or free_address()
-    told = NodeInput(
+    given = NodeInput(
         name="n",
         listen=listen,
         discovery=discovery.address if discovery else listen,
@@ -322,8 +324,10 @@
         shared=shared and str(shared),
         file=file and str(file),
         pushed=pushed,
+        fleet=fleet,
+        told=told or {},
     )
-    node = Node(told)
+    node = Node(given)
     run = asyncio.create_task(node.run())
     await node.listening.wait()
     try:
