Two processes of one name never own its rights at once: owners have places in the file

Seen in a reread: owners were names alone, so two processes with one name and other addresses would each have spent them; and one that could not have its address, as during an upgrade, counted its quarantine while the earlier process still ran. Also a job under a limit that SIGHUP took out failed in the node at its next dispatch.

Change: places in the section fleet, checked against the node's own listen; nothing of the fleet runs before the address is bound, and the quarantine counts from then. A limit that is gone binds nobody. A story with two processes of one name; the lab refuses fleets that contradict their scenario.

--- a/notchjunction/checks.py
+++ b/notchjunction/checks.py
@@ -122,6 +122,7 @@
         ),
         Optional("clock_drift"): All(_number, Range(min=0, max=DRIFT_MOST)),
         Optional("clock_rate"): All(_number, Range(min=0.5, max=2)),
+        Optional("places"): {WORD: _address},
         Optional("limits"): [FLEET_LIMIT],
     }
 )
@@ -215,7 +216,8 @@
         return [stem if error.startswith("the file: ") else f"{stem}.{error}" for error in errors]
     profiles = {str(each.get("name")) for each in found.get("settings", {}).get("profiles", ())}
     numbers = [key["number"] for key in fleet["keys"]]
-    limits = fleet.get("limits", [])
+    limits, places = fleet.get("limits", []), fleet.get("places", {})
+    own = places.get(found.get("name"), fleet["listen"])
     names = [limit["name"] for limit in limits]
     rows = [
         (
@@ -224,6 +226,8 @@
         ),
         (len(set(numbers)) < len(numbers), f"{stem}.keys: a number is given twice"),
         (len(set(names)) < len(names), f"{stem}.limits: a name is given twice"),
+        # Guards against two processes that own the same rights: only one can have the address.
+        (own != fleet["listen"], f"{stem}.listen: expected what {stem}.places says of this node"),
         (
             "talk" in found and found["talk"].get("listen") == fleet["listen"],
             f"{stem}.listen: taken by talk.listen",
@@ -232,9 +236,11 @@
     for index, limit in enumerate(limits):
         at = f"{stem}.limits.{index}"
         unknown = sorted(set(limit.get("profiles", ())) - profiles)
+        nowhere = sorted(set(limit["owners"]) - places.keys())
         before = limit.get("before")
         rows += [
             (bool(unknown), f"{at}.profiles: not in settings.profiles: {', '.join(unknown)}"),
+            (bool(nowhere), f"{at}.owners: not in {stem}.places: {', '.join(nowhere)}"),
             (not sum(limit["owners"].values()), f"{at}.owners: expected one right at least"),
             (
                 before is not None and before["revision"] != limit["revision"] - 1,
--- a/notchjunction/fleet/limits.py
+++ b/notchjunction/fleet/limits.py
@@ -405,6 +405,11 @@
                 "wait until every owner shows it as settled, or name those stopped for good under `ended`",
             )
 
+    def begin(self, now: float) -> None:
+        """The node has its address alone from now on; what an earlier process lent may last from here."""
+        for side in self._sides.values():
+            side.quarantine_ends = now + self.term * self._stretch
+
     # Spending.
 
     def spend(self, now: float, limit: str, until: float) -> Permit | None:
@@ -432,7 +437,7 @@
     def extend(self, now: float, permit: Permit, until: float) -> bool:
         """Whether the right is still this permit's, now and until then; to be asked at each writing."""
         # Guards against a process that was paused between taking a right and writing under it.
-        if not permit.live or now >= permit.until or permit.limit not in self._sides:
+        if not permit.live or now >= permit.until:
             return False
         if permit.lease is not None and permit.lease.end < until:
             return False
--- a/notchjunction/net/fleet_talk.py
+++ b/notchjunction/net/fleet_talk.py
@@ -155,6 +155,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
+        self.member.limits.begin(self.now())
 
     def datagram_received(self, data: bytes, source: tuple[Any, ...]) -> None:
         self.counters.add("fleet_heard")
@@ -183,6 +184,8 @@
         if self._closed:
             return
         self._ticking = self._loop.call_later(TICK, self._tick)
+        if self._transport is None:
+            return self._look()  # guards against rights spent beside an earlier process of this node
         try:
             now = self.now()
             self._send(self.member.tick(now))
@@ -249,9 +252,9 @@
         return any(name in waiter.names for waiter in self._waiting for name in names)
 
     def spend(self, names: Sequence[str], until: float) -> list[Permit] | None:
-        """A right under each limit, or none at all."""
+        """A right under each limit that there still is, or none at all."""
         permits: list[Permit] = []
-        for name in names:
+        for name in (name for name in names if name in self.member.limits.names):
             permit = self.member.limits.spend(self.now(), name, until)
             if permit is None:
                 self.release(permits)
--- a/notchjunction/standins/fleet_stage.py
+++ b/notchjunction/standins/fleet_stage.py
@@ -75,11 +75,12 @@
         self.links = links
         self.began = 0.0  # the stage's time at which the fleet had settled
         self._mgmt: dict[int, Address] = {}
+        self._private = [free_datagram_port() for _ in range(scenario.nodes)]
 
     def section(self, number: int) -> dict[str, Any]:
         """A node's part of the file; the peers' addresses are those of the links."""
         name = f"n{number}"
-        listen = free_datagram_port()
+        listen = self._private[number]
         self.links.join(name, listen)
         owners = {f"n{each}": count for each, count in enumerate(self.part.owners)}
         return {
@@ -89,6 +90,7 @@
             "keys": [{"number": 1, "secret": SECRET}],
             "clock_drift": self.part.drift,
             "clock_rate": self.part.rates[number] if self.part.rates else 1.0,
+            "places": {f"n{each}": text_of(place) for each, place in enumerate(self._private)},
             "limits": [{"name": LIMIT, "revision": 1, "owners": owners}],
         }
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -70,6 +70,30 @@
     assert asked.exit_code == 1 and f"{file}: {place}" in asked.output
 
 
+@pytest.mark.parametrize(
+    ("old", "new", "place"),
+    [
+        ("owners = [2, 2, 2, 2, 2]", "owners = [2, 2]", "scenarios.0.fleet.owners"),
+        ("owners = [2, 2, 2, 2, 2]", "owners = [0, 0, 0, 0, 0]", "scenarios.0.fleet.owners"),
+        ("node = 4", "node = 5", "scenarios.0.fleet.processes.0.node"),
+        ("until = 11.5", "until = 8.0", "scenarios.0.fleet.processes.0.until"),
+        ('"n0", "n1", "n2"', '"n0", "n9"', "scenarios.0.fleet.links.1"),
+        ('kind = "cut"', 'kind = "cute"', "scenarios.0.fleet.links.1.kind"),
+    ],
+)
+def test_a_fleet_that_contradicts_its_scenario_is_refused_and_a_sound_one_is_for_sockets(
+    old: str, new: str, place: str, tmp_path: Path
+) -> None:
+    kept = HERE / "fleet.toml"
+    file = tmp_path / "changed.toml"
+    file.write_text(kept.read_text().replace(old, new, 1))
+    with pytest.raises(checks.Unfit) as refused:
+        read_experiment(file)
+    assert [error.partition(":")[0] for error in refused.value.errors] == [place]
+    for asked in (["emulate", str(kept)], ["experiment", str(kept), "--into", str(tmp_path)]):
+        assert CliRunner().invoke(main, asked).exit_code == 1
+
+
 def test_a_torn_experiment_is_refused_and_not_half_run(tmp_path: Path) -> None:
     file = tmp_path / "torn.toml"
     text = SMOKE.read_text()
