--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -90,7 +90,22 @@
 def test_no_long_schedule_over_five_nodes_gets_more_out_than_the_limit(chosen: list[int]) -> None:
     before = Split(1, {"a": 2, "b": 1, "c": 1})
     after = Plan("l", Split(2, {"a": 1, "b": 1, "d": 2}), before)
-    kinds = "deliver seek spend end pass near take write pause wake replan lose repeat crash".split()
+    kinds = [
+        "deliver",
+        "seek",
+        "spend",
+        "end",
+        "pass",
+        "near",
+        "take",
+        "write",
+        "pause",
+        "wake",
+        "replan",
+        "lose",
+        "repeat",
+        "crash",
+    ]
     rates = (1.05, 1.0, 1 / 1.05, 1 / 1.05, 1.05)
     plans: dict[str, Sequence[Plan]] = {name: [Plan("l", before), after] for name in "abcde"}
     here = World(plans, rates, DRIFT, kinds=kinds, losses=6, repeats=6, crashes=2)
