--- a/notchjunction/fleet/limits.py
+++ b/notchjunction/fleet/limits.py
@@ -53,6 +53,8 @@
 RECALL_PAUSE = 0.05  # s between wishes to one borrower
 RESERVE_SPAN = 0.1  # s that a right stays set aside for the owner's own waiting job
 STANDING_EVERY = 1.0  # s between an owner's words on a split that is being changed, or on its own start
+HEARD_EVERY = 5.0  # s in which each owner is asked how it stands, in a small fleet; for `age` alone
+HEARD_NODE = 0.1  # s of that more for each node, so that an owner answers ten in a second, however many ask
 FREES_KEPT = 8  # last moments at which rights came free, by which it is told when the next one may
 FREE_LEAST = 0.05  # s told at least until a right may come free
 FREE_MOST = 5.0  # s told at most; a client that waits longer had better ask again
@@ -324,6 +326,8 @@
     heard: dict[str, float] = field(default_factory=dict)  # by owner: when last
     frees: deque[float] = field(default_factory=lambda: deque(maxlen=FREES_KEPT))
     spoke_at: float = -math.inf
+    asked_at: float = -math.inf  # when an owner was last asked how it stands
+    asked: int = 0
     fault: FleetError | None = None
 
 
@@ -570,7 +574,8 @@
         if side is None:
             return []
         self._expire(side, now)
-        side.heard[sender.name] = now
+        if sender.name in side.plan.split.owners:
+            side.heard[sender.name] = now
         match message:
             case Ask(serial=serial, round=turn):
                 loan = side.loans.get((sender.name, sender.start, serial))
@@ -787,12 +792,12 @@
 
     # Time.
 
-    def tick(self, now: float) -> list[Out]:
-        """What is due; to be called every 20 to 100 ms."""
+    def tick(self, now: float, nodes: int = 1) -> list[Out]:
+        """What is due, in a fleet of so many; to be called every 20 to 100 ms."""
         outs: list[Out] = []
         for side in self._sides.values():
             self._expire(side, now)
-            outs += self._look_at_phase(side, now)
+            outs += self._look_at_phase(side, now) + self._ask_owner(side, now, nodes)
             outs += self._refuse_all(side, now, lambda held: now - held.since > HOLD)
             outs += self._serve_queue(side, now)
             outs += self._look_at_leases(side, now)
@@ -816,6 +821,15 @@
         side.spoke_at = now
         return [Out(name, self._standing(side, asks=True)) for name in self._owners(side)]
 
+    def _ask_owner(self, side: Side, now: float, nodes: int) -> list[Out]:
+        """One owner after the other, so that each is heard within a bounded time while links are whole."""
+        owners = self._owners(side)
+        if not owners or now - side.asked_at < max(HEARD_EVERY, HEARD_NODE * nodes) / len(owners):
+            return []
+        side.asked_at = now
+        side.asked += 1
+        return [Out(owners[side.asked % len(owners)], self._standing(side, asks=True))]
+
     def _owns(self, side: Side) -> bool:
         """Whether this node is an owner by the split, or by the one before."""
         before = side.plan.before
--- a/notchjunction/fleet/member.py
+++ b/notchjunction/fleet/member.py
@@ -114,7 +114,7 @@
 
     def tick(self, now: float) -> list[Datagram]:
         """What is due; to be called every 20 to 50 ms."""
-        outs = self.limits.tick(now)
+        outs = self.limits.tick(now, len(self.roster.members()))
         found: list[Datagram] = []
         if now >= self._roster_at:
             self._roster_at = now + ROSTER_EVERY
--- a/notchjunction/net/fleet_talk.py
+++ b/notchjunction/net/fleet_talk.py
@@ -243,7 +243,8 @@
                 raise
         if permits is None:
             self.counters.add("fleet_refused_jobs")
-            free_in = max(self.member.limits.free_in(self.now(), name) for name in names)
+            there = [name for name in names if name in self.member.limits.names]
+            free_in = max((self.member.limits.free_in(self.now(), name) for name in there), default=0.0)
             return turned_back(min(free_in, self._advice_most))
         waited = self.now() - began
         return JobRights(self, names, permits), replace(ask, time_left=ask.time_left - waited)
@@ -316,6 +317,10 @@
         told = read_section(section)
         self.member.renew(self.now(), told)
         self._scopes = told.scopes
+        for waiter in self._waiting:
+            # Guards against jobs that wait under a limit which has gone.
+            waiter.names = tuple(name for name in waiter.names if name in self.member.limits.names)
+        self._look()
 
     def figures(self) -> dict[str, Any]:
         """What this node holds of its fleet, for an operator."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -24,6 +24,7 @@
 from notchjunction.fleet.envelope import Forged, Malformed
 from notchjunction.fleet.member import Member, read_section
 from notchjunction.interface import Effect, Profile
+from notchjunction.net import fleet_talk
 from notchjunction.net.connections import text_of
 from notchjunction.net.node import Node
 from notchjunction.standins.fleet_stage import SEEN_LATE, FleetPart, ProcessFault, ProcessKind, staged
@@ -215,6 +216,36 @@
     run(story())
 
 
+def test_a_job_that_waits_under_a_limit_that_goes_is_sent_at_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(limits, "TERM_TIMES", 0.01)
+    monkeypatch.setattr(fleet_talk, "ASK_WITHIN", 5.0)
+    monkeypatch.setattr(fleet_talk, "WAIT_SHARE", 1.0)
+
+    async def story() -> None:
+        fleet = section(listen=text_of(free_address()))
+        file = tmp_path / "told.json"
+        told = {**configuration(), "fleet": fleet}
+        slow = Peer((b"", "hold"))
+        async with slow, running(slow, fleet=fleet, told=told, file=file) as (node, address):
+            await settled(node)
+            first, second = await Client().open(address), await Client().open(address)
+            first.ask()
+            await slow.asked.wait()
+            slow.reply = OK
+            second.ask()
+            while not node.counters.read()["fleet_waiting"]:
+                await asyncio.sleep(0.005)
+            file.write_text(json.dumps({**told, "fleet": {**fleet, "limits": []}}))
+            node.read_again()
+            assert (await second.answer()).status == 200
+            slow.go_on.set()
+            assert (await first.answer()).status == 200
+
+    run(story())
+
+
 def test_two_processes_of_one_name_never_own_its_rights_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(limits, "TERM_TIMES", 0.05)
 
