--- a/benchmarks/fleet_talk.py
+++ b/benchmarks/fleet_talk.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.fleet_talk            # 5, 50 and 200 nodes; with --large 1,000 too
 
-Datagrams are the real ones, sealed; the network between them is simulated. Five nodes own the limit; one job in
-ten seconds and node asks for a right.
+Datagrams are the real ones, sealed; the network between them is simulated. Five nodes own the limit; one job
+in ten seconds and node asks for a right.
 """
 
 from __future__ import annotations
