--- a/notchjunction/fleet/roster.py
+++ b/notchjunction/fleet/roster.py
@@ -45,6 +45,8 @@
 SUSPECT_TIMES = 4.0  # intervals, times log10 of the nodes, to refute at least; a few rounds of gossip
 SUSPECT_MOST = 3.0  # times as long for a suspicion that nobody shares
 CONFIRM_MOST = 3  # others that share it until the least time holds; more would add nothing
+RECALL_EVERY = 0.5  # s between asking a suspected node once more; several times before it is buried
+RECALL_FEW = 10  # nodes that do so before they bury one, besides its accusers; the others hear of its answer
 LAMBDA = 1.0  # times log2 of the nodes that each tells a change; gossip misses about one, and digests find it
 SPREAD_EVERY = 0.5  # s between messages that only tell changes, while there are any
 SYNC_EVERY = 5.0  # s between digests; finds what gossip missed
@@ -457,12 +459,13 @@
         return out
 
     def _recall(self, now: float) -> list[Out]:
-        # Guards against a refutation that was lost: whom it accuses, or would bury soon, it asks once more.
-        doubted = [self._members[name] for name in self._suspects]
+        # Guards against a refutation that was lost: whom it accuses, or would bury soon, it asks once more;
+        # but not all nodes ask one.
+        few = self._random.random() * self._nodes < RECALL_FEW
         names = [
             held.name
-            for held in doubted
-            if self._me.name in held.accusers or now - held.since > self._patience(held) / 2
+            for held in [self._members[name] for name in self._suspects]
+            if self._me.name in held.accusers or (few and now - held.since > self._patience(held) / 2)
         ]
         return [self._ping(now, name) for name in self._some(names, 1)]
 
@@ -677,7 +680,7 @@
         fresh = sorted(reversed(news.items()), key=lambda item: item[1])
         told = self._fitting(now, dict.fromkeys([*first, *(name for name, _ in fresh)]), len(first))
         enough = LAMBDA * math.log2(2 + len(self._members))
-        # Guards against news that is spent on the dead.
+        # What is said to the dead is heard by nobody, and does not count.
         for rumour in told if self._members[to].state is State.ALIVE else ():
             if rumour.name in self._news:
                 self._news[rumour.name] += 1
@@ -774,7 +777,7 @@
 }
 CHORES = {
     "probe": (PROBE_EVERY, Roster._probe),
-    "recall": (PROBE_EVERY, Roster._recall),
+    "recall": (RECALL_EVERY, Roster._recall),
     "spread": (SPREAD_EVERY, Roster._spread),
     "sync": (SYNC_EVERY, Roster._sync),
     "revisit": (REVISIT_EVERY, Roster._revisit),
