Reread: when what is lent is surely free is worked out in one place; a parameter nobody gave is gone

The quarantine of a start and of a limit that is new was the end of a loan written again, twice: both call Limits._loan_end.

--- a/notchjunction/fleet/limits.py
+++ b/notchjunction/fleet/limits.py
@@ -342,11 +342,10 @@
         longest: float,
         seed: int,
         now: float,
-        term: float = 0.0,
     ) -> None:
         self._me = me
         self._random = Random(f"limits {seed}")
-        self.term = max(term, TERM_TIMES * longest)
+        self.term = TERM_TIMES * longest
         # The borrower's clock may run slow and the owner's fast: both by `drift` against true time.
         self._stretch = (1 + drift) / (1 - drift)
         self._serial = 0
@@ -366,7 +365,7 @@
             side = self._sides.get(plan.name)
             if side is None:
                 # A limit that is new here may have been known to an earlier start.
-                side = Side(plan, now + self.term * self._stretch)
+                side = Side(plan, self._loan_end(now))
             elif plan.split.revision != side.plan.split.revision:
                 side.phase = PHASE_ROWS[side.phase, Seen.CHANGED]
                 side.standings.clear()
@@ -412,7 +411,7 @@
     def begin(self, now: float) -> None:
         """The node has its address alone from now on; what an earlier process lent may last from here."""
         for side in self._sides.values():
-            side.quarantine_ends = now + self.term * self._stretch
+            side.quarantine_ends = self._loan_end(now)
 
     # Spending.
 
@@ -421,7 +420,7 @@
         side = self._sides[limit]
         self._expire(side, now)
         permit: Permit | None = None
-        free = self._free(side, now)
+        free = self._free(side)
         # Guards against a right that was set aside under a split that has shrunk since.
         if (side.reserved and free >= 0) or (free > 0 and not side.queue):
             if side.reserved:
@@ -478,7 +477,7 @@
 
     def _take_own(self, side: Side, now: float, count: int = 1, lend: bool = False) -> None:
         """The one place where own rights go out."""
-        if side.own_use + side.lent + len(side.reserved) + count > self._cap(side, now):
+        if side.own_use + side.lent + len(side.reserved) + count > self._cap(side):
             raise OverSpent(
                 "more rights out than owned", f"fleet.limits {side.plan.name}", "report it as a defect"
             )
@@ -487,7 +486,7 @@
         else:
             side.own_use += count
 
-    def _cap(self, side: Side, now: float) -> int:
+    def _cap(self, side: Side) -> int:
         """Own rights that may be out now."""
         if side.phase is Phase.STARTING:
             return 0
@@ -497,8 +496,8 @@
         # Guards against both splits being spent at once.
         return min(new, before.of(self._me.name))
 
-    def _free(self, side: Side, now: float) -> int:
-        return self._cap(side, now) - side.own_use - side.lent - len(side.reserved)
+    def _free(self, side: Side) -> int:
+        return self._cap(side) - side.own_use - side.lent - len(side.reserved)
 
     # Seeking.
 
@@ -520,7 +519,7 @@
         """s until a right may come free for this node, by what it and the owners have seen."""
         side = self._sides[limit]
         told = [max(0.0, free_at - now) for _, free_at in side.refused.values()]
-        own = self._gap(side, now) if self._cap(side, now) > 0 or side.leases else FREE_MOST
+        own = self._gap(side, now) if self._cap(side) > 0 or side.leases else FREE_MOST
         if side.phase is Phase.STARTING and side.plan.split.of(self._me.name) > 0:
             own = max(FREE_LEAST, side.quarantine_ends - now)
         return min(FREE_MOST, max(FREE_LEAST, min([own, *told])))
@@ -665,15 +664,15 @@
         heapq.heappush(side.loan_ends, (loan.ends, key))
 
     def _free_in_here(self, side: Side, now: float) -> float:
-        if self._cap(side, now) <= 0:
+        if self._cap(side) <= 0:
             return FREE_MOST
         return min(FREE_MOST, max(FREE_LEAST, self._gap(side, now)))
 
     def _serve_queue(self, side: Side, now: float) -> list[Out]:
         """Gives what is free to those who wait; wishes for more where it is not enough."""
         outs: list[Out] = []
-        while (free := self._free(side, now)) > 0:
-            held = self._next(side, now)
+        while (free := self._free(side)) > 0:
+            held = self._next(side)
             if held is None and side.wanted <= len(side.reserved):
                 break
             if held is None:
@@ -684,18 +683,18 @@
             self._take_own(side, now, count, lend=True)
             self._note_loan(side, Loan(held.sender, held.serial, count, 0, self._loan_end(now)))
             outs.append(Out(held.sender.name, Grant(side.plan.name, held.serial, 0, count, self.term)))
-        if self._cap(side, now) <= 0:
+        if self._cap(side) <= 0:
             outs += self._refuse_all(side, now, lambda held: True)
         short = bool(side.queue) or side.wanted > len(side.reserved)
         return outs + (self._recall(side, now) if short else [])
 
-    def _next(self, side: Side, now: float) -> Held | None:
+    def _next(self, side: Side) -> Held | None:
         """Who gets the next right: the ask that waits longest, or none of them, as own jobs come first."""
         if side.wanted <= len(side.reserved):
             return next(iter(side.queue), None)
         # Guards against owners that lend one another what each needs itself: a cut would leave it to nobody.
         poor = [held for held in side.queue if self._owns_nothing(side, held.sender.name)]
-        own_part = math.ceil(self._cap(side, now) / (1 + len(self._poor(side))))
+        own_part = math.ceil(self._cap(side) / (1 + len(self._poor(side))))
         return poor[0] if poor and side.own_use + len(side.reserved) >= own_part else None
 
     def _owns_nothing(self, side: Side, name: str) -> bool:
@@ -713,7 +712,7 @@
         borrowed = Counter(loan.borrower.name for loan in lent for _ in range(loan.count))
         own = side.wanted > len(side.reserved)
         poor = self._poor(side)
-        part = max(1, self._cap(side, now) // max(1, len(poor) + own))
+        part = max(1, self._cap(side) // max(1, len(poor) + own))
         needy = own or any(self._owns_nothing(side, held.sender.name) for held in side.queue)
         outs: list[Out] = []
         for loan in lent:
@@ -809,7 +808,7 @@
             Seen.WAITED: lambda: (
                 not self._owns(side) or (now >= side.quarantine_ends and self._vouched(side))
             ),
-            Seen.FITS: lambda: side.own_use + side.lent + len(side.reserved) <= self._cap(side, now),
+            Seen.FITS: lambda: side.own_use + side.lent + len(side.reserved) <= self._cap(side),
             Seen.ALL: lambda: not self._owns(side) or self._all_settled(side),
         }
         for seen, holds in judgements.items():
@@ -910,7 +909,7 @@
         known = [at for at in heard if at is not None]
         age = None if len(known) < len(owners) else max((now - at for at in known), default=0.0)
         return Figures(
-            owned=self._cap(side, now),
+            owned=self._cap(side),
             in_use=side.own_use + sum(lease.in_use for lease in leases),
             lent=side.lent,
             borrowed=sum(lease.count for lease in leases if now < lease.end),
--- a/notchjunction/fleet/member.py
+++ b/notchjunction/fleet/member.py
@@ -19,6 +19,7 @@
 from notchjunction.fleet.limits import Limits, Plan, Split
 from notchjunction.fleet.roster import Roster
 
+LIST_BYTES = 5  # of a list's own head in msgpack, at most
 ROSTER_EVERY = 0.1  # s between looks at who is there; a tenth of the time between two probes
 DRIFT = (
     0.01  # part by which clocks may run off where the file does not say; a hundred times that of plain quartz
@@ -185,6 +186,3 @@
         """What an operator has to mend."""
         fault = self.roster.fault(now)
         return self.limits.faults + ([fault] if fault is not None else [])
-
-
-LIST_BYTES = 5  # of a list's own head in msgpack, at most
