--- a/notchjunction/following.py
+++ b/notchjunction/following.py
@@ -1,8 +1,10 @@
 """One clock for the list of servers: what follows from each end of a call for it, and what counts as told.
 
-A call that stays silent is broken, not refused: it is made again at once, on a new connection, and may not
-wait. A refused one, or one whose connection broke, is made again after a pause, so that nodes do not keep one
-another out. Pure.
+A change counts as told so long after discovery had it and could be reached, whatever became of the call that
+was to bring it. A watch may be dead without a sign, so none waits longer than leaves time to find out and to
+ask again. A call that stays silent is broken, not refused: it is made again at once, on a new connection, and
+may not wait. A refused one, or one whose connection broke, is made again after a pause, so that nodes do not
+keep one another out. Pure.
 """
 
 from __future__ import annotations
@@ -13,23 +15,17 @@
 from random import Random
 from typing import NamedTuple
 
-WAIT_SHARE = 0.75  # of the time within which the list must be asked for; a wait that is cut off says nothing
-WAIT_MOST = 20.0  # s that a call waits at most: where no such time is stated, or calls are refused
-WAIT_SPREAD = 0.2  # of a wait, at random, that it is shorter, so that nodes' watches do not end together
-REFUSALS_KEPT = 8  # last calls by which it is seen whether discovery has more of them than it can answer
-SILENT_AFTER = (
-    0.5  # s past its wait, or without a further byte, after which a watch is broken; an answer is short
-)
+TOLD_AFTER = 6.0  # s after discovery had a change and could be reached from which it counts; the protocol's
+SILENT_AFTER = 0.5  # s past its wait, or without a further byte, after which a watch is broken
 DRIP_MOST = 4.0  # s past that in which a list that has begun to come is whole; the last of it counts in time
-BUSY_MOST = (
-    1.5  # s in which a call that may not wait is answered; discovery refuses what it lets wait for one
-)
+BUSY_MOST = 1.5  # s in which a call that may not wait is answered; what waits for a second is refused
 BUSY_SPREAD = 0.3  # of that, at random, that it is shorter, as many nodes may have fallen silent together
-TOLD_AFTER = 6.0  # s after a watch fell silent from which what it misses counts as told; the protocol's
-TOLD_AFTER_WAIT = 2.0  # s after a call's wait from which it counts, if that is later; the protocol's
-FAILED_TIMES = (
-    4.0  # times the time for asking for which a node is held to its list after a failed call; likewise
-)
+WAIT_USUAL = TOLD_AFTER - SILENT_AFTER - BUSY_MOST  # s that a call waits: a silent one is made again in time
+WAIT_SHARE = 0.75  # of the time within which the list must be asked for, where that is shorter
+WAIT_MOST = 20.0  # s that a call waits where discovery refuses most: while it waits the list is followed
+WAIT_SPREAD = 0.3  # of a wait, at random, that it is shorter, so that nodes' watches do not end together
+REFUSALS_KEPT = 8  # last calls by which it is seen whether discovery has more of them than it can answer
+REFUSALS_BORNE = 1  # of them that says nothing: where all start together, some are refused
 AGENT_PAUSE = 0.1  # s, and as much again at random, before an agent that pushes lists is asked again
 FIRST_WITHIN = (
     3.0  # s that a new process waits for the agent's word; then the remembered list is all there is
@@ -105,12 +101,11 @@
         self._ask_within = ask_within
         self._pushed = pushed
         self._random = Random(f"list {seed}")
-        self._wait_least = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
+        self._wait_least = min(WAIT_USUAL, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_USUAL
         self._refused: deque[bool] = deque([False] * REFUSALS_KEPT, maxlen=REFUSALS_KEPT)
         self._began = -math.inf
-        self._wait = 0.0
-        self._silent_told_by = math.inf
-        self._failing_since = math.inf
+        self._moved = False
+        self._missed_since = math.inf
         self.state = State.NEW
 
     def next_wait(self, known: bool) -> float:
@@ -119,15 +114,15 @@
         Short, as a place cut off says nothing; the longer, the more of the last calls were refused: while one
         waits the list is followed. Guards against all nodes' calls keeping each other out.
         """
-        if not known or self.state is State.SILENT:
+        if not known or self._moved or self.state is State.SILENT:
             return 0.0  # an answer at once tells what was missed; the watch goes on from it
-        share = sum(self._refused) / REFUSALS_KEPT
-        wait = self._wait_least + (WAIT_MOST - self._wait_least) * share
+        crowding = max(0, sum(self._refused) - REFUSALS_BORNE) / (REFUSALS_KEPT - REFUSALS_BORNE)
+        wait = self._wait_least + (WAIT_MOST - self._wait_least) * crowding
         return wait * (1 - WAIT_SPREAD * self._random.random())
 
     def begins(self, now: float, wait: float) -> float:
         """A call goes out; s from now at which it is silent, if no byte of its answer has come."""
-        self._began, self._wait = now, wait
+        self._began = now
         if wait > 0:
             return wait + SILENT_AFTER
         return BUSY_MOST * (1 - BUSY_SPREAD * self._random.random())
@@ -136,13 +131,14 @@
         """How the last call ended."""
         if event in (Input.ANSWERED, Input.REFUSAL):
             self._refused.append(event is Input.REFUSAL)
+        # Guards against a new place that is silent: what it has counts soon after the move.
+        self._moved = event is Input.MOVED or (self._moved and event is not Input.ANSWERED)
         if event is Input.ANSWERED:
-            self._silent_told_by = self._failing_since = math.inf
-        else:
-            self._failing_since = min(self._failing_since, now)
-        if event is Input.SILENCE:
-            # The first silent call's clock runs on, whatever becomes of its successors.
-            self._silent_told_by = min(self._silent_told_by, self._told_by_if_silent())
+            self._missed_since = math.inf
+        elif event is not Input.MOVED:
+            # A silent call may have missed what came right after it began; the first one's clock runs on,
+            # whatever becomes of its successors.
+            self._missed_since = min(self._missed_since, self._began if event is Input.SILENCE else now)
         row = ROWS[self.state, event]
         self.state = row.then
         return row.effect
@@ -158,15 +154,8 @@
         return FIRST_WITHIN if self._pushed else 0.0
 
     def told_by(self) -> float:
-        """The moment from which what this node may have missed counts as told; inf while all is told."""
-        if self._silent_told_by < math.inf:
-            return self._silent_told_by
-        if self.state in (State.NEW, State.WATCHING) or self._failing_since == math.inf:
-            return math.inf
-        if self._pushed:
-            return self._failing_since
-        return self._began + FAILED_TIMES * self._ask_within if self._ask_within > 0 else math.inf
-
-    def _told_by_if_silent(self) -> float:
-        """Of the call that is out, were it silent from its beginning."""
-        return self._began + max(TOLD_AFTER, self._wait + TOLD_AFTER_WAIT)
+        """The moment from which what this node may have missed counts as told; inf while all is told.
+
+        As if discovery could be reached all along: what a node can't tell from a silent call.
+        """
+        return self._missed_since + (0.0 if self._pushed else TOLD_AFTER)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -61,18 +61,18 @@
     ("ask_within", "pushed", "events", "told_by"),
     [
         (10.0, False, (Input.ANSWERED,), math.inf),
-        # A silent watch waits its usual wait, and counts 2 s after it or 6 s after its beginning.
-        (10.0, False, (Input.ANSWERED, Input.SILENCE), 101.0 + 7.5 + 2.0),
+        # What a silent watch missed may have come right after its beginning, however long it may wait.
+        (10.0, False, (Input.ANSWERED, Input.SILENCE), 101.0 + 6.0),
         (2.0, False, (Input.ANSWERED, Input.SILENCE), 101.0 + 6.0),
         # Its clock runs on, whatever becomes of the calls after it, until one is answered.
-        (10.0, False, (Input.ANSWERED, Input.SILENCE, Input.REFUSAL, Input.BREAK), 101.0 + 7.5 + 2.0),
-        # The next call, which may not wait, was silent too: 6 s after it began, which is sooner.
-        (10.0, False, (Input.ANSWERED, Input.SILENCE, Input.SILENCE), 102.0 + 6.0),
+        (10.0, False, (Input.ANSWERED, Input.SILENCE, Input.REFUSAL, Input.BREAK), 101.0 + 6.0),
+        (10.0, False, (Input.ANSWERED, Input.SILENCE, Input.SILENCE), 101.0 + 6.0),
+        (10.0, False, (Input.ANSWERED, Input.SILENCE, Input.MOVED, Input.SILENCE), 101.0 + 6.0),
         (10.0, False, (Input.ANSWERED, Input.SILENCE, Input.ANSWERED), math.inf),
-        # Refused or broken, the list holds for four times the time for asking, from the last call.
-        (10.0, False, (Input.ANSWERED, Input.REFUSAL), 101.0 + 40.0),
-        (10.0, False, (Input.ANSWERED, Input.BREAK, Input.BREAK), 102.0 + 40.0),
-        (0.0, False, (Input.ANSWERED, Input.BREAK), math.inf),
+        # Refused or broken, no more is allowed: discovery may have been reached the moment after.
+        (10.0, False, (Input.ANSWERED, Input.REFUSAL), 101.5 + 6.0),
+        (10.0, False, (Input.ANSWERED, Input.BREAK, Input.BREAK), 101.5 + 6.0),
+        (0.0, False, (Input.ANSWERED, Input.BREAK), 101.5 + 6.0),
         # What an agent has counts at once.
         (0.0, True, (Input.ANSWERED, Input.BREAK, Input.BREAK), 101.5),
     ],
@@ -103,8 +103,28 @@
 
 def test_watches_of_many_nodes_do_not_end_together_and_an_agent_is_asked_soon() -> None:
     waits = [Following(10.0, seed=seed).next_wait(known=True) for seed in range(40)]
-    assert max(waits) - min(waits) > 1.0 and max(waits) <= 7.5
-    assert Following(0.0).next_wait(known=True) <= WAIT_MOST
+    assert max(waits) - min(waits) > 1.0 and max(waits) <= 4.0
+    assert Following(0.0).next_wait(known=True) <= 4.0
     agent, asked = Following(0.0, pushed=True), Following(10.0)
     assert AGENT_PAUSE <= (agent.pause() or 0.0) <= 2 * AGENT_PAUSE and asked.pause() is None
     assert (agent.waits_first(), asked.waits_first()) == (FIRST_WITHIN, 0.0)
+
+
+@pytest.mark.parametrize(("refusals", "least", "most"), [(1, 2.8, 4.0), (4, 7.6, 10.9), (8, 14.0, WAIT_MOST)])
+def test_watches_are_longer_only_where_discovery_refuses_more_than_a_start_explains(
+    refusals: int, least: float, most: float
+) -> None:
+    for seed in range(50):
+        following = Following(10.0, seed=seed)
+        for _ in range(refusals):
+            following.tell(Input.REFUSAL, 100.0)
+        assert least <= following.next_wait(known=True) <= most
+
+
+def test_a_new_place_is_asked_for_what_it_has_at_once_until_it_answers() -> None:
+    following = follow(10.0, (Input.ANSWERED, Input.MOVED))
+    assert following.next_wait(known=True) == 0.0
+    following.tell(Input.REFUSAL, 103.0)
+    assert following.next_wait(known=True) == 0.0  # it has not said a word yet
+    following.tell(Input.ANSWERED, 104.0)
+    assert following.next_wait(known=True) > 0.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -176,6 +176,23 @@
     assert host.count("follow") == 2
 
 
+@pytest.mark.parametrize("ask_within", [0.0, 10.0, 60.0])
+def test_however_many_calls_for_the_list_failed_the_next_one_follows_within_two_seconds(
+    ask_within: float,
+) -> None:
+    pauses = []
+    for seed in range(20):
+        host = FakeHost(must_follow=True, ask_within=ask_within, seed=seed)
+        for _ in range(40):
+            at, seen = host.clock, host.count("follow")
+            host.core.listed(News.FAILED, ())
+            while host.count("follow") == seen:
+                host.advance(0.01)
+                assert host.clock - at < 2.02
+        pauses.append(host.clock - at)
+    assert max(pauses) - min(pauses) > 0.5  # and not all at the same moment
+
+
 @pytest.mark.parametrize(("nodes", "down"), [(1, 0.0), (40, 0.0), (40, 60.0), (200, 0.0)])
 def test_a_fleet_that_asks_for_the_list_at_once_is_all_served_in_a_bounded_time(
     nodes: int, down: float
