A connection that is slow to come up gets a second beside it, and may serve later

Lines at fault: Servers._connected, which waited for one connection alone and threw it away at the time-out. Change: after three tenths of the connect time-out a second connection to the same server is tried; the first of the two to come up carries the request, which is written once. The other one, or both, may come up for 2 s more and are kept for a later request, two a server at most, none where descriptors are full or the list has dropped the server. No retry, no second copy: nothing was written before.

--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -8,6 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from statistics import median_high
 from typing import Any
@@ -31,6 +32,9 @@
 LIVES_SPAN = 60.0  # s that they count; then the settings hold again, as the server may have changed
 DOUBT_SPAN = 10.0  # s after a kept connection was reset in which what may run once only is not put on one
 PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
+REDIAL_SHARE = 0.3  # of the connect time-out after which a second connection is tried beside one not yet up
+LATE_WITHIN = 2.0  # s after which a connection that nobody waits for any more is given up; past most delays
+LATE_MOST = 2  # such connections of a server; more would be the trouble of one that takes none
 
 
 class NoRight(NotSent):
@@ -43,6 +47,14 @@
     answer: Answer | None = None
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class Dial:
+    """A connection that is to come up."""
+
+    connection: Connection
+    up: asyncio.Task[None]
+
+
 def read_load(text: str | bytes) -> Load | None:
     try:
         report = json.loads(text)
@@ -80,6 +92,7 @@
         self._counters = counters
         self._addresses: dict[str, Address] = {}
         self._idle: dict[str, deque[Connection]] = {}
+        self._late: dict[str, set[Dial]] = {}
         self._reset_at = -math.inf
         self._lives: dict[str, deque[tuple[float, float]]] = {}
         counters.gauge("connections_idle", lambda: sum(len(kept) for kept in self._idle.values()))
@@ -144,6 +157,8 @@
 
     def close(self) -> None:
         self.point({})
+        for dial in [dial for late in self._late.values() for dial in late]:
+            dial.up.cancel()
 
     async def _exchange(
         self,
@@ -237,22 +252,64 @@
         if self._descriptors.full() and not self.close_oldest() and not self._spare_one():
             self._counters.add("descriptors_short")
             raise NoDescriptor
+        connection = await self._dialled(server, address)
+        # Guards against a request to a server that the list has dropped while the connection came up.
+        if not self._current(server, connection):
+            self._close(connection)
+            raise NotSent("no longer in the list")
+        return connection
+
+    async def _dialled(self, server: str, address: Address) -> Connection:
+        """A new connection, or the first of two to come up; the other one may still serve a later request."""
+        # Guards against requests lost one by one where many connections come up late, each by itself.
+        dials = [self._dial(address)]
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._connect_within
+        first: Dial | None = None
+        try:
+            done, _ = await asyncio.wait([dials[0].up], timeout=self._connect_within * REDIAL_SHARE)
+            if not done and not self._descriptors.full():
+                with suppress(NoDescriptor):
+                    dials.append(self._dial(address))
+                    self._counters.add("connections_redialled")
+            if not done:
+                ups = [dial.up for dial in dials]
+                left = max(0.0, until - loop.time())
+                done, _ = await asyncio.wait(ups, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+            first = next((dial for dial in dials if dial.up in done), None)
+        finally:
+            for dial in dials:
+                if dial is not first:
+                    self._leave(server, dial)
+        if first is None:
+            raise NotSent("connecting took too long")
+        if error := first.up.exception():
+            self._close(first.connection)
+            raise error
+        return first.connection
+
+    def _dial(self, address: Address) -> Dial:
         connection = Connection(address)  # takes no descriptor of the budget where there is none to be had
         self._descriptors.take()
         self._counters.add("connections_opened")
-        try:
-            async with asyncio.timeout(self._connect_within):
-                await connection.open()
-            # Guards against a request to a server that the list has dropped while the connection came up.
-            if not self._current(server, connection):
-                raise NotSent("no longer in the list")
-        except TimeoutError as error:
-            self._close(connection)
-            raise NotSent("connecting took too long") from error
-        except BaseException:
-            self._close(connection)
-            raise
-        return connection
+        return Dial(connection, asyncio.create_task(connection.open()))
+
+    def _leave(self, server: str, dial: Dial) -> None:
+        """Nobody waits for it any more: it is kept if it comes up soon, as long as there are few such."""
+        late = self._late.setdefault(server, set())
+        late.add(dial)
+        dial.up.add_done_callback(lambda _: self._came_late(server, dial))
+        if len(late) > LATE_MOST or self._descriptors.full():
+            dial.up.cancel()
+        else:
+            asyncio.get_running_loop().call_later(LATE_WITHIN, dial.up.cancel)
+
+    def _came_late(self, server: str, dial: Dial) -> None:
+        self._late[server].discard(dial)
+        if not self._late[server]:
+            del self._late[server]
+        up = not dial.up.cancelled() and dial.up.exception() is None
+        self._give_back(server, dial.connection, keep=up)
 
     def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
         for server, kept in list(self._idle.items()):
--- /dev/null
+++ b/tests/test_redial.py
@@ -0,0 +1,129 @@
+"""Connections to servers that come up late: a second one is tried, and the late one serves later."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from notchjunction.net import servers
+from notchjunction.net.connections import Connection, NotSent
+from tests.helpers import SILENT, Client, Peer, running
+
+
+class Held:
+    """Connections that come up as told, by their order: at once, when released, or are refused."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, how: Callable[[int], str]) -> None:
+        self.opened: list[Connection] = []
+        self.release = asyncio.Event()
+        self.came_up = asyncio.Event()
+        plain = Connection.open
+
+        async def open_as_told(connection: Connection) -> None:
+            self.opened.append(connection)
+            match how(len(self.opened)):
+                case "late":
+                    await self.release.wait()
+                    await plain(connection)
+                    self.came_up.set()
+                case "refused":
+                    raise NotSent("refused")
+                case _:
+                    await plain(connection)
+
+        monkeypatch.setattr(Connection, "open", open_as_told)
+
+
+async def settle(done: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5):
+        while not done():
+            await asyncio.sleep(0)
+
+
+def test_where_a_connection_comes_up_late_a_second_serves_and_the_late_one_serves_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story() -> None:
+        held = Held(monkeypatch, lambda number: "late" if number == 1 else "at once")
+        async with Peer() as server, running(server) as (node, listen):
+            client = await Client().open(listen)
+            client.ask()
+            assert (await client.answer()).status == 200  # the time-out would fail it: there is one server
+            assert len(held.opened) == 2 and server.connections == 1
+            held.release.set()
+            await held.came_up.wait()
+            await settle(lambda: node.counters.read()["connections_idle"] == 2)
+            server.reply = SILENT
+            other = await Client().open(listen)
+            client.ask()
+            other.ask()
+            await settle(lambda: len(server.requests) == 3)
+            server.go_on.set()
+            assert [(await each.answer()).status for each in (client, other)] == [200, 200]
+            assert len(held.opened) == 2 and server.connections == 2
+            assert node.counters.read()["connections_redialled"] == 1
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("how", ["late", "refused"])
+def test_what_never_comes_up_or_is_refused_gives_every_descriptor_back(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(servers, "LATE_WITHIN", 0.05)
+
+    async def story() -> None:
+        held = Held(monkeypatch, lambda number: how)
+        async with Peer() as server, running(server) as (node, listen):
+            node._servers.retune(0.05, 5.0, "/health")
+            client = await Client().open(listen)
+            client.ask()
+            assert (await client.answer()).status == 503  # it never ran
+            await settle(lambda: node._descriptors.held == 1)  # the caller's
+            assert len(held.opened) >= (2 if how == "late" else 1) and not node._servers._late
+            figures = node.counters.read()
+            assert figures["connections_opened"] == figures["connections_closed"] == len(held.opened)
+
+    asyncio.run(story())
+
+
+def test_late_connections_of_a_server_are_few_and_none_is_kept_where_the_list_has_dropped_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story() -> None:
+        held = Held(monkeypatch, lambda number: "late")
+        async with Peer() as server, running(server, max_dispatches=1) as (node, listen):
+            node._servers.retune(0.05, 5.0, "/health")
+            clients = [await Client().open(listen) for _ in range(4)]
+            for client in clients:
+                client.ask()
+            assert [(await client.answer()).status for client in clients] == [503] * 4
+            assert len(held.opened) == 8
+            assert len(node._servers._late["s0"]) <= servers.LATE_MOST
+            node._servers.point({})
+            held.release.set()
+            await settle(lambda: not node._servers._late)
+            assert node.counters.read()["connections_idle"] == 0
+            await settle(lambda: node._descriptors.held == 4)
+
+    asyncio.run(story())
+
+
+def test_a_caller_that_goes_while_its_connection_comes_up_leaves_no_request_behind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story() -> None:
+        held = Held(monkeypatch, lambda number: "late")
+        async with Peer() as server, running(server) as (node, listen):
+            client = await Client().open(listen)
+            client.ask()
+            await settle(lambda: bool(held.opened))
+            client.writer.close()
+            await settle(lambda: node.counters.read().get("withdrawn", 0) == 1)
+            held.release.set()
+            await settle(lambda: not node._servers._late)
+            assert server.requests == []
+
+    asyncio.run(story())
