A kept connection that a limit let nothing be written on is kept, not failed over

Seen: `Servers.dispatch` with a right refused (`may_write` says no) on a kept connection ended in "AssertionError: Already reading" instead of NEVER_SENT: a failure of the node's own, and an outcome that counts as one that may have run.

Cause: `_give_back` calls `Connection.rest`, which began a read while the one of its last rest still went on (connections.py, `rest`); the stream allows one. Ruled out: the same after an exchange, after a body in pieces and after a large answer, each of which takes the read that goes on before it ends.

Change: a rest that was never broken goes on as it was, with its time: to its server it never ceased to be idle.

tests/test_gone.py::test_a_connection_that_nothing_was_written_on_stays_fit failed with that error without the change and passes with it.

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -199,6 +199,8 @@
 
     def rest(self, now: float) -> None:
         """Stands idle from now on; a read goes on, so that an end is noticed."""
+        if self._reading is not None:
+            return  # nothing was written since it last stood idle: to the other side it never ceased to
         self.idle_since = now
         self.kept = True
         self._reading = read_piece(self._stream)
