At the very writing it is looked at whether caller, job and list still want the dispatch

Seen: a request whose caller's end had arrived was sent on all the same, first and further dispatches alike, on kept and on new connections, and where its bytes and its end came side by side each time.

Cause: nothing looked between the order and the write. `Caller._answer` reads the end one turn of the loop after the job's task has sent (callers.py, the wait in `_answer`); `Job._follow_orders` picks a Stop or Leave one turn after it was ordered, while a dispatch whose connection came up in that turn writes (servers.py, `_exchange`); a body's last piece was written by a task that knew nothing of the caller (connections.py, `_write_piece`), so it became whole at the server after its caller had left.

Ruled out: a list that changes between the order and the write. `point` is called with the list's change, and from the last look at it to the first byte no other code runs; that look moves to the one place with the others.

Change: `_exchange` asks once, right before the first byte, for kept and new connections and for bodies in pieces: the list, then `Job._wanted`: orders that are given but not picked, then the caller's socket. Its end may stand behind unread bytes: one peek, and a poll only where bytes are there. A body asks again with each further piece. What is not written ends as never sent; the job of a caller that has gone is withdrawn there and then.

--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -176,6 +176,7 @@
     orders: asyncio.Queue[Order] = field(default_factory=asyncio.Queue)
     servers: list[int] = field(default_factory=list)  # by dispatch
     out: set[int] = field(default_factory=set)
+    stopped: set[int] = field(default_factory=set)  # dispatches, whether or not their Stop was picked
     begun: bool = False  # a large answer is on its way
     answered: bool = False
 
@@ -256,6 +257,10 @@
         if not ticket.answered:
             self._core.whole(ticket.number, most)
 
+    def stands(self, ticket: Ticket, dispatch: int) -> bool:
+        """Whether a dispatch that was ordered is still wanted; orders against it may wait to be picked."""
+        return not ticket.answered and dispatch not in ticket.stopped
+
     def begun(self, ticket: Ticket, dispatch: int) -> bool:
         """A large answer has begun to come; false where the job has its answer already."""
         if ticket.answered or ticket.begun:
@@ -385,6 +390,8 @@
     def _order(self, job: int, order: Order) -> None:
         ticket = self._tickets[job]
         ticket.orders.put_nowait(order)
+        if isinstance(order, Stop):
+            ticket.stopped.add(order.dispatch)
         if isinstance(order, TurnBack | WriteOff):
             ticket.answered = True
             self._release(ticket)
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import struct
 from base64 import b64decode, b64encode
@@ -46,6 +47,7 @@
 
 MOVE_PAUSE = 0.02  # s until an answer that could not move yet is tried again
 
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what tells of an end behind unread bytes
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -440,7 +442,7 @@
 
     async def _answer(self, job: Job, upload: Upload | None) -> Answer | Download | None:
         """Waits for the job's answer, and reads on: the rest of its body, or whether the caller goes."""
-        work = asyncio.create_task(job.answer())
+        work = asyncio.create_task(job.answer(self._there))
         error: Answer | None = None
         while not work.done():
             waiting: set[asyncio.Future[Any]] = {work}
@@ -658,6 +660,24 @@
             self._reading = read_piece(self._stream, most)
         return self._reading
 
+    def _there(self) -> bool:
+        """Whether the caller has not gone, as the operating system knows it: its end may not be read yet.
+
+        Guards against a request that is sent on for nobody: the end stands behind bytes, or came just now.
+        """
+        if self._stream.closed():
+            return False
+        try:
+            if not self._stream.socket.recv(1, socket.MSG_PEEK):
+                return False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        poll = select.poll()
+        poll.register(self._stream.socket, select.POLLRDHUP)
+        return not any(events & ENDED for _, events in poll.poll(0))
+
     def _has_read(self) -> bool:
         return self._reading is not None and self._reading.done()
 
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -43,6 +43,10 @@
     """This node had no descriptor left: no fault of the other side."""
 
 
+class Withheld(NotSent):
+    """It was not to be written any more: no fault of the other side."""
+
+
 class Cut(Exception):
     """The connection ended after the request was written and before its answer was whole."""
 
@@ -104,16 +108,18 @@
         rest: Body | None = None,
         written: Callable[[], None] = lambda: None,
         heard: Callable[[], None] = lambda: None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Answer:
         """Writes the request and waits for its answer, whole or, where it is large, its beginning.
 
         `written` is called once the last byte is written; the rest of a body is taken in pieces until then.
-        `heard` is called with each piece of the answer that comes.
+        `heard` is called with each piece of the answer that comes. Withheld where `wanted` says no ahead of a
+        further piece of the body.
         """
         try:
             await self._stream.write(encode_request(request))
             if rest is not None:
-                early = await self._write_rest(request, rest, answers)
+                early = await self._write_rest(request, rest, answers, wanted)
                 if early is not None:
                     return early
         except StreamClosedError as error:
@@ -137,13 +143,15 @@
                 return last
         return answer
 
-    async def _write_rest(self, request: Request, rest: Body, answers: AnswerReader) -> Answer | None:
+    async def _write_rest(
+        self, request: Request, rest: Body, answers: AnswerReader, wanted: Callable[[], bool]
+    ) -> Answer | None:
         """The body's pieces; the answer, if one comes before the body's end, which ends the writing."""
         reading = self.start_reading()
         step: asyncio.Task[bool] | None = None
         try:
             while True:
-                step = step or asyncio.create_task(self._write_piece(request, rest))
+                step = step or asyncio.create_task(self._write_piece(request, rest, wanted))
                 either: set[asyncio.Future[Any]] = {step, reading}
                 await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
                 if step.done():
@@ -165,9 +173,12 @@
                 with suppress(asyncio.CancelledError, StreamClosedError):
                     await step
 
-    async def _write_piece(self, request: Request, rest: Body) -> bool:
+    async def _write_piece(self, request: Request, rest: Body, wanted: Callable[[], bool]) -> bool:
         piece = await rest.get()
         out = encode_piece(piece, request.length) if piece else encode_end(request.length)
+        if out and not wanted():
+            # Guards against a request that becomes whole at a server after its caller has gone.
+            raise Withheld("no longer wanted")
         if out:
             await self._stream.write(out)
         return bool(piece)
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -87,6 +87,7 @@
         self._upload = upload
         self._left = left  # s until the node itself ends
         self._rights = rights  # under limits of the whole fleet; whoever took the job gives them back
+        self._there: Callable[[], bool] = lambda: True
         self._downloads: dict[int, Download] = {}
         self._after: asyncio.Task[None] | None = None
         self._limit: asyncio.Timeout | None = None
@@ -96,8 +97,12 @@
         self._answer_within = max(0.0, ask.time_left) + LOST_AFTER
         self._ticket = decider.take(ask)
 
-    async def answer(self) -> Answer | Download | None:
-        """The final answer, whole or as it comes; None once the caller has gone."""
+    async def answer(self, there: Callable[[], bool] = lambda: True) -> Answer | Download | None:
+        """The final answer, whole or as it comes; None once the caller has gone.
+
+        `there` looks whether the caller is, whatever was heard of it so far.
+        """
+        self._there = there
         try:
             waits = self._upload is not None and not self._upload.ended
             async with asyncio.timeout(None if waits else self._answer_within) as self._limit:
@@ -160,6 +165,15 @@
         except Exception as error:
             self._counters.add_failure("job failed in the node", error)
 
+    def _wanted(self, dispatch: int) -> bool:
+        """Asked at the very writing: orders may wait to be picked, and the caller's end to be read."""
+        if not self._decider.stands(self._ticket, dispatch):
+            return False
+        there = self._there()
+        if not there:
+            self.withdraw()
+        return there
+
     def _send(self, order: Send) -> None:
         self._counters.add("dispatches_first" if order.dispatch == 0 else "dispatches_again")
         rights = self._rights
@@ -170,6 +184,7 @@
             self._upload,
             partial(self._begun, order.dispatch),
             partial(rights.write, order.dispatch) if rights is not None else None,
+            partial(self._wanted, order.dispatch),
         )
         task = asyncio.create_task(work)
         self._tasks[order.dispatch] = task
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -17,7 +17,7 @@
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Load, Result
 from notchjunction.net import words
-from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent
+from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent, Withheld
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.relay import Download, Streams, Upload
@@ -33,10 +33,6 @@
 PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
 
 
-class NoRight(NotSent):
-    """A limit that holds for the whole fleet has no right left for it."""
-
-
 @dataclass(frozen=True, slots=True)
 class Exchanged:
     ended: Ended
@@ -105,10 +101,12 @@
         rest: Upload | None = None,
         begun: Callable[[Download], None] | None = None,
         may_write: Callable[[float], bool] | None = None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Exchanged:
         """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer.
 
-        `may_write` is asked at the very writing, with the time that the server is told (s).
+        At the very writing `wanted` is asked whether it is still to be sent, again with each piece of `rest`,
+        and `may_write` whether limits let it, with the time that the server is told (s).
         """
         if rest is not None and rest.spent:
             # Guards against a body without its middle: what was sent on before is not kept.
@@ -119,7 +117,7 @@
         }
         headers[words.TIME_LEFT] = str(max(1, int(within * 1000)))
         onward = replace(request, headers=headers)
-        exchanged = await self._exchange(server, onward, within, rest, begun, may_write)
+        exchanged = await self._exchange(server, onward, within, rest, begun, may_write, wanted)
         return replace(exchanged, ended=replace(exchanged.ended, spent=rest is not None and rest.spent))
 
     async def probe(self, server: str) -> Ended:
@@ -153,10 +151,11 @@
         rest: Upload | None = None,
         begun: Callable[[Download], None] | None = None,
         may_write: Callable[[float], bool] | None = None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Exchanged:
         began = self._clock()
         connection: Connection | None = None
-        written = keep = False
+        writing = written = keep = False
         answer: Answer | None = None
         answers = AnswerReader(large_most=BODY_MOST if begun is None else LARGE_MOST)
         first_after: float | None = None
@@ -173,9 +172,15 @@
             # A body under way is bounded by its caller's pace; the wait for the answer counts from its end.
             async with asyncio.timeout(None if rest is not None else within) as limit:
                 connection = await self._connected(server, kept=self._may_be_kept(request))
-                if may_write is not None and not may_write(within):
-                    raise NoRight
-                answer = await connection.exchange(request, answers, rest, all_written)
+                # From here to the first byte nothing else runs, so this is the one place that looks again.
+                # Guards against a request to a server that the list has dropped while the connection came up,
+                # and for a caller that has gone or has its answer meanwhile.
+                if not self._current(server, connection):
+                    raise NotSent("no longer in the list")
+                if not wanted() or (may_write is not None and not may_write(within)):
+                    raise Withheld("not to be written")
+                writing = True
+                answer = await connection.exchange(request, answers, rest, all_written, wanted=wanted)
             result = read_result(answer)
             keep = answer.keep
             if answer.more and result is Result.HONOURED and begun is not None:
@@ -184,8 +189,8 @@
                 begun(download)
                 await download.ended
                 keep = answers.kept() and not download.moved
-        except NoRight:
-            result, keep = Result.NEVER_SENT, True
+        except Withheld:
+            result, keep = Result.NEVER_SENT, not writing
         except NoDescriptor:
             result = Result.NEVER_SENT
         except NotSent:
@@ -243,9 +248,6 @@
         try:
             async with asyncio.timeout(self._connect_within):
                 await connection.open()
-            # Guards against a request to a server that the list has dropped while the connection came up.
-            if not self._current(server, connection):
-                raise NotSent("no longer in the list")
         except TimeoutError as error:
             self._close(connection)
             raise NotSent("connecting took too long") from error
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -259,6 +259,36 @@
             return await self._reader.read() == b""
 
 
+class RawClient:
+    """A caller whose bytes and end are in the operating system's hands before the loop runs again."""
+
+    def __init__(self, address: Address) -> None:
+        Client.opened += 1
+        self._job_id = 1000 * Client.opened
+        self.socket = socket.create_connection(address)
+
+    def ask(self, body: bytes = b"", method: str = "GET", length: int | None = None) -> None:
+        """A request; of a body that is longer than what is given, the rest is sent by `more`."""
+        self._job_id += 1
+        framing = f"Content-Length: {length or len(body)}\r\n" if body else ""
+        head = f"{method} /api HTTP/1.1\r\nHost: app\r\nReq-Id: {self._job_id}\r\nReq-Kind: plain\r\n"
+        self.more(f"{head}Req-Deadline-Ms: 2000\r\n{framing}\r\n".encode() + body)
+
+    def more(self, text: bytes) -> None:
+        # Guards against waiting here for a node that reads in the same thread.
+        self.socket.setblocking(False)
+        assert self.socket.send(text) == len(text)
+
+    def go(self, how: str) -> None:
+        """Ends the connection: "close" and "half" with an end, of both ways or one; "reset" with a reset."""
+        if how == "half":
+            self.socket.shutdown(socket.SHUT_WR)
+            return
+        if how == "reset":
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+
 def free_address() -> Address:
     with socket.socket() as free:
         free.bind(("127.0.0.1", 0))
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -2,10 +2,163 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from notchjunction.decider import Stop, TurnBack, WriteOff
+from notchjunction.http1.messages import BODY_MOST
 from notchjunction.interface import Result
-from tests.helpers import Peer
+from notchjunction.net.connections import Address, Connection
+from notchjunction.net.node import Node
+from notchjunction.net.servers import Servers
+from tests.helpers import FULL, Client, Peer, RawClient, running
+from tests.test_large import Talk, served
 from tests.test_net import JOB, Dispatches, run
 
+BODY = b"x" * (BODY_MOST + 10_000)  # more than is whole before it goes on
+
+GOING = ["close", "reset", "half"]
+
+
+def at_the_writing(monkeypatch: pytest.MonkeyPatch, which: int, happens: Callable[[], object]) -> None:
+    """Lets something happen between finding a connection for that dispatch and writing to it.
+
+    The loop does not run in between: what it would have told is in the operating system's hands only.
+    """
+    found, calls = Servers._connected, 0
+
+    async def hooked(self: Servers, *args: Any, **kept: Any) -> Connection:
+        nonlocal calls
+        connection = await found(self, *args, **kept)
+        calls += 1
+        if calls == which:
+            happens()
+        return connection
+
+    monkeypatch.setattr(Servers, "_connected", hooked)
+
+
+async def withdrawn(node: Node, count: int = 1) -> dict[str, float]:
+    """The counters once so many jobs were withdrawn and nothing is left of any."""
+    async with asyncio.timeout(5):
+        while (figures := node.counters.read()).get("withdrawn", 0) < count or figures["jobs_kept"]:
+            assert not figures.get("answered_turned_back") and not figures.get("answered_written_off")
+            await asyncio.sleep(0.001)
+    assert figures["held"] == 0 and not figures.get("failures")
+    return figures
+
+
+async def warm(address: Address, jobs: int = 1) -> None:
+    """Leaves connections to servers that are kept."""
+    client = await Client().open(address)
+    for _ in range(jobs):
+        client.ask()
+        assert (await client.answer()).status == 200
+    client.writer.close()
+
+
+@pytest.mark.parametrize("ahead", [0, 1])
+@pytest.mark.parametrize("how", GOING)
+def test_of_a_caller_whose_end_came_with_its_requests_none_is_sent_on(how: str, ahead: int) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            await warm(address)
+            # All of it before the loop runs again: the node finds request and end side by side.
+            client = RawClient(address)
+            for _ in range(1 + ahead):
+                client.ask()
+            client.go(how)
+            await withdrawn(node)
+            assert len(peer.requests) == 1 and peer.connections == 1
+            await warm(address)
+            assert len(peer.requests) == 2 and peer.connections == 1  # what was not written on is kept
+
+    run(story())
+
+
+@pytest.mark.parametrize("ahead", [0, 1, 300])  # requests that stand unread before the end
+@pytest.mark.parametrize("how", GOING)
+@pytest.mark.parametrize("kept", [False, True])
+def test_a_caller_that_goes_at_the_very_writing_is_not_sent_on(
+    kept: bool, how: str, ahead: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            if kept:
+                await warm(address)
+            client = RawClient(address)
+
+            def goes() -> None:
+                for _ in range(ahead):
+                    client.ask()
+                client.go(how)
+
+            at_the_writing(monkeypatch, 1, goes)
+            client.ask()
+            figures = await withdrawn(node)
+            assert len(peer.requests) == kept and figures["dispatches_first"] == 1 + kept
+
+    run(story())
+
+
+@pytest.mark.parametrize("how", GOING)
+def test_a_caller_that_goes_before_a_further_dispatch_is_not_sent_on_again(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as first, Peer() as second, running(first, second, depths=2) as (node, address):
+            await warm(address, 10)  # for the budget of retries
+            first.reply, first.requests = FULL, []
+            second.reply, second.requests = FULL, []
+            client = RawClient(address)
+            at_the_writing(monkeypatch, 2, lambda: client.go(how))
+            client.ask()
+            figures = await withdrawn(node)
+            assert len(first.requests) + len(second.requests) == 1
+            assert figures["dispatches_again"] == 1 and figures["dispatches_never_sent"] == 1
+
+    run(story())
+
+
+def test_a_job_that_is_withdrawn_at_the_very_writing_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            client = RawClient(address)
+
+            def withdraw() -> None:
+                (caller,) = node._callers._callers
+                assert caller._job is not None
+                caller._job.withdraw()
+
+            at_the_writing(monkeypatch, 1, withdraw)
+            client.ask()
+            await withdrawn(node)
+            assert not peer.requests
+
+    run(story())
+
+
+@pytest.mark.parametrize("order", [TurnBack(0.0), WriteOff(), Stop(0)])
+def test_a_dispatch_that_is_no_longer_wanted_at_the_very_writing_is_not_written(
+    order: TurnBack | WriteOff | Stop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as first, Peer() as second, running(first, second, depths=2) as (node, address):
+            await warm(address, 10)  # for the budget of retries
+            client = await Client().open(address)
+            at_the_writing(monkeypatch, 1, lambda: node._decider._order(11, order))
+            client.ask()
+            status = (await client.answer()).status
+            assert status == (502 if isinstance(order, WriteOff) else 503)
+            figures = node.counters.read()
+            assert figures["dispatches_first"] == 11 and figures["dispatches_never_sent"] == 1
+            assert len(first.requests) + len(second.requests) == 10
+
+    run(story())
+
 
 def test_a_connection_that_nothing_was_written_on_stays_fit() -> None:
     async def story() -> None:
@@ -18,3 +171,53 @@
             assert len(peer.requests) == 2 and peer.connections == 1
 
     run(story())
+
+
+def test_a_body_does_not_become_whole_at_a_server_once_its_caller_has_gone() -> None:
+    async def story() -> None:
+        whole: list[bytes] = []
+
+        async def reads(talk: Talk) -> None:
+            whole.append((await talk.request())[1])
+
+        async with served(reads) as (node, address, (peer,)):
+            client = RawClient(address)
+            client.ask(BODY, "POST", length=len(BODY) + 10)
+            while not peer.connections:
+                await asyncio.sleep(0.001)
+            (caller,) = node._callers._callers
+            while caller._requests.body_come < len(BODY):
+                await asyncio.sleep(0.001)
+            # Its last bytes and its end come side by side.
+            client.more(b"y" * 10)
+            client.go("close")
+            await withdrawn(node)
+            await peer.gone.wait()
+            assert not whole
+
+    run(story())
+
+
+@pytest.mark.parametrize("how", GOING)
+def test_a_caller_that_goes_before_its_large_body_is_written_is_not_sent_on(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        begun: list[bytes] = []
+
+        async def reads(talk: Talk) -> None:
+            begun.append(await talk.reader.read(1))
+
+        async with served(reads) as (node, address, _):
+            client = RawClient(address)
+
+            def goes() -> None:
+                client.more(BODY[:10])
+                client.go(how)
+
+            at_the_writing(monkeypatch, 1, goes)
+            client.ask(BODY, "POST", length=len(BODY) + 10)
+            await withdrawn(node)
+            assert begun in ([], [b""])
+
+    run(story())
