A caller's end is noticed however much it sent ahead, and while its body waits for room

Seen: a caller that sent 64 KiB or more ahead while its request waited, and then left, was not seen to go; its job ran on to its time, further dispatches included. The same where its body waited for a server to take it.

Cause: `Caller._answer` read on only while under 64 KiB stood unread, and not at all in `upload.room()`; the end stands behind the bytes. Ruled out: leaving them unread and asking the system for the end. With the receive window full the caller's end never arrives, so only reading on tells.

Change: it is read on. 128 KiB at most are kept (the most that could be held before); what comes after is thrown away, requests that were kept whole are served, and then the caller is told 413 and the connection ends. Who sends over 1 MiB more is told so at once, and its job withdrawn. A caller of the protocol sends one request at a time and meets neither. While a body has no room, the caller's socket is looked at 20 times a second.

Two places that wait unread need no guard of their own, as the look at the very writing serves them: rights of the fleet, and the writing of the answer before. Their stories are added.

tests/test_gone.py: the four stories of much sent ahead failed without the change (the job was turned back at its time's end), as did the one of a body with no room (nothing within 5 s); all pass with it. The two stories of the new bounds failed as well, there having been none. The two of the places just named fail without the look at the writing (a request too many at the server).

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -47,6 +47,10 @@
 
 MOVE_PAUSE = 0.02  # s until an answer that could not move yet is tried again
 
+AHEAD_MOST = 2 * PIECE  # bytes kept of what comes ahead of an answer: a whole message and some of the next
+THROWN_MOST = 1024 * 1024  # bytes past those that are thrown away; whoever sends more ahead only costs
+LOOK_EVERY = 0.05  # s after which it is looked whether a caller is there whose next bytes have no room
+
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what tells of an end behind unread bytes
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -274,6 +278,7 @@
         self._queued = 0  # bytes written so far, whether or not the operating system has taken them
         self._stays = False  # whether its answer can't move to another process
         self._at_fault = False  # sent what is no job: nothing more of it is read
+        self._thrown = 0  # bytes sent too far ahead, thrown away; what comes after them makes no sense
         self._discards = False  # has its answer; the rest of its body is read
         self._turned_back = False  # as the node ends before its body is whole
         callers.silent[self] = self._came_at
@@ -364,6 +369,8 @@
         """The next whole request; None when the caller has sent nothing for too long."""
         late = False
         while (request := self._requests.next()) is None:
+            if self._thrown:
+                raise Malformed(413, "too much sent ahead")
             if late and self._requests.begun:
                 raise Malformed(408, "request too slow")
             if late:
@@ -453,11 +460,18 @@
                         error = self._bad(408)
                 else:
                     room = asyncio.create_task(upload.room())
-                    await asyncio.wait({work, room}, return_when=asyncio.FIRST_COMPLETED)
+                    await asyncio.wait(
+                        {work, room}, timeout=LOOK_EVERY, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    full = not room.done()
                     room.cancel()
+                    # Guards against a caller that goes unheard while its server takes nothing.
+                    if full and not work.done() and not self._there():
+                        job.withdraw()
+                        break
             else:
-                if self._requests.unread < PIECE:  # bounds what a caller can send ahead
-                    waiting.add(self._read())
+                # However much was sent ahead: the end stands behind it.
+                waiting.add(self._read())
                 await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
             if self._has_read() and not work.done():
                 try:
@@ -466,6 +480,8 @@
                         upload.put(*self._requests.piece())
                         if upload.ended:
                             job.whole()
+                    if self._thrown > THROWN_MOST:
+                        error = self._bad(413)
                 except StreamClosedError:
                     job.withdraw()
                     break
@@ -693,7 +709,11 @@
             if self in self._callers.idle:
                 self._due = now + HEAD_WITHIN
             self._stir()
-        self._requests.feed(piece)
+        # Guards against memory that grows with what a caller sends ahead, which is read on for its end.
+        if self._thrown or (self._busy and self._requests.unread + len(piece) > AHEAD_MOST):
+            self._thrown += len(piece)
+        else:
+            self._requests.feed(piece)
 
     def _bad(self, status: int) -> Answer:
         """An error that the caller made: said once, and the connection is not used further."""
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -8,15 +8,17 @@
 
 import pytest
 
-from notchjunction.decider import Stop, TurnBack, WriteOff
+from notchjunction.decider import Ask, Stop, TurnBack, WriteOff
 from notchjunction.http1.messages import BODY_MOST
 from notchjunction.interface import Result
-from notchjunction.net.connections import Address, Connection
+from notchjunction.net import callers
+from notchjunction.net.callers import Caller
+from notchjunction.net.connections import PIECE, Address, Connection
 from notchjunction.net.node import Node
 from notchjunction.net.servers import Servers
-from tests.helpers import FULL, Client, Peer, RawClient, running
+from tests.helpers import FULL, OK, SILENT, Client, Peer, RawClient, running
 from tests.test_large import Talk, served
-from tests.test_net import JOB, Dispatches, run
+from tests.test_net import JOB, Dispatches, hanging, run
 
 BODY = b"x" * (BODY_MOST + 10_000)  # more than is whole before it goes on
 
@@ -221,3 +223,140 @@
             assert begun in ([], [b""])
 
     run(story())
+
+
+async def waiting(node: Node, address: Address, peer: Peer) -> tuple[Client, Caller]:
+    """A caller whose one request is at its server."""
+    client = await Client().open(address)
+    client.ask()
+    await peer.asked.wait()
+    (caller,) = node._callers._callers
+    return client, caller
+
+
+def send_ahead(client: Client, least: int) -> int:
+    """Whole requests of so many bytes; how many they are."""
+    count = -(-least // 8000)
+    for _ in range(count):
+        client.ask(extra="X: " + "x" * 8000 + "\r\n")
+    return count
+
+
+@pytest.mark.parametrize("bulk", [PIECE, 6 * PIECE])  # bytes sent ahead while the first request waits
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_caller_that_sends_much_ahead_and_goes_is_seen_to_go(how: str, bulk: int) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, caller = await waiting(node, address, peer)
+            send_ahead(client, bulk)
+            # Whatever the node kept of it so far is in before the end comes.
+            while caller._requests.unread < PIECE:
+                await asyncio.sleep(0.001)
+            client.writer.close() if how == "close" else client.writer.transport.abort()
+            figures = await withdrawn(node)
+            assert figures["dispatches_first"] == 1 and len(peer.requests) == 1
+
+    run(story())
+
+
+def test_what_is_sent_far_ahead_is_kept_in_bounds_and_what_was_not_kept_is_told_so() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, caller = await waiting(node, address, peer)
+            count, most = send_ahead(client, 6 * PIECE), 0
+            while not caller._thrown:
+                await asyncio.sleep(0)
+                most = max(most, caller._requests.unread)
+            assert PIECE < most <= callers.AHEAD_MOST
+            peer.reply = OK
+            peer.go_on.set()
+            statuses = []
+            while (status := (await client.answer()).status) == 200:
+                statuses.append(status)
+            assert status == 413 and await client.closed()
+            assert PIECE // 9000 < len(statuses) == len(peer.requests) < count
+
+    run(story())
+
+
+def test_a_caller_that_never_stops_sending_ahead_is_refused_and_its_job_withdrawn() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, _ = await waiting(node, address, peer)
+            send_ahead(client, 2 * callers.THROWN_MOST)
+            assert (await client.answer()).status == 413
+            await withdrawn(node)
+            assert len(peer.requests) == 1
+
+    run(story())
+
+
+def test_a_caller_that_goes_while_its_body_waits_for_room_is_seen_to_go(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Connection, "open", hanging)  # so that nothing of the body is taken
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            node._servers._connect_within = 10.0  # s, over what the story waits
+            client = RawClient(address)
+            client.ask(BODY[:1000], "POST", length=10 * len(BODY))
+            while not node._callers._callers:
+                await asyncio.sleep(0.001)
+            (caller,) = node._callers._callers
+            while (upload := caller._upload) is None or upload.wants_more():
+                seen = caller._requests.body_come
+                client.more(BODY[:8000])
+                while caller._requests.body_come == seen:
+                    await asyncio.sleep(0.001)
+            client.more(BODY[:8000])  # for which there is no room
+            client.go("close")
+            await withdrawn(node)
+
+    run(story())
+
+
+def test_a_caller_that_goes_while_it_waits_for_rights_is_not_sent_on() -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            await warm(address)
+            asked, given = asyncio.Event(), asyncio.Event()
+
+            async def admit(ask: Ask) -> tuple[None, Ask]:
+                asked.set()
+                await given.wait()
+                return None, ask
+
+            node._callers.admit = admit
+            client = RawClient(address)
+            client.ask()
+            await asked.wait()
+            client.go("close")
+            given.set()
+            await withdrawn(node)
+            assert len(peer.requests) == 1
+
+    run(story())
+
+
+def test_a_caller_that_goes_while_its_answer_is_written_has_its_next_request_not_sent_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    write = Caller._write
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            await warm(address)
+            client = RawClient(address)
+
+            async def goes(self: Caller, wire: bytes) -> None:
+                await write(self, wire)
+                client.go("close")
+
+            monkeypatch.setattr(Caller, "_write", goes)
+            client.ask()
+            client.ask()
+            await withdrawn(node)
+            assert len(peer.requests) == 2
+
+    run(story())
