A job whose caller's connection fails in an unusual way is withdrawn, not left to run on

Seen: where the system words the end of a caller's connection as "host unreachable", or where the node itself fails beside a job that waits, the caller is given up and its job goes on alone: dispatches, retries and all.

Cause: a read that fails at once passes an OSError on that the stream counts as no reset, and `read_piece` (connections.py) caught the stream's own error only; `Caller._take` (callers.py) answered for the failure while `job.answer` ran on as a task of nobody's. Ruled out: a reset, an abort, a broken pipe and a timeout of the connection, which the stream turns into its own error (the ECONNRESET story passed before as well), and errors that come with an event rather than at once, which it does too.

Change: every such end reads as an end, on both sides; whatever ends the wait for a job's answer withdraws it.

tests/test_gone.py: "...words_otherwise...[113]" (nothing withdrawn within 5 s) and "...beside_a_job..." (the job was turned back at its time's end) failed without the change and pass with it.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -433,7 +433,12 @@
                 rights, ask = admitted
             job = self._callers.take(ask, request, upload, rights)
             self._job, self._upload = job, upload
-            return job, await self._answer(job, upload)
+            try:
+                return job, await self._answer(job, upload)
+            except BaseException:
+                # Guards against dispatches that go on for a job that nobody waits for.
+                job.withdraw()
+                raise
         except StreamClosedError:
             raise
         except Exception as error:
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -27,10 +27,12 @@
     stream.read_chunk_size = min(most, PIECE)
     try:
         return asyncio.ensure_future(stream.read_bytes(most, partial=True))
-    except StreamClosedError as error:
-        # Guards against a peer whose last bytes and end come together: the stream is closed before this read.
+    except OSError as error:
+        # Guards against a peer whose last bytes and end come together: the stream is closed before this read;
+        # and against an end that the stream passes on as the operating system words it (host unreachable).
         ended: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        ended.set_exception(error)
+        known = isinstance(error, StreamClosedError)
+        ended.set_exception(error if known else StreamClosedError(real_error=error))
         ended.exception()  # seen: an end is no failure by itself
         return ended
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 from typing import Any
 
@@ -360,3 +361,48 @@
             assert len(peer.requests) == 2
 
     run(story())
+
+
+@pytest.mark.parametrize("error", [errno.EHOSTUNREACH, errno.ECONNRESET])
+def test_an_end_that_the_system_words_otherwise_withdraws_the_job_too(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            taken = node._callers.take
+
+            def take(*args: Any) -> Any:
+                # From the moment that the job is there, each read of its caller's bytes fails.
+                (caller,) = node._callers._callers
+                monkeypatch.setattr(caller._stream, "read_from_fd", fails)
+                return taken(*args)
+
+            def fails(_: object) -> int:
+                raise OSError(error, "gone")
+
+            monkeypatch.setattr(node._callers, "take", take)
+            client = RawClient(address)
+            client.ask()
+            await withdrawn(node)
+
+    run(story())
+
+
+def test_a_failure_of_the_node_itself_beside_a_job_leaves_no_dispatch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def broken(_: object) -> None:
+        raise RuntimeError("own")
+
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, _ = await waiting(node, address, peer)
+            monkeypatch.setattr(Caller, "_feed", broken)
+            client.ask()
+            assert (await client.answer()).status == 500
+            while (figures := node.counters.read())["jobs_kept"]:
+                await asyncio.sleep(0.001)
+            assert figures["dispatches_recalled"] == 1
+            assert not figures.get("answered_turned_back") and not figures.get("answered_written_off")
+
+    run(story())
