After bytes that nobody asked for, kept connections rest before they are used again

Seen: a second answer that comes some milliseconds late, onto a connection that was used again at once, passes for the next request's answer; half a line spoils it.

Cause: `Servers._connected` (servers.py) takes the newest idle connection, however short it has rested, and `Connection.fit` can look only at what has come by then. No look helps against what comes after the write: nothing in HTTP/1.1 tells it from the answer that is due.

Change: once any server has sent bytes that nobody asked for, for 60 s a kept connection is used again only after 30 ms of rest, else another one or a new one. Until then nothing changes, as new connections cost the servers: the first such answer of a while can still hit, the next ones can't if they come within 30 ms.

tests/test_gone.py::test_after_bytes_to_spare_... failed without the change, with b"late" for b"ok" and with a spoilt answer, and passes with it.

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -84,6 +84,7 @@
         self._reading: asyncio.Future[bytes] | None = None
         self.idle_since = 0.0
         self.kept = False  # whether it has served before
+        self._strayed: Callable[[], None] | None = None  # to be told, while it stands idle
         self.lived: float | None = None  # s that it stood idle until the other side ended it
         if opened is not None:
             self._stream = IOStream(opened, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
@@ -118,6 +119,7 @@
         `heard` is called with each piece of the answer that comes. Withheld where `wanted` says no ahead of a
         further piece of the body.
         """
+        self._strayed = None
         try:
             await self._stream.write(encode_request(request))
             if rest is not None:
@@ -210,26 +212,41 @@
         except StreamClosedError:
             return None
 
-    def rest(self, now: float) -> None:
-        """Stands idle from now on; a read goes on, so that an end is noticed."""
+    def rest(self, now: float, strayed: Callable[[], None] = lambda: None) -> None:
+        """Stands idle from now on; a read goes on, so that an end is noticed.
+
+        `strayed` is called where bytes come that nobody asked for.
+        """
         if self._reading is not None:
             return  # nothing was written since it last stood idle: to the other side it never ceased to
         self.idle_since = now
         self.kept = True
         self._reading = read_piece(self._stream)
+        self._strayed = strayed
         self._reading.add_done_callback(partial(self._rested, asyncio.get_running_loop().time()))
 
     def _rested(self, began: float, reading: asyncio.Future[bytes]) -> None:
         """Notes an end; one in the midst of an exchange, or of our own, is never asked for."""
-        if not reading.cancelled() and reading.exception():
+        if reading.cancelled():
+            return
+        if not reading.exception():
+            self._stray()
+        else:
             self.lived = asyncio.get_running_loop().time() - began
 
+    def _stray(self) -> None:
+        """Bytes have come; once, and not where they answer the next request."""
+        strayed, self._strayed = self._strayed, None
+        if strayed is not None:
+            strayed()
+
     def fit(self) -> bool:
         """Whether a request may be written: open, and nothing unread. Guards against resets at reuse."""
         if self._stream.closed() or self._reading is None or self._reading.done():
             return False
         try:
-            self._stream.socket.recv(1, socket.MSG_PEEK)
+            if self._stream.socket.recv(1, socket.MSG_PEEK):
+                self._stray()
         except BlockingIOError:
             return True
         except OSError:
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -30,6 +30,8 @@
 LIVES_LEAST = 3  # of them; fewer are chance
 LIVES_SPAN = 60.0  # s that they count; then the settings hold again, as the server may have changed
 DOUBT_SPAN = 10.0  # s after a kept connection was reset in which what may run once only is not put on one
+STRAY_SPAN = 60.0  # s after bytes that nobody asked for in which kept connections have to rest first
+SETTLED = 0.03  # s of rest; a second answer that is to come has come by then
 PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
 
 
@@ -76,7 +78,7 @@
         self._counters = counters
         self._addresses: dict[str, Address] = {}
         self._idle: dict[str, deque[Connection]] = {}
-        self._reset_at = -math.inf
+        self._reset_at = self._stray_at = -math.inf
         self._lives: dict[str, deque[tuple[float, float]]] = {}
         counters.gauge("connections_idle", lambda: sum(len(kept) for kept in self._idle.values()))
         counters.gauge("servers_known", lambda: len(self._addresses))
@@ -181,6 +183,8 @@
                     raise Withheld("not to be written")
                 writing = True
                 answer = await connection.exchange(request, answers, rest, all_written, wanted=wanted)
+            if answers.unread and not answer.more:
+                self._strayed()
             result = read_result(answer)
             keep = answer.keep
             if answer.more and result is Result.HONOURED and begun is not None:
@@ -233,12 +237,22 @@
         if address is None:
             raise NotSent("no longer in the list")
         idle = self._idle.get(server, deque()) if kept else deque()
-        while idle:
+        doubt = self._clock() - self._stray_at < STRAY_SPAN
+        unsettled: deque[Connection] = deque()
+        found: Connection | None = None
+        while idle and found is None:
             connection = idle.pop()
-            if self._fit(server, connection):
-                return connection
-            self._counters.add("connections_found_unfit")
-            self._close_idle(server, connection)
+            if not self._fit(server, connection):
+                self._counters.add("connections_found_unfit")
+                self._close_idle(server, connection)
+            elif doubt and connection.idle_since > self._clock() - SETTLED:
+                # Guards against a second answer that comes late: it would pass for the next request's.
+                unsettled.appendleft(connection)
+            else:
+                found = connection
+        idle.extend(unsettled)
+        if found is not None:
+            return found
         if self._descriptors.full() and not self.close_oldest() and not self._spare_one():
             self._counters.add("descriptors_short")
             raise NoDescriptor
@@ -256,6 +270,11 @@
             raise
         return connection
 
+    def _strayed(self) -> None:
+        """Some server sends what nobody asked for: where one does, more is to be expected of all."""
+        self._counters.add("answers_strayed")
+        self._stray_at = self._clock()
+
     def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
         for server, kept in list(self._idle.items()):
             for connection in list(kept):
@@ -287,7 +306,7 @@
 
     def _give_back(self, server: str, connection: Connection, keep: bool) -> None:
         if keep and self._current(server, connection):
-            connection.rest(self._clock())
+            connection.rest(self._clock(), self._strayed)
             self._idle.setdefault(server, deque()).append(connection)
         else:
             self._close(connection)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -16,7 +16,7 @@
 from notchjunction.net.callers import Caller
 from notchjunction.net.connections import PIECE, Address, Connection
 from notchjunction.net.node import Node
-from notchjunction.net.servers import Servers
+from notchjunction.net.servers import SETTLED, STRAY_SPAN, Servers
 from tests.helpers import FULL, OK, SILENT, Client, Peer, RawClient, running
 from tests.test_large import Talk, served
 from tests.test_net import JOB, Dispatches, hanging, run
@@ -406,3 +406,42 @@
             assert not figures.get("answered_turned_back") and not figures.get("answered_written_off")
 
     run(story())
+
+
+LATE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+
+
+@pytest.mark.parametrize("spare", [LATE, LATE[:9]])  # a second answer, half a line
+def test_after_bytes_to_spare_a_connection_is_used_again_only_once_it_has_rested(
+    spare: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            dispatches = Dispatches(peer)
+
+            async def send() -> bytes:
+                exchanged = await dispatches.send()
+                assert exchanged.ended.result is Result.HONOURED and exchanged.answer is not None
+                return exchanged.answer.body
+
+            # Spare bytes that come while the connection rests: it is not used again, and all are in doubt.
+            assert await send() == b"ok"
+            peer._writers[-1].write(spare)
+            while not dispatches.servers._stray_at > 0:
+                dispatches.clock += 0.001
+                await asyncio.sleep(0)
+            assert await send() == b"ok"
+            assert peer.connections == 2
+            # Now they come in the moment in which the next request is written.
+            at_the_writing(monkeypatch, 1, lambda: peer._writers[1].write(spare))
+            assert await send() == b"ok"
+            assert peer.connections == 3
+            # Once it has rested it is used again, and later on it need not rest.
+            dispatches.clock += SETTLED
+            assert await send() == b"ok" and peer.connections == 3
+            dispatches.clock += STRAY_SPAN
+            for _ in range(3):
+                assert await send() == b"ok"
+            assert peer.connections == 4  # those of before have stood idle for too long
+
+    run(story())
