A body asks whether it is still wanted only once it could become whole

While the caller's last byte is still to come, a further piece makes no request whole, so only what follows that byte is asked for. And a poll that fails tells of no end, rather than failing the dispatch.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -697,7 +697,9 @@
             return False
         poll = select.poll()
         poll.register(self._stream.socket, select.POLLRDHUP)
-        return not any(events & ENDED for _, events in poll.poll(0))
+        with suppress(OSError):
+            return not any(events & ENDED for _, events in poll.poll(0))
+        return True  # nothing tells of an end
 
     def _has_read(self) -> bool:
         return self._reading is not None and self._reading.done()
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -60,6 +60,8 @@
 class Body(Protocol):
     """The rest of a request's body."""
 
+    ended: bool  # whether its last byte has come here
+
     async def get(self) -> bytes: ...
 
 
@@ -116,8 +118,8 @@
         """Writes the request and waits for its answer, whole or, where it is large, its beginning.
 
         `written` is called once the last byte is written; the rest of a body is taken in pieces until then.
-        `heard` is called with each piece of the answer that comes. Withheld where `wanted` says no ahead of a
-        further piece of the body.
+        `heard` is called with each piece of the answer that comes. Withheld where `wanted` says no once the
+        body's last byte has come and is not yet written.
         """
         self._strayed = None
         try:
@@ -180,7 +182,7 @@
     async def _write_piece(self, request: Request, rest: Body, wanted: Callable[[], bool]) -> bool:
         piece = await rest.get()
         out = encode_piece(piece, request.length) if piece else encode_end(request.length)
-        if out and not wanted():
+        if out and rest.ended and not wanted():
             # Guards against a request that becomes whole at a server after its caller has gone.
             raise Withheld("no longer wanted")
         if out:
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -107,8 +107,8 @@
     ) -> Exchanged:
         """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer.
 
-        At the very writing `wanted` is asked whether it is still to be sent, again with each piece of `rest`,
-        and `may_write` whether limits let it, with the time that the server is told (s).
+        At the very writing `wanted` is asked whether it is still to be sent, and again ahead of the last of
+        `rest`; `may_write` whether limits let it, with the time that the server is told (s).
         """
         if rest is not None and rest.spent:
             # Guards against a body without its middle: what was sent on before is not kept.
