--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -27,10 +27,12 @@
     stream.read_chunk_size = min(most, PIECE)
     try:
         return asyncio.ensure_future(stream.read_bytes(most, partial=True))
-    except StreamClosedError as error:
-        # Guards against a peer whose last bytes and end come together: the stream is closed before this read.
+    except OSError as error:
+        # Guards against a peer whose last bytes and end come together: the stream is closed before this read;
+        # and against an end that the stream passes on as the operating system words it (host unreachable).
         ended: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        ended.set_exception(error)
+        known = isinstance(error, StreamClosedError)
+        ended.set_exception(error if known else StreamClosedError(real_error=error))
         ended.exception()  # seen: an end is no failure by itself
         return ended
 
@@ -43,6 +45,10 @@
     """This node had no descriptor left: no fault of the other side."""
 
 
+class Withheld(NotSent):
+    """It was not to be written any more: no fault of the other side."""
+
+
 class Cut(Exception):
     """The connection ended after the request was written and before its answer was whole."""
 
@@ -54,6 +60,8 @@
 class Body(Protocol):
     """The rest of a request's body."""
 
+    ended: bool  # whether its last byte has come here
+
     async def get(self) -> bytes: ...
 
 
@@ -78,6 +86,7 @@
         self._reading: asyncio.Future[bytes] | None = None
         self.idle_since = 0.0
         self.kept = False  # whether it has served before
+        self._strayed: Callable[[], None] | None = None  # to be told, while it stands idle
         self.lived: float | None = None  # s that it stood idle until the other side ended it
         if opened is not None:
             self._stream = IOStream(opened, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
@@ -104,16 +113,19 @@
         rest: Body | None = None,
         written: Callable[[], None] = lambda: None,
         heard: Callable[[], None] = lambda: None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Answer:
         """Writes the request and waits for its answer, whole or, where it is large, its beginning.
 
         `written` is called once the last byte is written; the rest of a body is taken in pieces until then.
-        `heard` is called with each piece of the answer that comes.
+        `heard` is called with each piece of the answer that comes. Withheld where `wanted` says no once the
+        body's last byte has come and is not yet written.
         """
+        self._strayed = None
         try:
             await self._stream.write(encode_request(request))
             if rest is not None:
-                early = await self._write_rest(request, rest, answers)
+                early = await self._write_rest(request, rest, answers, wanted)
                 if early is not None:
                     return early
         except StreamClosedError as error:
@@ -137,13 +149,15 @@
                 return last
         return answer
 
-    async def _write_rest(self, request: Request, rest: Body, answers: AnswerReader) -> Answer | None:
+    async def _write_rest(
+        self, request: Request, rest: Body, answers: AnswerReader, wanted: Callable[[], bool]
+    ) -> Answer | None:
         """The body's pieces; the answer, if one comes before the body's end, which ends the writing."""
         reading = self.start_reading()
         step: asyncio.Task[bool] | None = None
         try:
             while True:
-                step = step or asyncio.create_task(self._write_piece(request, rest))
+                step = step or asyncio.create_task(self._write_piece(request, rest, wanted))
                 either: set[asyncio.Future[Any]] = {step, reading}
                 await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
                 if step.done():
@@ -165,9 +179,12 @@
                 with suppress(asyncio.CancelledError, StreamClosedError):
                     await step
 
-    async def _write_piece(self, request: Request, rest: Body) -> bool:
+    async def _write_piece(self, request: Request, rest: Body, wanted: Callable[[], bool]) -> bool:
         piece = await rest.get()
         out = encode_piece(piece, request.length) if piece else encode_end(request.length)
+        if out and rest.ended and not wanted():
+            # Guards against a request that becomes whole at a server after its caller has gone.
+            raise Withheld("no longer wanted")
         if out:
             await self._stream.write(out)
         return bool(piece)
@@ -197,24 +214,41 @@
         except StreamClosedError:
             return None
 
-    def rest(self, now: float) -> None:
-        """Stands idle from now on; a read goes on, so that an end is noticed."""
+    def rest(self, now: float, strayed: Callable[[], None] = lambda: None) -> None:
+        """Stands idle from now on; a read goes on, so that an end is noticed.
+
+        `strayed` is called where bytes come that nobody asked for.
+        """
+        if self._reading is not None:
+            return  # nothing was written since it last stood idle: to the other side it never ceased to
         self.idle_since = now
         self.kept = True
         self._reading = read_piece(self._stream)
+        self._strayed = strayed
         self._reading.add_done_callback(partial(self._rested, asyncio.get_running_loop().time()))
 
     def _rested(self, began: float, reading: asyncio.Future[bytes]) -> None:
         """Notes an end; one in the midst of an exchange, or of our own, is never asked for."""
-        if not reading.cancelled() and reading.exception():
+        if reading.cancelled():
+            return
+        if not reading.exception():
+            self._stray()
+        else:
             self.lived = asyncio.get_running_loop().time() - began
 
+    def _stray(self) -> None:
+        """Bytes have come; once, and not where they answer the next request."""
+        strayed, self._strayed = self._strayed, None
+        if strayed is not None:
+            strayed()
+
     def fit(self) -> bool:
         """Whether a request may be written: open, and nothing unread. Guards against resets at reuse."""
         if self._stream.closed() or self._reading is None or self._reading.done():
             return False
         try:
-            self._stream.socket.recv(1, socket.MSG_PEEK)
+            if self._stream.socket.recv(1, socket.MSG_PEEK):
+                self._stray()
         except BlockingIOError:
             return True
         except OSError:
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -18,7 +18,7 @@
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Load, Result
 from notchjunction.net import words
-from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent
+from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent, Withheld
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.relay import Download, Streams, Upload
@@ -31,16 +31,14 @@
 LIVES_LEAST = 3  # of them; fewer are chance
 LIVES_SPAN = 60.0  # s that they count; then the settings hold again, as the server may have changed
 DOUBT_SPAN = 10.0  # s after a kept connection was reset in which what may run once only is not put on one
+STRAY_SPAN = 60.0  # s after bytes that nobody asked for in which kept connections have to rest first
+SETTLED = 0.03  # s of rest; a second answer that is to come has come by then
 PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
 REDIAL_SHARE = 0.3  # of the connect time-out after which a second connection is tried beside one not yet up
 LATE_WITHIN = 2.0  # s after which a connection that nobody waits for any more is given up; past most delays
 LATE_MOST = 2  # such connections of a server; more would be the trouble of one that takes none
 
 
-class NoRight(NotSent):
-    """A limit that holds for the whole fleet has no right left for it."""
-
-
 @dataclass(frozen=True, slots=True)
 class Exchanged:
     ended: Ended
@@ -93,7 +91,7 @@
         self._addresses: dict[str, Address] = {}
         self._idle: dict[str, deque[Connection]] = {}
         self._late: dict[str, set[Dial]] = {}
-        self._reset_at = -math.inf
+        self._reset_at = self._stray_at = -math.inf
         self._lives: dict[str, deque[tuple[float, float]]] = {}
         counters.gauge("connections_idle", lambda: sum(len(kept) for kept in self._idle.values()))
         counters.gauge("servers_known", lambda: len(self._addresses))
@@ -118,10 +116,12 @@
         rest: Upload | None = None,
         begun: Callable[[Download], None] | None = None,
         may_write: Callable[[float], bool] | None = None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Exchanged:
         """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer.
 
-        `may_write` is asked at the very writing, with the time that the server is told (s).
+        At the very writing `wanted` is asked whether it is still to be sent, and again ahead of the last of
+        `rest`; `may_write` whether limits let it, with the time that the server is told (s).
         """
         if rest is not None and rest.spent:
             # Guards against a body without its middle: what was sent on before is not kept.
@@ -132,7 +132,7 @@
         }
         headers[words.TIME_LEFT] = str(max(1, int(within * 1000)))
         onward = replace(request, headers=headers)
-        exchanged = await self._exchange(server, onward, within, rest, begun, may_write)
+        exchanged = await self._exchange(server, onward, within, rest, begun, may_write, wanted)
         return replace(exchanged, ended=replace(exchanged.ended, spent=rest is not None and rest.spent))
 
     async def probe(self, server: str) -> Ended:
@@ -168,10 +168,11 @@
         rest: Upload | None = None,
         begun: Callable[[Download], None] | None = None,
         may_write: Callable[[float], bool] | None = None,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Exchanged:
         began = self._clock()
         connection: Connection | None = None
-        written = keep = False
+        writing = written = keep = False
         answer: Answer | None = None
         answers = AnswerReader(large_most=BODY_MOST if begun is None else LARGE_MOST)
         first_after: float | None = None
@@ -188,9 +189,17 @@
             # A body under way is bounded by its caller's pace; the wait for the answer counts from its end.
             async with asyncio.timeout(None if rest is not None else within) as limit:
                 connection = await self._connected(server, kept=self._may_be_kept(request))
-                if may_write is not None and not may_write(within):
-                    raise NoRight
-                answer = await connection.exchange(request, answers, rest, all_written)
+                # From here to the first byte nothing else runs, so this is the one place that looks again.
+                # Guards against a request to a server that the list has dropped while the connection came up,
+                # and for a caller that has gone or has its answer meanwhile.
+                if not self._current(server, connection):
+                    raise NotSent("no longer in the list")
+                if not wanted() or (may_write is not None and not may_write(within)):
+                    raise Withheld("not to be written")
+                writing = True
+                answer = await connection.exchange(request, answers, rest, all_written, wanted=wanted)
+            if answers.unread and not answer.more:
+                self._strayed()
             result = read_result(answer)
             keep = answer.keep
             if answer.more and result is Result.HONOURED and begun is not None:
@@ -199,8 +208,8 @@
                 begun(download)
                 await download.ended
                 keep = answers.kept() and not download.moved
-        except NoRight:
-            result, keep = Result.NEVER_SENT, True
+        except Withheld:
+            result, keep = Result.NEVER_SENT, not writing
         except NoDescriptor:
             result = Result.NEVER_SENT
         except NotSent:
@@ -243,21 +252,26 @@
         if address is None:
             raise NotSent("no longer in the list")
         idle = self._idle.get(server, deque()) if kept else deque()
-        while idle:
+        doubt = self._clock() - self._stray_at < STRAY_SPAN
+        unsettled: deque[Connection] = deque()
+        found: Connection | None = None
+        while idle and found is None:
             connection = idle.pop()
-            if self._fit(server, connection):
-                return connection
-            self._counters.add("connections_found_unfit")
-            self._close_idle(server, connection)
+            if not self._fit(server, connection):
+                self._counters.add("connections_found_unfit")
+                self._close_idle(server, connection)
+            elif doubt and connection.idle_since > self._clock() - SETTLED:
+                # Guards against a second answer that comes late: it would pass for the next request's.
+                unsettled.appendleft(connection)
+            else:
+                found = connection
+        idle.extend(unsettled)
+        if found is not None:
+            return found
         if self._descriptors.full() and not self.close_oldest() and not self._spare_one():
             self._counters.add("descriptors_short")
             raise NoDescriptor
-        connection = await self._dialled(server, address)
-        # Guards against a request to a server that the list has dropped while the connection came up.
-        if not self._current(server, connection):
-            self._close(connection)
-            raise NotSent("no longer in the list")
-        return connection
+        return await self._dialled(server, address)
 
     async def _dialled(self, server: str, address: Address) -> Connection:
         """A new connection, or the first of two to come up; the other one may still serve a later request."""
@@ -311,6 +325,11 @@
         up = not dial.up.cancelled() and dial.up.exception() is None
         self._give_back(server, dial.connection, keep=up)
 
+    def _strayed(self) -> None:
+        """Some server sends what nobody asked for: where one does, more is to be expected of all."""
+        self._counters.add("answers_strayed")
+        self._stray_at = self._clock()
+
     def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
         for server, kept in list(self._idle.items()):
             for connection in list(kept):
@@ -342,7 +361,7 @@
 
     def _give_back(self, server: str, connection: Connection, keep: bool) -> None:
         if keep and self._current(server, connection):
-            connection.rest(self._clock())
+            connection.rest(self._clock(), self._strayed)
             self._idle.setdefault(server, deque()).append(connection)
         else:
             self._close(connection)
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,447 @@
+"""A caller that closes or cancels has gone: whatever moment it chooses, nothing more is sent on for it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from notchjunction.decider import Ask, Stop, TurnBack, WriteOff
+from notchjunction.http1.messages import BODY_MOST
+from notchjunction.interface import Result
+from notchjunction.net import callers
+from notchjunction.net.callers import Caller
+from notchjunction.net.connections import PIECE, Address, Connection
+from notchjunction.net.node import Node
+from notchjunction.net.servers import SETTLED, STRAY_SPAN, Servers
+from tests.helpers import FULL, OK, SILENT, Client, Peer, RawClient, running
+from tests.test_large import Talk, served
+from tests.test_net import JOB, Dispatches, hanging, run
+
+BODY = b"x" * (BODY_MOST + 10_000)  # more than is whole before it goes on
+
+GOING = ["close", "reset", "half"]
+
+
+def at_the_writing(monkeypatch: pytest.MonkeyPatch, which: int, happens: Callable[[], object]) -> None:
+    """Lets something happen between finding a connection for that dispatch and writing to it.
+
+    The loop does not run in between: what it would have told is in the operating system's hands only.
+    """
+    found, calls = Servers._connected, 0
+
+    async def hooked(self: Servers, *args: Any, **kept: Any) -> Connection:
+        nonlocal calls
+        connection = await found(self, *args, **kept)
+        calls += 1
+        if calls == which:
+            happens()
+        return connection
+
+    monkeypatch.setattr(Servers, "_connected", hooked)
+
+
+async def withdrawn(node: Node, count: int = 1) -> dict[str, float]:
+    """The counters once so many jobs were withdrawn and nothing is left of any."""
+    async with asyncio.timeout(5):
+        while (figures := node.counters.read()).get("withdrawn", 0) < count or figures["jobs_kept"]:
+            assert not figures.get("answered_turned_back") and not figures.get("answered_written_off")
+            await asyncio.sleep(0.001)
+    assert figures["held"] == 0 and not figures.get("failures")
+    return figures
+
+
+async def warm(address: Address, jobs: int = 1) -> None:
+    """Leaves connections to servers that are kept."""
+    client = await Client().open(address)
+    for _ in range(jobs):
+        client.ask()
+        assert (await client.answer()).status == 200
+    client.writer.close()
+
+
+@pytest.mark.parametrize("ahead", [0, 1])
+@pytest.mark.parametrize("how", GOING)
+def test_of_a_caller_whose_end_came_with_its_requests_none_is_sent_on(how: str, ahead: int) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            await warm(address)
+            # All of it before the loop runs again: the node finds request and end side by side.
+            client = RawClient(address)
+            for _ in range(1 + ahead):
+                client.ask()
+            client.go(how)
+            await withdrawn(node)
+            assert len(peer.requests) == 1 and peer.connections == 1
+            await warm(address)
+            assert len(peer.requests) == 2 and peer.connections == 1  # what was not written on is kept
+
+    run(story())
+
+
+@pytest.mark.parametrize("ahead", [0, 1, 300])  # requests that stand unread before the end
+@pytest.mark.parametrize("how", GOING)
+@pytest.mark.parametrize("kept", [False, True])
+def test_a_caller_that_goes_at_the_very_writing_is_not_sent_on(
+    kept: bool, how: str, ahead: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            if kept:
+                await warm(address)
+            client = RawClient(address)
+
+            def goes() -> None:
+                for _ in range(ahead):
+                    client.ask()
+                client.go(how)
+
+            at_the_writing(monkeypatch, 1, goes)
+            client.ask()
+            figures = await withdrawn(node)
+            assert len(peer.requests) == kept and figures["dispatches_first"] == 1 + kept
+
+    run(story())
+
+
+@pytest.mark.parametrize("how", GOING)
+def test_a_caller_that_goes_before_a_further_dispatch_is_not_sent_on_again(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as first, Peer() as second, running(first, second, depths=2) as (node, address):
+            await warm(address, 10)  # for the budget of retries
+            first.reply, first.requests = FULL, []
+            second.reply, second.requests = FULL, []
+            client = RawClient(address)
+            at_the_writing(monkeypatch, 2, lambda: client.go(how))
+            client.ask()
+            figures = await withdrawn(node)
+            assert len(first.requests) + len(second.requests) == 1
+            assert figures["dispatches_again"] == 1 and figures["dispatches_never_sent"] == 1
+
+    run(story())
+
+
+def test_a_job_that_is_withdrawn_at_the_very_writing_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            client = RawClient(address)
+
+            def withdraw() -> None:
+                (caller,) = node._callers._callers
+                assert caller._job is not None
+                caller._job.withdraw()
+
+            at_the_writing(monkeypatch, 1, withdraw)
+            client.ask()
+            await withdrawn(node)
+            assert not peer.requests
+
+    run(story())
+
+
+@pytest.mark.parametrize("order", [TurnBack(0.0), WriteOff(), Stop(0)])
+def test_a_dispatch_that_is_no_longer_wanted_at_the_very_writing_is_not_written(
+    order: TurnBack | WriteOff | Stop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as first, Peer() as second, running(first, second, depths=2) as (node, address):
+            await warm(address, 10)  # for the budget of retries
+            client = await Client().open(address)
+            at_the_writing(monkeypatch, 1, lambda: node._decider._order(11, order))
+            client.ask()
+            status = (await client.answer()).status
+            assert status == (502 if isinstance(order, WriteOff) else 503)
+            figures = node.counters.read()
+            assert figures["dispatches_first"] == 11 and figures["dispatches_never_sent"] == 1
+            assert len(first.requests) + len(second.requests) == 10
+
+    run(story())
+
+
+def test_a_connection_that_nothing_was_written_on_stays_fit() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            dispatches = Dispatches(peer)
+            assert (await dispatches.send()).ended.result is Result.HONOURED
+            refused = await dispatches.servers.dispatch("s0", JOB, 2.0, may_write=lambda _: False)
+            assert refused.ended.result is Result.NEVER_SENT
+            assert (await dispatches.send()).ended.result is Result.HONOURED
+            assert len(peer.requests) == 2 and peer.connections == 1
+
+    run(story())
+
+
+def test_a_body_does_not_become_whole_at_a_server_once_its_caller_has_gone() -> None:
+    async def story() -> None:
+        whole: list[bytes] = []
+
+        async def reads(talk: Talk) -> None:
+            whole.append((await talk.request())[1])
+
+        async with served(reads) as (node, address, (peer,)):
+            client = RawClient(address)
+            client.ask(BODY, "POST", length=len(BODY) + 10)
+            while not peer.connections:
+                await asyncio.sleep(0.001)
+            (caller,) = node._callers._callers
+            while caller._requests.body_come < len(BODY):
+                await asyncio.sleep(0.001)
+            # Its last bytes and its end come side by side.
+            client.more(b"y" * 10)
+            client.go("close")
+            await withdrawn(node)
+            await peer.gone.wait()
+            assert not whole
+
+    run(story())
+
+
+@pytest.mark.parametrize("how", GOING)
+def test_a_caller_that_goes_before_its_large_body_is_written_is_not_sent_on(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        begun: list[bytes] = []
+
+        async def reads(talk: Talk) -> None:
+            begun.append(await talk.reader.read(1))
+
+        async with served(reads) as (node, address, _):
+            client = RawClient(address)
+
+            def goes() -> None:
+                client.more(BODY[:10])
+                client.go(how)
+
+            at_the_writing(monkeypatch, 1, goes)
+            client.ask(BODY, "POST", length=len(BODY) + 10)
+            await withdrawn(node)
+            assert begun in ([], [b""])
+
+    run(story())
+
+
+async def waiting(node: Node, address: Address, peer: Peer) -> tuple[Client, Caller]:
+    """A caller whose one request is at its server."""
+    client = await Client().open(address)
+    client.ask()
+    await peer.asked.wait()
+    (caller,) = node._callers._callers
+    return client, caller
+
+
+def send_ahead(client: Client, least: int) -> int:
+    """Whole requests of so many bytes; how many they are."""
+    count = -(-least // 8000)
+    for _ in range(count):
+        client.ask(extra="X: " + "x" * 8000 + "\r\n")
+    return count
+
+
+@pytest.mark.parametrize("bulk", [PIECE, 6 * PIECE])  # bytes sent ahead while the first request waits
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_caller_that_sends_much_ahead_and_goes_is_seen_to_go(how: str, bulk: int) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, caller = await waiting(node, address, peer)
+            send_ahead(client, bulk)
+            # Whatever the node kept of it so far is in before the end comes.
+            while caller._requests.unread < PIECE:
+                await asyncio.sleep(0.001)
+            client.writer.close() if how == "close" else client.writer.transport.abort()
+            figures = await withdrawn(node)
+            assert figures["dispatches_first"] == 1 and len(peer.requests) == 1
+
+    run(story())
+
+
+def test_what_is_sent_far_ahead_is_kept_in_bounds_and_what_was_not_kept_is_told_so() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, caller = await waiting(node, address, peer)
+            count, most = send_ahead(client, 6 * PIECE), 0
+            while not caller._thrown:
+                await asyncio.sleep(0)
+                most = max(most, caller._requests.unread)
+            assert PIECE < most <= callers.AHEAD_MOST
+            peer.reply = OK
+            peer.go_on.set()
+            statuses = []
+            while (status := (await client.answer()).status) == 200:
+                statuses.append(status)
+            assert status == 413 and await client.closed()
+            assert PIECE // 9000 < len(statuses) == len(peer.requests) < count
+
+    run(story())
+
+
+def test_a_caller_that_never_stops_sending_ahead_is_refused_and_its_job_withdrawn() -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, _ = await waiting(node, address, peer)
+            send_ahead(client, 2 * callers.THROWN_MOST)
+            assert (await client.answer()).status == 413
+            await withdrawn(node)
+            assert len(peer.requests) == 1
+
+    run(story())
+
+
+def test_a_caller_that_goes_while_its_body_waits_for_room_is_seen_to_go(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Connection, "open", hanging)  # so that nothing of the body is taken
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            node._servers._connect_within = 10.0  # s, over what the story waits
+            client = RawClient(address)
+            client.ask(BODY[:1000], "POST", length=10 * len(BODY))
+            while not node._callers._callers:
+                await asyncio.sleep(0.001)
+            (caller,) = node._callers._callers
+            while (upload := caller._upload) is None or upload.wants_more():
+                seen = caller._requests.body_come
+                client.more(BODY[:8000])
+                while caller._requests.body_come == seen:
+                    await asyncio.sleep(0.001)
+            client.more(BODY[:8000])  # for which there is no room
+            client.go("close")
+            await withdrawn(node)
+
+    run(story())
+
+
+def test_a_caller_that_goes_while_it_waits_for_rights_is_not_sent_on() -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            await warm(address)
+            asked, given = asyncio.Event(), asyncio.Event()
+
+            async def admit(ask: Ask) -> tuple[None, Ask]:
+                asked.set()
+                await given.wait()
+                return None, ask
+
+            node._callers.admit = admit
+            client = RawClient(address)
+            client.ask()
+            await asked.wait()
+            client.go("close")
+            given.set()
+            await withdrawn(node)
+            assert len(peer.requests) == 1
+
+    run(story())
+
+
+def test_a_caller_that_goes_while_its_answer_is_written_has_its_next_request_not_sent_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    write = Caller._write
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            await warm(address)
+            client = RawClient(address)
+
+            async def goes(self: Caller, wire: bytes) -> None:
+                await write(self, wire)
+                client.go("close")
+
+            monkeypatch.setattr(Caller, "_write", goes)
+            client.ask()
+            client.ask()
+            await withdrawn(node)
+            assert len(peer.requests) == 2
+
+    run(story())
+
+
+@pytest.mark.parametrize("error", [errno.EHOSTUNREACH, errno.ECONNRESET])
+def test_an_end_that_the_system_words_otherwise_withdraws_the_job_too(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            taken = node._callers.take
+
+            def take(*args: Any) -> Any:
+                # From the moment that the job is there, each read of its caller's bytes fails.
+                (caller,) = node._callers._callers
+                monkeypatch.setattr(caller._stream, "read_from_fd", fails)
+                return taken(*args)
+
+            def fails(_: object) -> int:
+                raise OSError(error, "gone")
+
+            monkeypatch.setattr(node._callers, "take", take)
+            client = RawClient(address)
+            client.ask()
+            await withdrawn(node)
+
+    run(story())
+
+
+def test_a_failure_of_the_node_itself_beside_a_job_leaves_no_dispatch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def broken(_: object) -> None:
+        raise RuntimeError("own")
+
+    async def story() -> None:
+        async with Peer(SILENT) as peer, running(peer) as (node, address):
+            client, _ = await waiting(node, address, peer)
+            monkeypatch.setattr(Caller, "_feed", broken)
+            client.ask()
+            assert (await client.answer()).status == 500
+            while (figures := node.counters.read())["jobs_kept"]:
+                await asyncio.sleep(0.001)
+            assert figures["dispatches_recalled"] == 1
+            assert not figures.get("answered_turned_back") and not figures.get("answered_written_off")
+
+    run(story())
+
+
+LATE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+
+
+@pytest.mark.parametrize("spare", [LATE, LATE[:9]])  # a second answer, half a line
+def test_after_bytes_to_spare_a_connection_is_used_again_only_once_it_has_rested(
+    spare: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            dispatches = Dispatches(peer)
+
+            async def send() -> bytes:
+                exchanged = await dispatches.send()
+                assert exchanged.ended.result is Result.HONOURED and exchanged.answer is not None
+                return exchanged.answer.body
+
+            # Spare bytes that come while the connection rests: it is not used again, and all are in doubt.
+            assert await send() == b"ok"
+            peer._writers[-1].write(spare)
+            while not dispatches.servers._stray_at > 0:
+                dispatches.clock += 0.001
+                await asyncio.sleep(0)
+            assert await send() == b"ok"
+            assert peer.connections == 2
+            # Now they come in the moment in which the next request is written.
+            at_the_writing(monkeypatch, 1, lambda: peer._writers[1].write(spare))
+            assert await send() == b"ok"
+            assert peer.connections == 3
+            # Once it has rested it is used again, and later on it need not rest.
+            dispatches.clock += SETTLED
+            assert await send() == b"ok" and peer.connections == 3
+            dispatches.clock += STRAY_SPAN
+            for _ in range(3):
+                assert await send() == b"ok"
+            assert peer.connections == 4  # those of before have stood idle for too long
+
+    run(story())
