Callers past the margin get an answer: those at rest go, and the others wait in the queue

Seen: 64 or 160 descriptors, callers that rest for less than 2 s or have said nothing for less than 0.5 s up to the limit, then new ones: each was closed with no answer, often with a reset over its request. Cause: Callers._let_in closed a new connection as soon as half the margin was used (`spent`), though callers that are young at rest may go, and though each refused caller in the margin is gone within 1 s. Ruled out: discovery's connection and those to servers had their descriptors all the time (discovery takes none of the budget, a node alone with all at rest holds 8 of its OWN 16; callers never have the last third); TRIED_MOST: those that can't be closed are gone from both tables after the loop's next round. Change: past the margin the one that has said nothing for 50 ms goes, else the one at rest for 0.25 s. Where nobody can go, the new one and the queue behind it wait, 1.2 s at most; then they are dropped as before. A node that ends lets in who waits before it closes the listener; one that pauses lets in only the one it has.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -42,7 +42,13 @@
 IDLE_MOST = 120.0  # s that a caller may stand idle; longer than pauses in traffic
 IDLE_SPARED = 2.0  # s idle after which a caller is closed where descriptors are short; sound ones come again
 SILENT_SPARED = 0.5  # s from connecting after which one that said nothing is; sound ones send at once
+SILENT_PRESSED = 0.05  # s of that past the margin; by then a sound one's request has come from any zone
+IDLE_PRESSED = (
+    0.25  # s idle, likewise; the pauses of busy callers are shorter, and those who wait can bear it
+)
 TRIED_MOST = 4  # callers looked at to make room for one; the longest idle are rarely about to send
+ROOM_LOOK = 0.01  # s between looks for room past the margin, while callers wait; refusals take less
+ROOM_WITHIN = 1.2  # s that they wait for it, then they are dropped; the refused have 1 s for their request
 
 MOVE_PAUSE = 0.02  # s until an answer that could not move yet is tried again
 
@@ -99,6 +105,11 @@
         self.idle: dict[Caller, float] = {}
         self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
+        self._paused = False
+        self._stops = False
+        self._waiting: socket.socket | None = None  # past the margin; those after it are in the queue
+        self._waits_since: float | None = None
+        self._look: asyncio.TimerHandle | None = None  # nobody is let in before it
         self.draining = False
         self.parting = False
         self.mover: Mover | None = None
@@ -108,7 +119,7 @@
 
     @property
     def connected(self) -> int:
-        return len(self._callers)
+        return len(self._callers) + (self._waiting is not None)
 
     def open(self, address: Address, shared: bool = False) -> None:
         """Lets callers in; where it is shared, another process may bind the same address."""
@@ -116,25 +127,49 @@
 
     def adopt(self, listeners: list[socket.socket]) -> None:
         self.listeners = listeners
-        for listener in listeners:
-            self._loop.add_reader(listener.fileno(), self._accept, listener)
+        self._paused = False
+        self._listen()
+
+    def _listen(self) -> None:
+        if not self._paused and self._look is None:
+            for listener in self.listeners:
+                self._loop.add_reader(listener.fileno(), self._accept, listener)
 
     def pause(self) -> None:
         """Lets nobody in; another process has the same queue, which outlives it while it is open here too."""
+        self._paused = True
         for listener in self.listeners:
             self._loop.remove_reader(listener.fileno())
 
+    def _hold_off(self, seconds: float) -> None:
+        """Lets nobody in for so long; callers wait in the queue."""
+        for listener in self.listeners:
+            self._loop.remove_reader(listener.fileno())
+        self._look = self._loop.call_later(seconds, self._look_again)
+
+    def _look_again(self) -> None:
+        self._look = None
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            self._let_in(waiting)
+        if self._stops:
+            self.stop()
+        else:
+            self._listen()
+
     def go_on(self) -> None:
         """Lets callers in again after a pause."""
         self.adopt(self.listeners)
 
     def stop(self) -> None:
         """Lets nobody in from now on but those who wait."""
+        self._stops = True
         for listener in self.listeners:
             # Guards against a reset for each that waits: closing a listener ends them unheard.
             while self._accept(listener) == ACCEPT_MOST:
                 pass
-        self.close_listeners()
+        if self._look is None:
+            self.close_listeners()
 
     def close_listeners(self) -> None:
         while self.listeners:
@@ -145,9 +180,12 @@
     def _accept(self, listener: socket.socket) -> int:
         """How many came in at one go."""
         for count in range(ACCEPT_MOST):
+            if self._look is not None:
+                return count
             try:
                 connection, _ = listener.accept()
             except BlockingIOError:
+                self._waits_since = None
                 return count
             except OSError as error:
                 # Guards against a caller gone before it was let in, and descriptors that others use up.
@@ -159,10 +197,11 @@
 
     def _let_in(self, connection: socket.socket) -> None:
         full = self.descriptors.full_of_callers() and not self._make_room()
-        if full and self.descriptors.spent():
+        if not full or not self.descriptors.spent() or self._press():
+            self._waits_since = None
+        else:
             # Guards against running out altogether: then not even the list could be asked for.
-            self.counters.add("callers_dropped")
-            connection.close()
+            self._keep_waiting(connection)
             return
         self.descriptors.take_caller()
         self.counters.add("callers_opened")
@@ -179,10 +218,33 @@
         """Closes an idle caller; else an idle connection to a server, if callers are within their share."""
         return self.close_oldest() or (not self.descriptors.past_callers_share() and self._spare_one())
 
+    def _keep_waiting(self, connection: socket.socket) -> None:
+        """Past the margin, and nobody can go: those who come next wait where they take no descriptor.
+
+        Guards against a moment's crowd closed with no answer; who waits in vain is told soon.
+        """
+        now = self.clock()
+        if self._waits_since is None:
+            self._waits_since = now
+        if now < self._waits_since + ROOM_WITHIN:
+            self._waiting = connection
+            self._hold_off(ROOM_LOOK)
+        else:
+            self.counters.add("callers_dropped")
+            connection.close()
+
+    def _press(self) -> bool:
+        """Makes room where a new caller would else get no answer: those who say nothing go first."""
+        return self._close_one((self.silent, SILENT_PRESSED), (self.idle, IDLE_PRESSED))
+
     def close_oldest(self) -> bool:
         """Gives up the caller that has been idle longest, else one that has sent nothing since it came."""
+        return self._close_one((self.idle, IDLE_SPARED), (self.silent, SILENT_SPARED))
+
+    def _close_one(self, *rows: tuple[dict[Caller, float], float]) -> bool:
+        """One of the first row, else of the next, that has been in it for at least so many s."""
         now = self.clock()
-        for kept, spared in ((self.idle, IDLE_SPARED), (self.silent, SILENT_SPARED)):
+        for kept, spared in rows:
             for caller, since in islice(kept.items(), TRIED_MOST):
                 if since > now - spared:
                     break
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,162 @@
+"""Room for all that is needed: callers that only sit there leave it, and a start needs nobody else."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from notchjunction.net import callers
+from notchjunction.net.connections import Address
+from tests.helpers import (
+    Client,
+    Peer,
+    Program,
+    configuration,
+    free_address,
+    news,
+    rows,
+    running,
+)
+from tests.test_net import run
+
+
+async def status_of(client: Client) -> int:
+    client.ask()
+    return (await client.answer()).status
+
+
+def told_with(peer: Peer, told: dict[str, Any], sockets: int = 64) -> dict[str, Any]:
+    """All that a node is told, with a remembered list; no limit where `sockets` is 0."""
+    known = {"index": 1, "snapshot": True, "endpoints": rows(peer)}
+    return {**told, "known": known, **({"limits": {"sockets": sockets}} if sockets else {})}
+
+
+@pytest.mark.parametrize(
+    ("sockets", "descriptors", "lost"),
+    [
+        (64, 64, 0),
+        (160, 160, 0),
+    ],
+)
+def test_callers_at_rest_leave_room_for_the_list_for_servers_and_for_new_callers(
+    sockets: int, descriptors: int, lost: int, tmp_path: Path
+) -> None:
+    async def story() -> None:
+        place = free_address()  # discovery is down: refused
+        async with Peer() as peer:
+            told = told_with(peer, configuration(f"{place[0]}:{place[1]}"), sockets)
+            async with Program(tmp_path, told, descriptors, lost) as program:
+                await program.says("ready")
+                crowd, found = [], []
+                for _ in range(descriptors):
+                    crowd.append(await Client().open(program.listen))
+                    found.append(await status_of(crowd[-1]))
+                assert set(found) <= {200, 503} and program.held() <= descriptors
+                async with Peer(lambda _: news(2, rows(peer)), place) as discovery:
+                    await discovery.asked.wait()
+                    crowd += [await Client().open(program.listen) for _ in range(descriptors)]  # say nothing
+                    while len(discovery.requests) < 3:
+                        await asyncio.sleep(0.002)
+                    served = 0
+                    while served < 3:  # each new caller has its answer, and soon it is a server's
+                        late = await Client().open(program.listen)
+                        status = await status_of(late)
+                        assert status in (200, 503)
+                        served += status == 200
+                assert program.count("accept fails") <= (lost > 0)
+                assert program.count("list news failed in the node") == 0
+
+    run(story())
+
+
+HALF = b"GET /api HTTP/1.1\r\nReq-Id: 1\r\n"
+
+
+async def crowd_of_half_heads(address: Address) -> list[Client]:
+    """As many as a node of 28 descriptors lets in: 7, and 1 past them that would be refused."""
+    crowd = [await Client().open(address) for _ in range(8)]
+    for client in crowd:
+        client.send(HALF)
+    return crowd
+
+
+@pytest.mark.parametrize(("room_within", "answered"), [(5.0, True), (0.05, False)])
+def test_past_the_margin_callers_wait_for_an_answer_but_not_for_long(
+    room_within: float, answered: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(callers, "REFUSED_WITHIN", 0.3)
+    monkeypatch.setattr(callers, "ROOM_WITHIN", room_within)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            crowd = await crowd_of_half_heads(address)
+            while node._descriptors.callers < 8:
+                await asyncio.sleep(0.001)
+            late = [await Client().open(address) for _ in range(6)]
+            for client in late:
+                client.ask()
+            for client in late if answered else late[:1]:
+                if answered:
+                    assert (await client.answer()).status == 503
+                else:
+                    with suppress(ConnectionResetError):
+                        assert await client.closed()
+            assert ("callers_dropped" in node.counters.read()) is not answered
+            assert node._descriptors.callers <= 8
+            for client in crowd:
+                client.writer.close()
+
+    run(story())
+
+
+@pytest.mark.parametrize("end", [True, False])
+def test_callers_that_wait_for_room_are_answered_by_a_node_that_ends_or_pauses(
+    end: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(callers, "REFUSED_WITHIN", 0.5)
+    monkeypatch.setattr(callers, "HEAD_WITHIN", 0.5)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            crowd = await crowd_of_half_heads(address)
+            while node._descriptors.callers < 8:
+                await asyncio.sleep(0.001)
+            late = [await Client().open(address) for _ in range(6)]
+            for client in late:
+                client.ask()
+            while node._callers._waiting is None:
+                await asyncio.sleep(0.001)
+            if end:
+                node.stop()
+                while node._callers.listeners and not node._callers._stops:
+                    await asyncio.sleep(0.001)
+                assert {(await client.answer()).status for client in late} <= {200, 503}
+                assert not node._callers.listeners and "callers_dropped" not in node.counters.read()
+            else:
+                node._callers.pause()
+                assert (await late[0].answer()).status in (200, 503)
+                opened = node.counters.read()["callers_opened"]
+                assert opened == 9  # the others are in the queue, for another process of the node
+                node._callers.go_on()
+                assert {(await client.answer()).status for client in late[1:]} <= {200, 503}
+            for client in crowd:
+                client.writer.close()
+
+    run(story())
+
+
+def test_a_young_caller_at_rest_goes_only_after_those_who_say_nothing() -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            resting = await Client().open(address)
+            assert await status_of(resting) == 200
+            silent = [await Client().open(address) for _ in range(20)]
+            while node.counters.read()["callers_opened"] < 21:
+                await asyncio.sleep(0.001)
+            assert await status_of(resting) == 200 and await silent[0].closed()
+
+    run(story())
