Where the operating system has fewer descriptors than told, the node counts on those and frees one

Seen: RLIMIT_NOFILE 64 with no limit told (1,024 is taken then), or 64 told with 40 of them held by something else in the process: callers at rest hold all, accept fails with EMFILE without end (12,224 times in a story of some 2 s, a log line each), jobs and the list find no descriptor until a caller at rest leaves by itself (120 s). Cause: the budget counted on `limits.sockets` alone; Callers._accept returned with the listener readable, so the loop came back at once; Servers._connected and Discovery._call gave up at EMFILE with callers at rest by. Ruled out: descriptors still closing (the stream closes its own at once); the old connection to discovery beside the new one (closed before the new one is opened). Change: the budget is the smaller of what is told and what getrlimit says; no limit is raised. Where accept has no descriptor, a caller at rest goes, else nobody is let in for 50 ms, and one log line in 10 s says so. A connection to a server or to discovery that finds none is tried once more after one at rest has gone.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import math
 import socket
 import struct
 from base64 import b64decode, b64encode
@@ -49,6 +51,9 @@
 TRIED_MOST = 4  # callers looked at to make room for one; the longest idle are rarely about to send
 ROOM_LOOK = 0.01  # s between looks for room past the margin, while callers wait; refusals take less
 ROOM_WITHIN = 1.2  # s that they wait for it, then they are dropped; the refused have 1 s for their request
+SHORT_PAUSE = 0.05  # s until callers are let in again where the operating system had no descriptor for one
+SHORT_SAID = 10.0  # s in which one line says so
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # errors that say so
 
 MOVE_PAUSE = 0.02  # s until an answer that could not move yet is tried again
 
@@ -105,6 +110,7 @@
         self.idle: dict[Caller, float] = {}
         self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
+        self._short_said = -math.inf
         self._paused = False
         self._stops = False
         self._waiting: socket.socket | None = None  # past the margin; those after it are in the queue
@@ -190,7 +196,15 @@
             except OSError as error:
                 # Guards against a caller gone before it was let in, and descriptors that others use up.
                 self.counters.add("accepts_failed")
-                log.warning("accept fails", extra=pairs(why=error))
+                short = error.errno in SHORT
+                if not short or self.clock() > self._short_said + SHORT_SAID:
+                    log.warning("accept fails", extra=pairs(why=error))
+                    self._short_said = self.clock() if short else self._short_said
+                if short and self._press():
+                    continue
+                if short:
+                    # Guards against a loop that does nothing but fail: the listener stays readable.
+                    self._hold_off(SHORT_PAUSE)
                 return count
             self._let_in(connection)
         return ACCEPT_MOST
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -16,7 +16,7 @@
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence
 from notchjunction.net import words
-from notchjunction.net.connections import Address, Connection, Cut, NotSent, address_of, text_of
+from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent, address_of, text_of
 from notchjunction.net.logs import pairs
 
 log = logging.getLogger(__name__)
@@ -69,8 +69,15 @@
 
 
 class Discovery:
-    def __init__(self, address: Address, following: Following, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        following: Following,
+        clock: Callable[[], float],
+        spare_one: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._address = address
+        self._spare_one = spare_one
         self.following = following
         self._clock = clock
         self._connection: Connection | None = None
@@ -157,7 +164,7 @@
         connection = self._connection
         if connection is None or not connection.fit():
             self.close()
-            connection = self._connection = Connection(self._address)
+            connection = self._connection = self._new()
             await connection.open()
         request = Request("GET", target, {"host": text_of(self._address)})
         answer = await connection.exchange(request, AnswerReader(LIST_MOST, LIST_MOST), heard=heard)
@@ -167,6 +174,15 @@
             self.close()
         return answer
 
+    def _new(self) -> Connection:
+        try:
+            return Connection(self._address)
+        except NoDescriptor:
+            # Guards against callers at rest that keep the list from being asked for.
+            if not self._spare_one():
+                raise
+            return Connection(self._address)
+
 
 def _parsed(body: bytes) -> Any:
     try:
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -66,13 +66,13 @@
         self._descriptors = descriptors = Descriptors(told.sockets, kept_back)
         streams = Streams()
         self._following = Following(told.terms.ask_within, told.pushed, told.terms.seed)
-        self._discovery = Discovery(told.discovery, self._following, self.now)
+        self._discovery = Discovery(told.discovery, self._following, self.now, self._spare_one)
         self._servers = Servers(
             self.now,
             told.connect_within,
             told.idle_most,
             told.load_path,
-            lambda: self._callers.close_oldest(),
+            self._spare_one,
             descriptors,
             counters,
             streams,
@@ -124,6 +124,9 @@
         terms = told.terms
         return FleetTalk(told.fleet, told.name, _longest(told), terms.seed, terms.advice_limit, self.counters)
 
+    def _spare_one(self) -> bool:
+        return self._callers.close_oldest()
+
     def now(self) -> float:
         """Unix time that never jumps."""
         return time.monotonic() + self._offset
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import resource
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -60,7 +62,8 @@
         listen=address_of(environment.get("GW_LISTEN") or told["listen"]),
         discovery=address_of(environment.get("GW_DISCOVERY") or told["discovery"]),
         known=_known(told.get("known")),
-        sockets=int(told.get("limits", {}).get("sockets", SOCKETS)),
+        # Guards against counting on descriptors that the operating system will not give.
+        sockets=min(int(told.get("limits", {}).get("sockets", SOCKETS)), _may_open()),
         mgmt=address_of(mgmt) if mgmt else None,
         # Upgrades are asked for by operators; without a folder of the node's own another's might be met.
         shared=environment.get("TMPDIR") if mgmt else None,
@@ -151,6 +154,12 @@
     return found
 
 
+def _may_open() -> int:
+    """Descriptors that this process may hold by the operating system's word."""
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if most == resource.RLIM_INFINITY else most
+
+
 def _known(told: Any) -> ServerList | None:
     """The remembered list; one that is empty or unreadable is none, and discovery is waited for."""
     try:
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -237,7 +237,7 @@
         if self._descriptors.full() and not self.close_oldest() and not self._spare_one():
             self._counters.add("descriptors_short")
             raise NoDescriptor
-        connection = Connection(address)  # takes no descriptor of the budget where there is none to be had
+        connection = self._new(address)  # takes no descriptor of the budget where there is none to be had
         self._descriptors.take()
         self._counters.add("connections_opened")
         try:
@@ -254,6 +254,15 @@
             raise
         return connection
 
+    def _new(self, address: Address) -> Connection:
+        try:
+            return Connection(address)
+        except NoDescriptor:
+            # Guards against callers at rest holding what others left of the operating system's descriptors.
+            if not self.close_oldest() and not self._spare_one():
+                raise
+            return Connection(address)
+
     def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
         for server, kept in list(self._idle.items()):
             for connection in list(kept):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,11 +5,12 @@
 import asyncio
 import json
 import os
+import resource
 import socket
 import struct
 import sys
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping, Sequence
+from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, Self
@@ -405,3 +406,20 @@
 
     def held(self) -> int:
         return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
+
+@contextmanager
+def no_descriptor_left() -> Iterator[list[int]]:
+    """This process can open no more but for those given, which a story may close."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    taken = [os.open(os.devnull, os.O_RDONLY)]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 1, hard))
+    try:
+        with suppress(OSError):
+            while True:
+                taken.append(os.dup(taken[0]))
+        yield taken
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        for each in taken:
+            os.close(each)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -3,25 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import time
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from notchjunction.following import Following
+from notchjunction.interface import Result
 from notchjunction.net import callers
 from notchjunction.net.connections import Address
+from notchjunction.net.discovery import Discovery
 from tests.helpers import (
+    SILENT,
     Client,
     Peer,
     Program,
     configuration,
     free_address,
     news,
+    no_descriptor_left,
     rows,
     running,
 )
-from tests.test_net import run
+from tests.test_net import Dispatches, run
 
 
 async def status_of(client: Client) -> int:
@@ -40,6 +47,8 @@
     [
         (64, 64, 0),
         (160, 160, 0),
+        (0, 64, 0),  # no limit is told, and the operating system's is far under the usual one
+        (64, 64, 40),  # something else in the process holds what the node counts on
     ],
 )
 def test_callers_at_rest_leave_room_for_the_list_for_servers_and_for_new_callers(
@@ -160,3 +169,67 @@
             assert await status_of(resting) == 200 and await silent[0].closed()
 
     run(story())
+
+
+def test_where_the_operating_system_has_no_descriptor_one_at_rest_is_given_up() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            sent = Dispatches(peer)
+            asked = Discovery(peer.address, Following(0.0), time.monotonic, lambda: spare())
+            sent.servers._spare_one = lambda: spare()
+
+            def spare() -> bool:
+                for _ in range(2):  # one for the node, one for the peer, which is in this process too
+                    os.close(left.pop())
+                return True
+
+            with no_descriptor_left() as left:
+                assert (await sent.send()).ended.result is Result.HONOURED
+                peer.reply = news(4, [])
+                assert (await asked.news()).version == 4
+            asked.close()
+            sent.servers.close()
+            assert sent.descriptors.held == 0
+
+    run(story())
+
+
+KEPT = {"max_dispatches": 5, "cancel": True, "conn_idle": 60_000}  # nothing is retired while a story lasts
+
+
+def test_the_list_is_asked_for_with_all_descriptors_held_by_callers_at_rest(tmp_path: Path) -> None:
+    async def story() -> None:
+        place = free_address()
+        async with Peer() as peer:
+            told = told_with(peer, configuration(f"{place[0]}:{place[1]}", limits=KEPT))
+            async with Program(tmp_path, told, 64, 40) as program:
+                await program.says("ready")
+                crowd = []
+                while program.held() < 64:
+                    crowd.append(await Client().open(program.listen))
+                    crowd[-1].ask()
+                    await crowd[-1].answer()
+                # No one else knocks, so that it is for the list alone that one has to go.
+                async with Peer(lambda _: news(2, rows(peer)), place) as discovery, asyncio.timeout(10):
+                    await discovery.asked.wait()
+                assert int((await program.figures())["callers_closed_for_room"]) >= 1
+
+    run(story())
+
+
+def test_callers_that_can_not_be_let_in_yet_keep_the_node_from_nothing_else(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, Peer(SILENT) as discovery:
+            told = told_with(peer, configuration(discovery.at))
+            async with Program(tmp_path, told, 64, 40) as program:
+                await program.says("ready")
+                crowd = [await Client().open(program.listen) for _ in range(30)]
+                for client in crowd:
+                    client.ask(left="1000")  # so that none is at rest, and none can go
+                await program.says("accept fails")
+                assert {(await client.answer()).status for client in crowd} <= {200, 503}
+                figures = await program.figures()
+                assert 1 <= int(figures["accepts_failed"]) < 100
+                assert program.count("accept fails") == 1
+
+    run(story())
