A remembered list that is torn counts as far as it can be read, and the whole one is asked for

Seen: one row of `known` with no status, a torn address, a time that is none, or no object at all, or a list with no index, and discovery silent or down: the node listens, but /ready says 503 and jobs are turned back until discovery answers, as if nothing were remembered. Cause: node_input._known took the whole list for unreadable at its first bad row. Change: rows that can be read count; the list is not whole then, and no changes are asked for after it. Seen to fail before: all five rows of the story (never ready).

--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -170,8 +170,9 @@
         await self._drain()
 
     def _go_by(self, known: ServerList) -> None:
-        """Serves by the remembered list, and asks for what came after it."""
-        self._discovery.remember(known.version)
+        """Serves by the remembered list, and asks for what came after it; for all, where it is not whole."""
+        if known.whole:
+            self._discovery.remember(known.version)
         self._hear(known, News.REMEMBERED)
 
     async def _go_by_late(self, known: ServerList, after: float) -> None:
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -161,9 +161,23 @@
 
 
 def _known(told: Any) -> ServerList | None:
-    """The remembered list; one that is empty or unreadable is none, and discovery is waited for."""
+    """The remembered list; one that is empty or unreadable is none, and discovery is waited for.
+
+    Guards against a node that serves nobody while discovery is down, for a row that was torn or is of a form
+    unheard of: what can be read counts. It is not whole then, and no changes can follow on it.
+    """
     try:
         known = read_list(told)
     except Unusable:
-        return None
+        rows = told.get("endpoints") if isinstance(told, Mapping) else None
+        sound = [row for row in rows if _readable(row)] if isinstance(rows, list) else []
+        known = read_list({"index": 0, "snapshot": False, "endpoints": sound})
     return known if known.servers else None
+
+
+def _readable(row: Any) -> bool:
+    try:
+        read_list({"index": 0, "snapshot": False, "endpoints": [row]})
+    except Unusable:
+        return False
+    return True
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import socket
 import time
 from contextlib import suppress
 from pathlib import Path
@@ -11,16 +12,19 @@
 
 import pytest
 
+from notchjunction import following
 from notchjunction.following import Following
 from notchjunction.interface import Result
-from notchjunction.net import callers
+from notchjunction.net import callers, handover
 from notchjunction.net.connections import Address
 from notchjunction.net.discovery import Discovery
 from tests.helpers import (
+    OK,
     SILENT,
     Client,
     Peer,
     Program,
+    Reply,
     configuration,
     free_address,
     news,
@@ -233,3 +237,133 @@
                 assert program.count("accept fails") == 1
 
     run(story())
+
+
+# A start needs nobody else where there is a remembered list, whole or in part.
+
+GARBAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{[\xff"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+DISCOVERIES: dict[str, Reply | None] = {
+    "refused": None,
+    "silent": SILENT,
+    "busy": (BUSY, "keep"),
+    "garbage": (GARBAGE, "keep"),
+    "reset": (b"", "reset"),
+    "endless": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1, 2", "hold"),
+}
+
+
+async def ready(address: Address) -> bool:
+    client = await Client().open(address)
+    client.send(b"GET /ready HTTP/1.1\r\n\r\n")
+    status = (await client.answer()).status
+    client.writer.close()
+    return status == 200
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+@pytest.mark.parametrize("how", DISCOVERIES)
+def test_a_node_with_a_remembered_list_is_ready_and_serves_whatever_discovery_does(
+    how: str, pushed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(following, "FIRST_WITHIN", 0.1)
+    found = DISCOVERIES[how]
+
+    async def story() -> None:
+        async with Peer() as peer, Peer(found or OK) as teller:
+            if found is None:
+                await teller.__aexit__()
+            async with running(peer, discovery=teller, pushed=pushed) as (node, address):
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                client = await Client().open(address)
+                assert await status_of(client) == 200
+                assert node.counters.read().get("failures", 0) == 0
+
+    run(story())
+
+
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_the_program_is_ready_well_within_10_s_with_discovery_down(mode: str, tmp_path: Path) -> None:
+    async def story() -> None:
+        place = free_address()
+        async with Peer() as peer:
+            told = told_with(peer, configuration(f"{place[0]}:{place[1]}", registry_mode=mode))
+            began = time.monotonic()
+            async with Program(tmp_path, told) as program:
+                await program.says("ready")
+                assert time.monotonic() - began < 7.0
+                assert await ready(program.listen)
+
+    run(story())
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_process_before_that_hangs_delays_no_start_for_long(
+    pushed: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(following, "FIRST_WITHIN", 0.1)
+    monkeypatch.setattr(handover, "JOINED_WITHIN", 0.1)
+
+    async def story() -> None:
+        with socket.socket(socket.AF_UNIX) as hung:  # takes connections and says nothing
+            hung.bind(str(tmp_path / handover.FILE))
+            hung.listen()
+            down = Peer()
+            down.address = free_address()
+            async with Peer() as peer, running(peer, discovery=down, shared=tmp_path, pushed=pushed) as at:
+                node, address = at
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                assert node.counters.read()["handovers_failed"] == 1
+                assert await status_of(await Client().open(address)) == 200
+
+    run(story())
+
+
+def test_the_waits_of_a_start_leave_half_of_its_10_s() -> None:
+    assert handover.JOINED_WITHIN + following.FIRST_WITHIN < 5.0
+
+
+def test_without_any_list_a_node_says_so_and_is_ready_with_the_first_one() -> None:
+    async def story() -> None:
+        teller = Peer()
+        teller.address = free_address()
+        async with Peer() as peer, running(discovery=teller, known=False) as (_, address):
+            assert not await ready(address)
+            assert await status_of(await Client().open(address)) == 503
+            teller.reply = lambda request: SILENT if "after=" in request.target else news(5, rows(peer))
+            async with teller:
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                assert await status_of(await Client().open(address)) == 200
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    ("index", "torn"),
+    [
+        (7, {"name": "s9", "address": "127.0.0.1:1"}),  # its state is missing
+        (7, {"name": "s9", "address": "nowhere", "status": "active"}),
+        (7, {"name": "s9", "address": "127.0.0.1:1", "status": "active", "since_ms": "soon"}),
+        (7, "s9"),
+        (None, None),
+    ],
+)
+def test_of_a_remembered_list_that_is_torn_what_can_be_read_counts_and_all_is_asked_for(
+    index: int | None, torn: Any, tmp_path: Path
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer, Peer(SILENT) as discovery:
+            told = told_with(peer, configuration(discovery.at))
+            endpoints = [*rows(peer), *([] if torn is None else [torn])]
+            told["known"] = {"index": index, "snapshot": True, "endpoints": endpoints}
+            async with Program(tmp_path, told) as program:
+                await program.says("ready")
+                assert await ready(program.listen)
+                assert await status_of(await Client().open(program.listen)) == 200
+                await discovery.asked.wait()
+                assert discovery.requests[0].target == "/v1/endpoints"
+
+    run(story())
