--- a/notchjunction/checks.py
+++ b/notchjunction/checks.py
@@ -67,6 +67,14 @@
     return value
 
 
+def _hexadecimal(value: Any) -> Any:
+    try:
+        int(str(value), 16)
+    except ValueError as error:
+        raise Invalid("expected a number in hexadecimal") from error
+    return value
+
+
 def _profiles(value: list[dict[str, Any]]) -> list[dict[str, Any]]:
     names = [profile["name"] for profile in value]
     twice = sorted({name for name in names if names.count(name) > 1})
@@ -135,6 +143,8 @@
         Optional("mgmt"): _address,
         Optional("talk"): {Required("listen"): _address, Required("peers"): [_address]},
         Optional("key_header"): WORD,
+        Optional("limits"): {Optional("sockets"): All(whole_number, Range(min=1))},
+        Optional("seed"): _hexadecimal,
         Required("settings"): {
             Required("layers"): [WORD],
             Required("layer"): whole_number,
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -21,6 +21,7 @@
 SOCKETS = 1024  # descriptors where no limit is told
 CONNECT_WITHIN = 250.0  # ms where no connect time-out is told
 PUSHED = "automatic"  # the mode in which lists are pushed
+VARIABLES = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "mgmt": "GW_MGMT"}
 NOWHERE: Address = ("", 0)
 IDLE = 5000.0  # ms that servers keep an idle connection, where that is not told
 
@@ -54,13 +55,23 @@
     if mixed := checks.mixes(told):
         # Guards against half of one shape and half of the other: it would serve, and lose jobs.
         raise checks.Unfit(mixed)
-    talk = told.get("talk")
-    mgmt = environment.get("GW_MGMT") or told.get("mgmt")
+    given = {name: environment[key] for name, key in VARIABLES.items() if environment.get(key)}
+    try:
+        return _started({**told, **given}, told, environment)
+    except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
+        # Guards against an error that says what is wrong and not where.
+        wrong = checks.errors_of(checks.SCHEMA, {**told, **given})
+        raise ValueError("; ".join(wrong) or repr(error)) from error
+
+
+def _started(said: Mapping[str, Any], told: Mapping[str, Any], environment: Mapping[str, str]) -> NodeInput:
+    """By all that is said, of which `told` is the file."""
+    talk, mgmt, file = said.get("talk"), said.get("mgmt"), environment.get("GW_CONFIG") or None
     return replace(
         _settled(told),
-        name=environment.get("GW_NAME") or told["name"],
-        listen=address_of(environment.get("GW_LISTEN") or told["listen"]),
-        discovery=address_of(environment.get("GW_DISCOVERY") or told["discovery"]),
+        name=said["name"],
+        listen=address_of(said["listen"]),
+        discovery=address_of(said["discovery"]),
         known=_known(told.get("known")),
         # Guards against counting on descriptors that the operating system will not give.
         sockets=min(int(told.get("limits", {}).get("sockets", SOCKETS)), _may_open()),
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import math
 import os
+import re
 import socket
 import time
 from contextlib import suppress
@@ -12,10 +15,10 @@
 
 import pytest
 
-from notchjunction import following
+from notchjunction import checks, following
 from notchjunction.following import Following
 from notchjunction.interface import Result
-from notchjunction.net import callers, handover
+from notchjunction.net import callers, handover, node_input
 from notchjunction.net.connections import Address
 from notchjunction.net.discovery import Discovery
 from tests.helpers import (
@@ -392,3 +395,47 @@
                 assert figures["servers_known"] == (last == "active") and "list_calls_failed" not in figures
 
     run(story())
+
+
+def test_an_indented_list_is_a_list() -> None:
+    async def story() -> None:
+        async with Peer() as peer, Peer() as teller:
+            listed = {"index": 5, "snapshot": True, "endpoints": rows(peer)}
+            text = json.dumps(listed, indent=4).encode()
+            whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+            teller.reply = lambda request: SILENT if "after=" in request.target else (whole, "keep")
+            async with running(discovery=teller, known=False) as (_, address):
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                assert await status_of(await Client().open(address)) == 200
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    ("told", "place"),
+    [
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"limits": {"sockets": math.inf}}, "limits.sockets"),
+        ({"limits": None}, "limits"),
+        ({"seed": "seven"}, "seed"),
+        ({"settings": {"layer": math.inf}}, "settings.layer"),
+        ({"discovery": "here"}, "discovery"),
+        ({"mgmt": 5}, "mgmt"),
+    ],
+)
+def test_a_start_that_can_not_be_says_which_key_is_at_fault(
+    told: dict[str, Any], place: str, tmp_path: Path
+) -> None:
+    file = tmp_path / "told.json"
+    file.write_text(json.dumps({**configuration(), **told}))
+    with pytest.raises(ValueError, match=rf"(^|; ){re.escape(place)}: expected"):
+        node_input.read({"GW_CONFIG": str(file)})
+
+
+def test_limits_that_say_more_than_sockets_are_sound(tmp_path: Path) -> None:
+    found = {**configuration(), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
+    checks.check(found)
+    file = tmp_path / "told.json"
+    file.write_text(json.dumps(found))
+    assert node_input.read({"GW_CONFIG": str(file)}).sockets == 1024
