--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import resource
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -19,6 +21,7 @@
 SOCKETS = 1024  # descriptors where no limit is told
 CONNECT_WITHIN = 250.0  # ms where no connect time-out is told
 PUSHED = "automatic"  # the mode in which lists are pushed
+VARIABLES = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "mgmt": "GW_MGMT"}
 NOWHERE: Address = ("", 0)
 IDLE = 5000.0  # ms that servers keep an idle connection, where that is not told
 
@@ -52,15 +55,26 @@
     if mixed := checks.mixes(told):
         # Guards against half of one shape and half of the other: it would serve, and lose jobs.
         raise checks.Unfit(mixed)
-    talk = told.get("talk")
-    mgmt = environment.get("GW_MGMT") or told.get("mgmt")
+    given = {name: environment[key] for name, key in VARIABLES.items() if environment.get(key)}
+    try:
+        return _started({**told, **given}, told, environment)
+    except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
+        # Guards against an error that says what is wrong and not where.
+        wrong = checks.errors_of(checks.SCHEMA, {**told, **given})
+        raise ValueError("; ".join(wrong) or repr(error)) from error
+
+
+def _started(said: Mapping[str, Any], told: Mapping[str, Any], environment: Mapping[str, str]) -> NodeInput:
+    """By all that is said, of which `told` is the file."""
+    talk, mgmt, file = said.get("talk"), said.get("mgmt"), environment.get("GW_CONFIG") or None
     return replace(
         _settled(told),
-        name=environment.get("GW_NAME") or told["name"],
-        listen=address_of(environment.get("GW_LISTEN") or told["listen"]),
-        discovery=address_of(environment.get("GW_DISCOVERY") or told["discovery"]),
+        name=said["name"],
+        listen=address_of(said["listen"]),
+        discovery=address_of(said["discovery"]),
         known=_known(told.get("known")),
-        sockets=int(told.get("limits", {}).get("sockets", SOCKETS)),
+        # Guards against counting on descriptors that the operating system will not give.
+        sockets=min(int(told.get("limits", {}).get("sockets", SOCKETS)), _may_open()),
         mgmt=address_of(mgmt) if mgmt else None,
         # Upgrades are asked for by operators; without a folder of the node's own another's might be met.
         shared=environment.get("TMPDIR") if mgmt else None,
@@ -151,10 +165,30 @@
     return found
 
 
+def _may_open() -> int:
+    """Descriptors that this process may hold by the operating system's word."""
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if most == resource.RLIM_INFINITY else most
+
+
 def _known(told: Any) -> ServerList | None:
-    """The remembered list; one that is empty or unreadable is none, and discovery is waited for."""
+    """The remembered list; one that is empty or unreadable is none, and discovery is waited for.
+
+    Guards against a node that serves nobody while discovery is down, for a row that was torn or is of a form
+    unheard of: what can be read counts. It is not whole then, and no changes can follow on it.
+    """
     try:
         known = read_list(told)
     except Unusable:
-        return None
+        rows = told.get("endpoints") if isinstance(told, Mapping) else None
+        sound = [row for row in rows if _readable(row)] if isinstance(rows, list) else []
+        known = read_list({"index": 0, "snapshot": False, "endpoints": sound})
     return known if known.servers else None
+
+
+def _readable(row: Any) -> bool:
+    try:
+        read_list({"index": 0, "snapshot": False, "endpoints": [row]})
+    except Unusable:
+        return False
+    return True
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -276,7 +276,7 @@
     async def _dialled(self, server: str, address: Address) -> Connection:
         """A new connection, or the first of two to come up; the other one may still serve a later request."""
         # Guards against requests lost one by one where many connections come up late, each by itself.
-        dials = [self._dial(address)]
+        dials = [self._dial(self._new(address))]
         loop = asyncio.get_running_loop()
         until = loop.time() + self._connect_within
         first: Dial | None = None
@@ -284,7 +284,7 @@
             done, _ = await asyncio.wait([dials[0].up], timeout=self._connect_within * REDIAL_SHARE)
             if not done and not self._descriptors.full():
                 with suppress(NoDescriptor):
-                    dials.append(self._dial(address))
+                    dials.append(self._dial(Connection(address)))
                     self._counters.add("connections_redialled")
             if not done:
                 ups = [dial.up for dial in dials]
@@ -302,8 +302,7 @@
             raise error
         return first.connection
 
-    def _dial(self, address: Address) -> Dial:
-        connection = Connection(address)  # takes no descriptor of the budget where there is none to be had
+    def _dial(self, connection: Connection) -> Dial:
         self._descriptors.take()
         self._counters.add("connections_opened")
         return Dial(connection, asyncio.create_task(connection.open()))
@@ -330,6 +329,15 @@
         self._counters.add("answers_strayed")
         self._stray_at = self._clock()
 
+    def _new(self, address: Address) -> Connection:
+        try:
+            return Connection(address)
+        except NoDescriptor:
+            # Guards against callers at rest holding what others left of the operating system's descriptors.
+            if not self.close_oldest() and not self._spare_one():
+                raise
+            return Connection(address)
+
     def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
         for server, kept in list(self._idle.items()):
             for connection in list(kept):
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,441 @@
+"""Room for all that is needed: callers that only sit there leave it, and a start needs nobody else."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import os
+import re
+import socket
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from notchjunction import checks, following
+from notchjunction.following import Following
+from notchjunction.interface import Result
+from notchjunction.net import callers, handover, node_input
+from notchjunction.net.connections import Address
+from notchjunction.net.discovery import Discovery
+from tests.helpers import (
+    OK,
+    SILENT,
+    Client,
+    Peer,
+    Program,
+    Reply,
+    configuration,
+    free_address,
+    news,
+    no_descriptor_left,
+    rows,
+    running,
+)
+from tests.test_net import Dispatches, run
+
+
+async def status_of(client: Client) -> int:
+    client.ask()
+    return (await client.answer()).status
+
+
+def told_with(peer: Peer, told: dict[str, Any], sockets: int = 64) -> dict[str, Any]:
+    """All that a node is told, with a remembered list; no limit where `sockets` is 0."""
+    known = {"index": 1, "snapshot": True, "endpoints": rows(peer)}
+    return {**told, "known": known, **({"limits": {"sockets": sockets}} if sockets else {})}
+
+
+@pytest.mark.parametrize(
+    ("sockets", "descriptors", "lost"),
+    [
+        (64, 64, 0),
+        (160, 160, 0),
+        (0, 64, 0),  # no limit is told, and the operating system's is far under the usual one
+        (64, 64, 40),  # something else in the process holds what the node counts on
+    ],
+)
+def test_callers_at_rest_leave_room_for_the_list_for_servers_and_for_new_callers(
+    sockets: int, descriptors: int, lost: int, tmp_path: Path
+) -> None:
+    async def story() -> None:
+        place = free_address()  # discovery is down: refused
+        async with Peer() as peer:
+            told = told_with(peer, configuration(f"{place[0]}:{place[1]}"), sockets)
+            async with Program(tmp_path, told, descriptors, lost) as program:
+                await program.says("ready")
+                crowd, found = [], []
+                for _ in range(descriptors):
+                    crowd.append(await Client().open(program.listen))
+                    found.append(await status_of(crowd[-1]))
+                assert set(found) <= {200, 503} and program.held() <= descriptors
+                async with Peer(lambda _: news(2, rows(peer)), place) as discovery:
+                    await discovery.asked.wait()
+                    crowd += [await Client().open(program.listen) for _ in range(descriptors)]  # say nothing
+                    while len(discovery.requests) < 3:
+                        await asyncio.sleep(0.002)
+                    served = 0
+                    while served < 3:  # each new caller has its answer, and soon it is a server's
+                        late = await Client().open(program.listen)
+                        status = await status_of(late)
+                        assert status in (200, 503)
+                        served += status == 200
+                assert program.count("accept fails") <= (lost > 0)
+                assert program.count("list news failed in the node") == 0
+
+    run(story())
+
+
+HALF = b"GET /api HTTP/1.1\r\nReq-Id: 1\r\n"
+
+
+async def crowd_of_half_heads(address: Address) -> list[Client]:
+    """As many as a node of 28 descriptors lets in: 7, and 1 past them that would be refused."""
+    crowd = [await Client().open(address) for _ in range(8)]
+    for client in crowd:
+        client.send(HALF)
+    return crowd
+
+
+@pytest.mark.parametrize(("room_within", "answered"), [(5.0, True), (0.05, False)])
+def test_past_the_margin_callers_wait_for_an_answer_but_not_for_long(
+    room_within: float, answered: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(callers, "REFUSED_WITHIN", 0.3)
+    monkeypatch.setattr(callers, "ROOM_WITHIN", room_within)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            crowd = await crowd_of_half_heads(address)
+            while node._descriptors.callers < 8:
+                await asyncio.sleep(0.001)
+            late = [await Client().open(address) for _ in range(6)]
+            for client in late:
+                client.ask()
+            for client in late if answered else late[:1]:
+                if answered:
+                    assert (await client.answer()).status == 503
+                else:
+                    with suppress(ConnectionResetError):
+                        assert await client.closed()
+            assert ("callers_dropped" in node.counters.read()) is not answered
+            assert node._descriptors.callers <= 8
+            for client in crowd:
+                client.writer.close()
+
+    run(story())
+
+
+@pytest.mark.parametrize("end", [True, False])
+def test_callers_that_wait_for_room_are_answered_by_a_node_that_ends_or_pauses(
+    end: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(callers, "REFUSED_WITHIN", 0.5)
+    monkeypatch.setattr(callers, "HEAD_WITHIN", 0.5)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            crowd = await crowd_of_half_heads(address)
+            while node._descriptors.callers < 8:
+                await asyncio.sleep(0.001)
+            late = [await Client().open(address) for _ in range(6)]
+            for client in late:
+                client.ask()
+            while node._callers._waiting is None:
+                await asyncio.sleep(0.001)
+            if end:
+                node.stop()
+                while node._callers.listeners and not node._callers._stops:
+                    await asyncio.sleep(0.001)
+                assert {(await client.answer()).status for client in late} <= {200, 503}
+                assert not node._callers.listeners and "callers_dropped" not in node.counters.read()
+            else:
+                node._callers.pause()
+                assert (await late[0].answer()).status in (200, 503)
+                opened = node.counters.read()["callers_opened"]
+                assert opened == 9  # the others are in the queue, for another process of the node
+                node._callers.go_on()
+                assert {(await client.answer()).status for client in late[1:]} <= {200, 503}
+            for client in crowd:
+                client.writer.close()
+
+    run(story())
+
+
+def test_a_young_caller_at_rest_goes_only_after_those_who_say_nothing() -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            resting = await Client().open(address)
+            assert await status_of(resting) == 200
+            silent = [await Client().open(address) for _ in range(20)]
+            while node.counters.read()["callers_opened"] < 21:
+                await asyncio.sleep(0.001)
+            assert await status_of(resting) == 200 and await silent[0].closed()
+
+    run(story())
+
+
+def test_where_the_operating_system_has_no_descriptor_one_at_rest_is_given_up() -> None:
+    async def story() -> None:
+        async with Peer() as peer:
+            sent = Dispatches(peer)
+            asked = Discovery(peer.address, Following(0.0), time.monotonic, lambda: spare())
+            sent.servers._spare_one = lambda: spare()
+
+            def spare() -> bool:
+                for _ in range(2):  # one for the node, one for the peer, which is in this process too
+                    os.close(left.pop())
+                return True
+
+            with no_descriptor_left() as left:
+                assert (await sent.send()).ended.result is Result.HONOURED
+                peer.reply = news(4, [])
+                assert (await asked.news()).version == 4
+            asked.close()
+            sent.servers.close()
+            assert sent.descriptors.held == 0
+
+    run(story())
+
+
+KEPT = {"max_dispatches": 5, "cancel": True, "conn_idle": 60_000}  # nothing is retired while a story lasts
+
+
+def test_the_list_is_asked_for_with_all_descriptors_held_by_callers_at_rest(tmp_path: Path) -> None:
+    async def story() -> None:
+        place = free_address()
+        async with Peer() as peer:
+            told = told_with(peer, configuration(f"{place[0]}:{place[1]}", limits=KEPT))
+            async with Program(tmp_path, told, 64, 40) as program:
+                await program.says("ready")
+                crowd = []
+                while program.held() < 64:
+                    crowd.append(await Client().open(program.listen))
+                    crowd[-1].ask()
+                    await crowd[-1].answer()
+                # No one else knocks, so that it is for the list alone that one has to go.
+                async with Peer(lambda _: news(2, rows(peer)), place) as discovery, asyncio.timeout(10):
+                    await discovery.asked.wait()
+                assert int((await program.figures())["callers_closed_for_room"]) >= 1
+
+    run(story())
+
+
+def test_callers_that_can_not_be_let_in_yet_keep_the_node_from_nothing_else(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with Peer(SILENT) as peer, Peer(SILENT) as discovery:
+            told = told_with(peer, configuration(discovery.at))
+            async with Program(tmp_path, told, 64, 40) as program:
+                await program.says("ready")
+                crowd = [await Client().open(program.listen) for _ in range(30)]
+                for client in crowd:
+                    client.ask(left="1000")  # so that none is at rest, and none can go
+                await program.says("accept fails")
+                assert {(await client.answer()).status for client in crowd} <= {200, 503}
+                figures = await program.figures()
+                assert 1 <= int(figures["accepts_failed"]) < 100
+                assert program.count("accept fails") == 1
+
+    run(story())
+
+
+# A start needs nobody else where there is a remembered list, whole or in part.
+
+GARBAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{[\xff"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+DISCOVERIES: dict[str, Reply | None] = {
+    "refused": None,
+    "silent": SILENT,
+    "busy": (BUSY, "keep"),
+    "garbage": (GARBAGE, "keep"),
+    "reset": (b"", "reset"),
+    "endless": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1, 2", "hold"),
+}
+
+
+async def ready(address: Address) -> bool:
+    client = await Client().open(address)
+    client.send(b"GET /ready HTTP/1.1\r\n\r\n")
+    status = (await client.answer()).status
+    client.writer.close()
+    return status == 200
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+@pytest.mark.parametrize("how", DISCOVERIES)
+def test_a_node_with_a_remembered_list_is_ready_and_serves_whatever_discovery_does(
+    how: str, pushed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(following, "FIRST_WITHIN", 0.1)
+    found = DISCOVERIES[how]
+
+    async def story() -> None:
+        async with Peer() as peer, Peer(found or OK) as teller:
+            if found is None:
+                await teller.__aexit__()
+            async with running(peer, discovery=teller, pushed=pushed) as (node, address):
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                client = await Client().open(address)
+                assert await status_of(client) == 200
+                assert node.counters.read().get("failures", 0) == 0
+
+    run(story())
+
+
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_the_program_is_ready_well_within_10_s_with_discovery_down(mode: str, tmp_path: Path) -> None:
+    async def story() -> None:
+        place = free_address()
+        async with Peer() as peer:
+            told = told_with(peer, configuration(f"{place[0]}:{place[1]}", registry_mode=mode))
+            began = time.monotonic()
+            async with Program(tmp_path, told) as program:
+                await program.says("ready")
+                assert time.monotonic() - began < 7.0
+                assert await ready(program.listen)
+
+    run(story())
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_process_before_that_hangs_delays_no_start_for_long(
+    pushed: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(following, "FIRST_WITHIN", 0.1)
+    monkeypatch.setattr(handover, "JOINED_WITHIN", 0.1)
+
+    async def story() -> None:
+        with socket.socket(socket.AF_UNIX) as hung:  # takes connections and says nothing
+            hung.bind(str(tmp_path / handover.FILE))
+            hung.listen()
+            down = Peer()
+            down.address = free_address()
+            async with Peer() as peer, running(peer, discovery=down, shared=tmp_path, pushed=pushed) as at:
+                node, address = at
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                assert node.counters.read()["handovers_failed"] == 1
+                assert await status_of(await Client().open(address)) == 200
+
+    run(story())
+
+
+def test_the_waits_of_a_start_leave_half_of_its_10_s() -> None:
+    assert handover.JOINED_WITHIN + following.FIRST_WITHIN < 5.0
+
+
+def test_without_any_list_a_node_says_so_and_is_ready_with_the_first_one() -> None:
+    async def story() -> None:
+        teller = Peer()
+        teller.address = free_address()
+        async with Peer() as peer, running(discovery=teller, known=False) as (_, address):
+            assert not await ready(address)
+            assert await status_of(await Client().open(address)) == 503
+            teller.reply = lambda request: SILENT if "after=" in request.target else news(5, rows(peer))
+            async with teller:
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                assert await status_of(await Client().open(address)) == 200
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    ("index", "torn"),
+    [
+        (7, {"name": "s9", "address": "127.0.0.1:1"}),  # its state is missing
+        (7, {"name": "s9", "address": "nowhere", "status": "active"}),
+        (7, {"name": "s9", "address": "127.0.0.1:1", "status": "active", "since_ms": "soon"}),
+        (7, "s9"),
+        (None, None),
+    ],
+)
+def test_of_a_remembered_list_that_is_torn_what_can_be_read_counts_and_all_is_asked_for(
+    index: int | None, torn: Any, tmp_path: Path
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer, Peer(SILENT) as discovery:
+            told = told_with(peer, configuration(discovery.at))
+            endpoints = [*rows(peer), *([] if torn is None else [torn])]
+            told["known"] = {"index": index, "snapshot": True, "endpoints": endpoints}
+            async with Program(tmp_path, told) as program:
+                await program.says("ready")
+                assert await ready(program.listen)
+                assert await status_of(await Client().open(program.listen)) == 200
+                await discovery.asked.wait()
+                assert discovery.requests[0].target == "/v1/endpoints"
+
+    run(story())
+
+
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize("last", ["active", "leaving", "left"])
+@pytest.mark.parametrize("first", ["active", "leaving", "left"])
+def test_of_two_words_on_one_server_in_one_list_the_last_one_holds(
+    first: str, last: str, whole: bool
+) -> None:
+    async def story() -> None:
+        told: list[Reply] = []
+        teller = Peer(lambda _: told.pop(0) if told else SILENT)
+        async with Peer() as doubled, Peer() as other, teller:
+            (one,), (two,) = rows(doubled, status=first), rows(doubled, status=last)
+            rest = rows(doubled, other, status="leaving")[1:]
+            told.append(news(2, [one, two, *rest], whole))
+            async with running(doubled, other, discovery=teller) as (node, address):
+                while len(teller.requests) < 2:
+                    await asyncio.sleep(0.001)
+                client = await Client().open(address)
+                assert await status_of(client) == (200 if last == "active" else 503)
+                assert not other.requests  # the rest of the list is heard too
+                figures = node.counters.read()
+                assert figures["servers_known"] == (last == "active") and "list_calls_failed" not in figures
+
+    run(story())
+
+
+def test_an_indented_list_is_a_list() -> None:
+    async def story() -> None:
+        async with Peer() as peer, Peer() as teller:
+            listed = {"index": 5, "snapshot": True, "endpoints": rows(peer)}
+            text = json.dumps(listed, indent=4).encode()
+            whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+            teller.reply = lambda request: SILENT if "after=" in request.target else (whole, "keep")
+            async with running(discovery=teller, known=False) as (_, address):
+                while not await ready(address):
+                    await asyncio.sleep(0.005)
+                assert await status_of(await Client().open(address)) == 200
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    ("told", "place"),
+    [
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"limits": {"sockets": math.inf}}, "limits.sockets"),
+        ({"limits": None}, "limits"),
+        ({"seed": "seven"}, "seed"),
+        ({"settings": {"layer": math.inf}}, "settings.layer"),
+        ({"discovery": "here"}, "discovery"),
+        ({"mgmt": 5}, "mgmt"),
+    ],
+)
+def test_a_start_that_can_not_be_says_which_key_is_at_fault(
+    told: dict[str, Any], place: str, tmp_path: Path
+) -> None:
+    file = tmp_path / "told.json"
+    file.write_text(json.dumps({**configuration(), **told}))
+    with pytest.raises(ValueError, match=rf"(^|; ){re.escape(place)}: expected"):
+        node_input.read({"GW_CONFIG": str(file)})
+
+
+def test_limits_that_say_more_than_sockets_are_sound(tmp_path: Path) -> None:
+    found = {**configuration(), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
+    checks.check(found)
+    file = tmp_path / "told.json"
+    file.write_text(json.dumps(found))
+    assert node_input.read({"GW_CONFIG": str(file)}).sockets == 1024
