A node doesn't end over callers that the last look at the queue let in

Cause: Ending.look judged EMPTY by a count taken before the look (node.py _drain, ending.py look). Where no caller was connected, CLOSE accepted who waited in the queue, and EMPTY, judged in the same look by the stale count, ended the node over them: a request that was taken had no answer. STANDING_IN to CLOSE the same.

Ruled out: FOLLOWED to END, where nobody is let in meanwhile; the awaits after END, when the listener is closed or paused. Change: the count is a call, made where EMPTY is judged.

Rows of old are as they were.

--- a/notchjunction/net/ending.py
+++ b/notchjunction/net/ending.py
@@ -95,8 +95,12 @@
         """s in which callers are let in yet."""
         return max(0.0, round(self._serve_until - now, 3))
 
-    def look(self, now: float, followed: bool, connected: int) -> Iterator[Effect]:
-        """What is to be done now, in this order; to be asked again and again until it has ended."""
+    def look(self, now: float, followed: bool, connected: Callable[[], int]) -> Iterator[Effect]:
+        """What is to be done now, in this order; to be asked again and again until it has ended.
+
+        `connected` is counted where it is judged. Guards against ending over callers whom an effect of this
+        very look has let in.
+        """
         judgements: dict[Seen, Callable[[], bool]] = {
             Seen.FOLLOWED: lambda: followed,
             Seen.ALONE: lambda: not followed,
@@ -104,7 +108,7 @@
             Seen.MOVE_DUE: lambda: now >= self._move_at,
             Seen.SERVED: lambda: now >= self._serve_until,
             Seen.LAST: lambda: now >= self.end_at,
-            Seen.EMPTY: lambda: not connected,
+            Seen.EMPTY: lambda: not connected(),
         }
         for seen, holds in judgements.items():
             row = ROWS.get((self.phase, seen))
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -373,7 +373,7 @@
         giver: Giver | None = None
         while not ending.over:
             handover, now = self._handover, self.now()
-            for effect in ending.look(now, self._followed(), self._callers.connected):
+            for effect in ending.look(now, self._followed(), lambda: self._callers.connected):
                 match effect:
                     case Do.LEAD:
                         self._callers.drain()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -225,6 +225,12 @@
     return (b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text, "keep")
 
 
+def wire_of(job_id: int, left: int = 2000, extra: str = "") -> bytes:
+    """A whole request, for callers that write it at a moment of their own."""
+    head = f"GET /api?x=1 HTTP/1.1\r\nHost: app\r\nReq-Id: {job_id}\r\nReq-Kind: plain\r\n"
+    return f"{head}Req-Deadline-Ms: {left}\r\n{extra}\r\n".encode()
+
+
 class Client:
     """A caller with one connection; each job has an id of its own."""
 
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import pytest
 
 from notchjunction.net.ending import Effect, Ending, Phase
@@ -17,7 +19,16 @@
 
 def story(*looks: Look) -> list[Effect]:
     ending = Ending(100.0, 2.0)
-    return [effect for at, followed, callers in looks for effect in ending.look(100 + at, followed, callers)]
+    return [effect for look in looks for effect in looked(ending, *look)]
+
+
+def looked(ending: Ending, at: float, followed: bool, callers: int, waiting: int = 0) -> Iterator[Effect]:
+    """A look at a node with so many callers, and so many in the queue, who are let in as it is closed."""
+    connected = [None] * callers
+    for effect in ending.look(100 + at, followed, lambda: len(connected)):
+        if effect is Do.CLOSE:
+            connected.extend([None] * waiting)
+        yield effect
 
 
 @pytest.mark.parametrize(
@@ -43,7 +54,24 @@
 
 def test_who_stands_in_waits_for_callers_until_too_little_time_is_left() -> None:
     ending = Ending(100.0, 2.0)
-    assert [*ending.look(100.0, True, 1), *ending.look(100.1, False, 0)] == [Do.YIELD, Do.TAKE_BACK]
-    assert not list(ending.look(101.1, False, 0)) and ending.phase is Phase.STANDING_IN
+    assert [*looked(ending, 0.0, True, 1), *looked(ending, 0.1, False, 0)] == [Do.YIELD, Do.TAKE_BACK]
+    assert not list(looked(ending, 1.1, False, 0)) and ending.phase is Phase.STANDING_IN
     assert ending.left(101.1) == pytest.approx(0.1)
-    assert list(ending.look(101.3, False, 0)) == [Do.CLOSE, Do.LEAD, Do.PART, Do.END] and ending.over
+    assert list(looked(ending, 1.3, False, 0)) == [Do.CLOSE, Do.LEAD, Do.PART, Do.END] and ending.over
+
+
+@pytest.mark.parametrize(
+    ("first", "at", "effects"),
+    [
+        ([(0, False, 0)], 0.06, [Do.CLOSE]),
+        ([(0, True, 1), (0.1, False, 0)], 1.3, [Do.CLOSE, Do.LEAD, Do.PART]),
+    ],
+)
+def test_callers_let_in_as_the_queue_closes_are_not_ended_over(
+    first: list[Look], at: float, effects: list[Effect]
+) -> None:
+    ending = Ending(100.0, 2.0)
+    for look in first:
+        list(looked(ending, *look))
+    assert list(looked(ending, at, False, 0, waiting=1)) == effects and not ending.over
+    assert list(looked(ending, at + 0.01, False, 0)) == [Do.END]
