A close ends the sending first and reads on: what crosses it resets nothing and is not sent on

Cause: an idle close (callers.py close_if_idle) was a look and then a close; a connection that ended after an answer (converse, resume) or by the caller's silence (_request) with nothing unread so far closed at once; so did a body given up after its answer (_cast_off, _discard, turn_back_upload), over unread bytes; and where descriptors were short nothing was read (_linger). Bytes that come in that moment make the close a reset, which destroys what of the answer is still on its way.

Change: each of these ends the sending (SHUT_WR), marks the connection so that nothing read later becomes a request, reads on within LINGER_WITHIN and LINGER_MOST, and closes. A caller that closes ends that at once. Where descriptors are short, what has come is read without waiting. Callers read on from are the first to make room. Once all has to be answered (end_at) it takes LINGER_LAST, within the kill's margin. A moved connection is let go in the step in which it is given away, so that the process that ends can't half-close it.

Ruled out: WRITTEN_WITHIN (that caller reads nothing and counts as gone); _broken_off (a reset is meant, or the missing end tells); bytes held back by the system (TCP_NODELAY is set, also on connections that move). Left: bytes later than the bounds, or than a close for room, still reset.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -37,8 +37,10 @@
 BODY_SLACK = 2.2  # s that it may lag behind: pauses of slow callers; half a request is answered within 3 s
 WRITTEN_WITHIN = 10.0  # s that a caller may take to read its answer, or a piece of it; then it counts as gone
 REFUSED_WITHIN = 1.0  # s that a caller over the limit has for the one request that is refused
-LINGER_WITHIN = 0.5  # s of reading on after an error, so that a reset does not destroy it on its way
+LINGER_WITHIN = 0.5  # s of reading on after the last answer, so that a reset does not destroy it on its way
+LINGER_LAST = 0.2  # s of it once all has to be answered: the kill may come 0.3 s after that
 LINGER_MOST = 1024 * 1024  # bytes thrown away in that time; more costs too much for politeness
+LINGER_SPARED = 0.1  # s of it that each has even where descriptors are short; over most round trips
 IDLE_MOST = 120.0  # s that a caller may stand idle; longer than pauses in traffic
 IDLE_SPARED = 2.0  # s idle after which a caller is closed where descriptors are short; sound ones come again
 SILENT_SPARED = 0.5  # s from connecting after which one that said nothing is; sound ones send at once
@@ -97,10 +99,12 @@
         # Those that have sent nothing yet, and those between two requests; the longest so come first.
         self.silent: dict[Caller, float] = {}
         self.idle: dict[Caller, float] = {}
+        self.lingering: dict[Caller, float] = {}  # their sending has ended; they are read from for a moment
         self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
         self.draining = False
         self.parting = False
+        self.last = False  # by now all has to be answered
         self.mover: Mover | None = None
         self.moving = asyncio.Event()
         counters.gauge("callers_connected", lambda: descriptors.callers)
@@ -182,7 +186,12 @@
     def close_oldest(self) -> bool:
         """Gives up the caller that has been idle longest, else one that has sent nothing since it came."""
         now = self.clock()
-        for kept, spared in ((self.idle, IDLE_SPARED), (self.silent, SILENT_SPARED)):
+        pools = (
+            (self.lingering, LINGER_SPARED),
+            (self.idle, IDLE_SPARED),
+            (self.silent, SILENT_SPARED),
+        )
+        for kept, spared in pools:
             for caller, since in islice(kept.items(), TRIED_MOST):
                 if since > now - spared:
                     break
@@ -222,6 +231,7 @@
 
     def turn_back_uploads(self) -> None:
         """What is not whole by the node's end never ran."""
+        self.last = True
         for caller in list(self._callers):
             caller.turn_back_upload()
 
@@ -250,7 +260,7 @@
         since = self.clock() - least
         for caller in list(self._callers):
             if self.idle.get(caller, self.silent.get(caller, 0.0)) <= since:
-                caller.close_if_idle()
+                caller.part_if_idle()
 
 
 class Caller:
@@ -262,6 +272,7 @@
         self._full = full
         self._requests = RequestReader()
         self._reading: asyncio.Future[bytes] | None = None
+        self._parted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._open = True
         self._busy = False
         # When the request's last byte was read; of one that came ahead of its turn, the first.
@@ -289,7 +300,7 @@
                 await self._linger()
                 return
             if request is None:
-                return
+                break
             self._busy = True
             keep = await self._respond(request)
             # Also where the connection ends after it: a close would destroy the answer on its way to a caller
@@ -301,8 +312,7 @@
             self._rest()
             if self._requests.begun:
                 await asyncio.sleep(0)  # guards against a caller of many requests at once taking all turns
-        if self._requests.unread or self._requests.going:
-            await self._linger()
+        await self._linger()
 
     async def _respond(self, request: Request) -> bool:
         """Serves one request; whether the connection can be used again."""
@@ -331,19 +341,50 @@
             self._callers.descriptors.give_back_caller()
             self._callers.counters.add("callers_closed")
 
+    def part_if_idle(self) -> None:
+        """Ends the sending where no request is open; its coroutine reads on for a moment, and closes."""
+        if self._rests():
+            self._part()
+
     def close_if_idle(self) -> bool:
+        """The same where its descriptor is needed at once: what has come by now is all that is read."""
+        if self._stream.closed() or not (self._parted.done() or self._rests()):
+            return False
+        self._part()
+        self._throw_away()
+        self.close()
+        return True
+
+    def _rests(self) -> bool:
         """Guards against closing over a request that has come and is not yet read."""
-        if self._busy or self._requests.begun or self._has_read() or self._stream.closed():
+        under_way = self._busy or self._requests.begun or self._has_read() or self._parted.done()
+        if under_way or self._stream.closed():
             return False
         try:
             self._stream.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            self.close()
             return True
         except OSError:
             pass
         return False
 
+    def _part(self) -> None:
+        """Ends the sending. Guards against a request that crosses this: from here on none is sent on."""
+        if self._parted.done():
+            return
+        self._parted.set_result(None)
+        self._stir()
+        self._callers.lingering[self] = self._callers.clock()
+        with suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
+
+    def _throw_away(self) -> None:
+        """Reads what has come: a close over it would be a reset."""
+        with suppress(OSError):
+            for _ in range(LINGER_MOST // PIECE):
+                if not self._stream.socket.recv(PIECE):
+                    return
+
     def _rest(self) -> None:
         """Between two requests, unless the next one has begun to come."""
         now = self._callers.clock()
@@ -357,9 +398,10 @@
     def _stir(self) -> None:
         self._callers.silent.pop(self, None)
         self._callers.idle.pop(self, None)
+        self._callers.lingering.pop(self, None)
 
     async def _request(self) -> Request | None:
-        """The next whole request; None when the caller has sent nothing for too long."""
+        """The next whole request; None when the caller is parted with, or has sent nothing for too long."""
         late = False
         while (request := self._requests.next()) is None:
             if late and self._requests.begun:
@@ -369,7 +411,9 @@
             reading = self._read()
             if self._requests.awaits_go_ahead():
                 await self._write(GO_AHEAD)
-            late = await self._wait(reading)
+            late = await self._wait(reading, self._parted)
+            if self._parted.done():
+                return None
             if reading.done():
                 self._feed()
         return request
@@ -560,6 +604,8 @@
             return False
         self._callers.counters.add("streams_moved")
         download.move()
+        # Guards against ending it for the other process, too.
+        self._stream.close()
         return True
 
     async def resume(self, state: Mapping[str, Any], download: Download) -> None:
@@ -580,10 +626,12 @@
         if keep and not self._callers.parting:
             self._rest()
             await self.converse()
+        else:
+            await self._linger()
 
     def turn_back_upload(self) -> None:
         if self._discards and not self._turned_back and (self._callers.mover is None or self._stays):
-            self._stream.close()  # it had its answer a while ago, and nobody goes on with it
+            self._part()  # it had its answer a while ago, and nobody goes on with it
         under_way = self._upload is not None and not self._upload.ended
         if under_way and self._job is not None and not self._turned_back:
             self._turned_back = True
@@ -600,13 +648,20 @@
     def _cast_off(self) -> bool:
         try:
             return self._requests.piece()[1]
-        except Malformed as error:
-            raise StreamClosedError from error
+        except Malformed:
+            self._part()
+            return False
 
     async def _discard(self, keep: bool) -> bool:
-        """Reads the rest of a body whose job has its answer, and throws it away; whether it has moved."""
+        """Reads the rest of a body whose job has its answer, and throws it away.
+
+        Says whether the connection is over here: it has moved, or the rest is not waited for.
+        """
         self._discards = True
         while not self._cast_off():
+            if self._parted.done():
+                await self._linger()
+                return True
             if self._callers.moving.is_set() and not self._stays:
                 if self._move_rest(keep):
                     return True
@@ -615,12 +670,12 @@
                 break  # the process ends, and nobody can go on with it
             told = asyncio.ensure_future(self._callers.moving.wait())
             reading = self._read(self._callers.streams.piece())
-            late = await self._wait(reading, *([] if self._stays else [told]))
+            late = await self._wait(reading, self._parted, *([] if self._stays else [told]))
             told.cancel()
-            if not reading.done() and late:
-                raise StreamClosedError
             if reading.done():
                 self._feed()
+            elif late:
+                self._part()
         self._discards = False
         return False
 
@@ -636,6 +691,8 @@
         self._stays = not moved
         if moved:
             self._callers.counters.add("bodies_moved")
+            # Guards against ending it for the other process, too.
+            self._stream.close()
         return moved
 
     async def resume_rest(self, state: Mapping[str, Any]) -> None:
@@ -692,12 +749,15 @@
 
     async def _linger(self) -> None:
         """Reads on for a moment: a close over unread bytes is a reset, which may destroy what was written."""
-        if self._stream.closed() or self._callers.descriptors.full_of_callers():
+        if self._stream.closed():
+            return
+        self._part()
+        if self._callers.descriptors.full_of_callers():
+            self._throw_away()
             return
         left = LINGER_MOST
         with suppress(OSError, TimeoutError):
-            self._stream.socket.shutdown(socket.SHUT_WR)
-            async with asyncio.timeout(LINGER_WITHIN):
+            async with asyncio.timeout(LINGER_LAST if self._callers.last else LINGER_WITHIN):
                 while left > 0:
                     left -= len(await self._read())
                     self._reading = None
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -4,18 +4,31 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import pytest
 
-from notchjunction.net.callers import Callers
+from notchjunction.net import callers, ending
+from notchjunction.net.callers import Callers, CallerStream
 from notchjunction.net.connections import Address
-from tests.helpers import Peer, running, wire_of
+from notchjunction.net.node import Node
+from tests.helpers import Client, Peer, Reply, running, wire_of
+from tests.test_large import Talk, served
 from tests.test_net import run
 
+# More than a caller's system takes in unasked, and less than the node's holds: a reset destroys the rest.
+LONG: Reply = (b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000, "keep")
+RECEIVED_MOST = 8 * 1024
+
 
 def connect(address: Address) -> socket.socket:
-    """A caller whose reads and writes happen at once, wherever the story stands."""
-    return socket.create_connection(address)
+    """A caller whose writes happen at once, wherever the story stands, and that reads only when told to."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED_MOST)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.connect(address)
+    return sock
 
 
 async def heard(sock: socket.socket) -> bytes:
@@ -29,6 +42,194 @@
     return found
 
 
+class Crossing:
+    """Does something in the moment in which the node ends a connection, before or after it has said so."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, do: Callable[[], None], after: bool = False) -> None:
+        self.over = asyncio.Event()
+        shutdown, close = socket.socket.shutdown, CallerStream.close
+
+        def once() -> None:
+            if not self.over.is_set():
+                self.over.set()
+                do()
+
+        def crossed_shutdown(sock: socket.socket, how: int) -> None:
+            if not after:
+                once()
+            shutdown(sock, how)
+            once()
+
+        def crossed_close(stream: CallerStream) -> None:
+            once()
+            close(stream)
+
+        monkeypatch.setattr(socket.socket, "shutdown", crossed_shutdown)
+        monkeypatch.setattr(CallerStream, "close", crossed_close)
+
+
+async def drained(node: Node) -> None:
+    node.stop()
+
+
+async def led_away(node: Node) -> None:
+    assert await node.out_of_service()
+
+
+async def room_made(node: Node) -> None:
+    while not node._callers.idle:
+        await asyncio.sleep(0)
+    assert node._callers.close_oldest()
+
+
+async def short_of_descriptors(node: Node) -> None:
+    node._descriptors.callers_elsewhere = 10_000
+
+
+async def nothing(_: Node) -> None:
+    pass
+
+
+@pytest.mark.parametrize("after", [False, True], ids=["before", "after"])
+@pytest.mark.parametrize(
+    ("ends", "extra", "spans"),
+    [
+        (drained, "", {}),
+        (led_away, "", {}),
+        (room_made, "", {"IDLE_SPARED": 0.0}),
+        (nothing, "", {"IDLE_MOST": 0.05}),
+        (nothing, "Connection: close\r\n", {}),
+        (short_of_descriptors, "Connection: close\r\n", {}),
+    ],
+)
+def test_a_request_that_crosses_a_close_destroys_no_answer_and_is_not_sent_on(
+    ends: Callable[[Node], Awaitable[None]],
+    extra: str,
+    spans: dict[str, float],
+    after: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for name, span in spans.items():
+        monkeypatch.setattr(callers, name, span)
+
+    async def story() -> None:
+        async with Peer(LONG) as peer, running(peer) as (node, address):
+            caller = connect(address)
+            crossing = Crossing(monkeypatch, lambda: caller.sendall(wire_of(2)), after)
+            caller.sendall(wire_of(1, extra=extra))
+            await peer.asked.wait()
+            await ends(node)
+            await crossing.over.wait()
+            found = await heard(caller)
+            assert found.startswith(b"HTTP/1.1 200") and found.endswith(b"x" * 60_000)
+            assert len(peer.requests) == 1
+
+    run(story())
+
+
+@pytest.mark.parametrize("ends", ["noise", "stalls", "the node ends"])
+def test_a_body_given_up_after_its_answer_destroys_no_answer(
+    ends: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its job was turned back early; more of the body comes as the node gives it up."""
+    monkeypatch.setattr(callers, "BODY_SLACK", 0.1 if ends == "stalls" else 60.0)
+    monkeypatch.setattr(callers, "BODY_PACE", 10_000_000)
+    monkeypatch.setattr(ending, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
+
+    async def story() -> None:
+        async with running() as (node, address):
+            caller = connect(address)
+            crossing = Crossing(monkeypatch, lambda: caller.sendall(b"y" * 1000))
+            caller.sendall(wire_of(1, extra="Transfer-Encoding: chunked\r\n").replace(b"GET", b"POST"))
+            caller.sendall(b"%x\r\n%b\r\n" % (70_000, b"x" * 70_000))
+            while not any(one._discards for one in node._callers._callers):
+                await asyncio.sleep(0.001)
+            if ends == "noise":
+                caller.sendall(b"what is this\r\n")
+            elif ends == "the node ends":
+                node.stop()
+            await crossing.over.wait()
+            assert (await heard(caller)).startswith(b"HTTP/1.1 503")
+
+    run(story())
+
+
+def test_a_request_that_crosses_the_end_of_a_moved_answer_destroys_none_of_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        go_on = asyncio.Event()
+        size = 100_000
+
+        async def large(talk: Talk) -> None:
+            await talk.request()
+            await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size, b"x" * 70_000)
+            await go_on.wait()
+            await talk.send(b"x" * (size - 70_000))
+
+        async with served(large, shared=tmp_path) as (old, address, _):
+            caller = connect(address)
+            caller.sendall(wire_of(1, extra="Connection: close\r\n"))
+            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.001)
+                old.stop()
+                while not new.counters.read().get("streams_adopted") or old._callers.connected:
+                    await asyncio.sleep(0.001)
+                crossing = Crossing(monkeypatch, lambda: caller.sendall(wire_of(2)))
+                go_on.set()
+                await crossing.over.wait()
+                assert (await heard(caller)).endswith(b"x" * size)
+
+    run(story())
+
+
+@pytest.mark.parametrize("then", ["closes", "sends on", "says nothing", "says nothing at the last"])
+def test_a_caller_is_read_from_for_a_moment_only(then: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    last = then == "says nothing at the last"
+    monkeypatch.setattr(callers, "LINGER_WITHIN", 0.05 if then == "says nothing" else 60.0)
+    monkeypatch.setattr(callers, "LINGER_LAST", 0.05 if last else 60.0)
+    monkeypatch.setattr(callers, "LINGER_MOST", 100_000)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            node._callers.last = last
+            client = await Client().open(address)
+            client.ask(extra="Connection: close\r\n")
+            assert (await client.answer()).status == 200 and await client.closed()
+            if then == "closes":
+                client.writer.close()
+            elif then == "sends on":
+                client.send(b"x" * 200_000)
+            async with asyncio.timeout(5):
+                while node._callers.connected:
+                    await asyncio.sleep(0.001)
+            assert not node._callers.lingering and not node._descriptors.callers
+
+    run(story())
+
+
+def test_callers_that_have_their_last_answer_make_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(callers, "LINGER_WITHIN", 60.0)
+    monkeypatch.setattr(callers, "LINGER_SPARED", 0.0)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            open_still = [await Client().open(address) for _ in range(6)]
+            for client in open_still:
+                client.ask(extra="Connection: close\r\n")
+                assert (await client.answer()).status == 200
+            crowd = [await Client().open(address) for _ in range(4)]
+            for client in crowd:
+                client.ask()
+                assert (await client.answer()).status == 200
+            assert not node.counters.read().get("callers_refused")
+            for client in open_still + crowd:
+                client.writer.close()
+
+    run(story())
+
+
 def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """It connects right before the listener closes, on a node that nobody else is connected to."""
     late: list[socket.socket] = []
