--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from notchjunction.net import ending, handover
+from notchjunction.net import callers, ending, handover
 from notchjunction.net import node as node_module
 
 SPANS = {
@@ -23,3 +23,4 @@
     monkeypatch.setattr(ending, "MOVE_AFTER", 0.1)
     monkeypatch.setattr(ending, "ANSWER_SHARE", 1.0)
     monkeypatch.setattr(handover, "TOLD_EVERY", 0.005)
+    monkeypatch.setattr(callers, "LINGER_WITHIN", 0.1)
