The end counts from SIGTERM in the start too; a late queue, a failed accept lose no caller

Three causes, each seen at its own lines: - node.py _drain made the Ending when the drain began. A SIGTERM while _join waited (1.5 s at most) moved end_at by that wait past the kill, and a job was told up to that much more time. It is made in stop(). - node.py _adopt gave an inherited listener to callers.py after the list had come, also when the node had closed its queue: callers were let in up to the node's end, since no later row closes it. A queue adopted then is emptied and closed as the others were. - callers.py _accept gave up at any error. One caller that was gone in the queue (ECONNABORTED and kin) ended stop()'s emptying, and closing the listener reset all behind it. Such an error is passed over.

Ruled out: a second SIGTERM (service_state's table, played by an older story); SIGHUP while the start waits or the node ends (read_again touches neither Ending nor listeners); a request read past end_at: stories on small, pipelined and large ones, which passed at once, are refused with 503, and no server is connected to.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 import struct
@@ -32,6 +33,8 @@
 
 BACKLOG = 1024  # connections that wait to be accepted; a burst of callers, also after a restart
 ACCEPT_MOST = 16  # connections accepted at one go; jobs get their turn in between, however many knock
+# What the system says at an accept of that one connection, and not of the listener (accept(2)).
+ONE_FAILED = (errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTUNREACH)
 HEAD_WITHIN = 2.6  # s from connecting, or a later request's first byte, to a whole head; some take 2 s
 BODY_PACE = 48 * 1024  # bytes a second that a body comes with at least; slow callers send 64 kB
 BODY_SLACK = 2.2  # s that it may lag behind: pauses of slow callers; half a request is answered within 3 s
@@ -102,6 +105,7 @@
         self.lingering: dict[Caller, float] = {}  # their sending has ended; they are read from for a moment
         self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
+        self._stopped = False
         self.draining = False
         self.parting = False
         self.last = False  # by now all has to be answered
@@ -120,7 +124,10 @@
 
     def adopt(self, listeners: list[socket.socket]) -> None:
         self.listeners = listeners
-        for listener in listeners:
+        if self._stopped:
+            # Guards against letting callers in up to the node's end: their list has come only now.
+            self.stop()
+        for listener in self.listeners:
             self._loop.add_reader(listener.fileno(), self._accept, listener)
 
     def pause(self) -> None:
@@ -134,6 +141,7 @@
 
     def stop(self) -> None:
         """Lets nobody in from now on but those who wait."""
+        self._stopped = True
         for listener in self.listeners:
             # Guards against a reset for each that waits: closing a listener ends them unheard.
             while self._accept(listener) == ACCEPT_MOST:
@@ -157,7 +165,10 @@
                 # Guards against a caller gone before it was let in, and descriptors that others use up.
                 self.counters.add("accepts_failed")
                 log.warning("accept fails", extra=pairs(why=error))
-                return count
+                if error.errno not in ONE_FAILED:
+                    return count
+                # Guards against resets for all behind that one, as where the listener is closed next.
+                continue
             self._let_in(connection)
         return ACCEPT_MOST
 
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -101,6 +101,7 @@
         self._list_due = asyncio.Event()
         self._stopping = asyncio.Event()
         self.listening = asyncio.Event()
+        self._ending: Ending | None = None
         self._end_at = math.inf
         self._wake_call: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -182,6 +183,10 @@
     def stop(self) -> None:
         """Begins the drain; a second call changes nothing."""
         if self._service.tell(Input.END) is Effect.CEASE:
+            # Not in the drain. Guards against jobs that the kill cuts off where the start is not over.
+            longest = max((profile.abandon_time for profile in self._told.terms.profiles), default=math.inf)
+            self._ending = Ending(self.now(), longest)
+            self._end_at = self._ending.end_at
             self._stopping.set()
 
     # Another process of this node, before or after this one.
@@ -365,9 +370,8 @@
 
     async def _drain(self) -> None:
         log.info("drain", extra=pairs(held=self._decider.held, callers=self._callers.connected))
-        longest = max((profile.abandon_time for profile in self._told.terms.profiles), default=math.inf)
-        ending = Ending(self.now(), longest)
-        self._end_at = ending.end_at
+        ending = self._ending
+        assert ending is not None
         self._stop_leading()
         part_until = math.inf
         giver: Giver | None = None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 import json
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Any, Self
@@ -311,6 +311,7 @@
     pushed: bool = False,
     fleet: Mapping[str, Any] | None = None,
     told: Mapping[str, Any] | None = None,
+    starting: Callable[[Node], Awaitable[None]] | None = None,
     **terms: Any,
 ) -> AsyncIterator[tuple[Node, Address]]:
     """A node on a free port of the loopback address, with its list remembered or not."""
@@ -335,6 +336,8 @@
     )
     node = Node(given)
     run = asyncio.create_task(node.run())
+    if starting is not None:
+        await starting(node)
     await node.listening.wait()
     try:
         yield node, listen
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
+from tornado.netutil import bind_sockets
 
+from notchjunction.interface import News
 from notchjunction.net import callers, ending
 from notchjunction.net.callers import Callers, CallerStream
 from notchjunction.net.connections import Address
+from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
-from tests.helpers import Client, Peer, Reply, running, wire_of
+from tests.helpers import Client, Peer, Reply, rows, running, wire_of
 from tests.test_large import Talk, served
 from tests.test_net import run
 
@@ -230,6 +234,131 @@
     run(story())
 
 
+@pytest.mark.parametrize("form", ["small", "two at once", "large", "whole by then"])
+def test_a_request_that_is_read_past_the_nodes_end_is_refused_and_not_sent_on(
+    form: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its first byte came before; the clock is past the end when its last byte, or its beginning, does."""
+    for span in ("HEAD_WITHIN", "BODY_SLACK"):
+        monkeypatch.setattr(callers, span, 60.0)  # the clock is stepped by less
+    wire = wire_of(1, left=60_000)
+    if form == "two at once":
+        wire += wire_of(2, left=60_000)
+    elif form in ("large", "whole by then"):
+        head = wire_of(1, left=60_000, extra="Content-Length: 200000\r\n").replace(b"GET", b"POST")
+        wire = head + b"x" * (200_000 if form == "whole by then" else 100_000)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            caller = connect(address)
+            caller.sendall(wire[:1])
+            while not any(one._requests.begun for one in node._callers._callers):
+                await asyncio.sleep(0.001)
+            node.stop()
+            while not node._callers.parting:
+                await asyncio.sleep(0.001)
+            node._offset += 10.0
+            caller.setblocking(False)
+            await asyncio.get_running_loop().sock_sendall(caller, wire[1:])
+            found = await heard(caller)
+            assert found.count(b"HTTP/1.1 503") == (2 if form == "two at once" else 1)
+            assert found.count(b"HTTP/1.1 ") == found.count(b"HTTP/1.1 503")
+            assert not peer.requests and not peer.connections
+
+    run(story())
+
+
+def test_the_nodes_end_counts_from_its_signal_also_where_its_start_is_not_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It waits for a process before it, and is told to end; the kill doesn't wait for the wait."""
+    joined, waiting = asyncio.Event(), asyncio.Event()
+    late: list[socket.socket] = []
+    opens = Callers.open
+
+    async def join(_: Node) -> None:
+        waiting.set()
+        await joined.wait()
+
+    def opened(callers: Callers, address: Address, shared: bool = False) -> None:
+        opens(callers, address, shared)
+        late.append(connect(address))
+        late[0].sendall(wire_of(1, left=60_000))
+
+    monkeypatch.setattr(Node, "_join", join)
+    monkeypatch.setattr(Callers, "open", opened)
+
+    async def story() -> None:
+        async def told_to_end_meanwhile(starts: Node) -> None:
+            await waiting.wait()
+            starts.stop()
+            starts._offset += 1.0
+            joined.set()
+
+        async with Peer() as peer, running(peer, starting=told_to_end_meanwhile):
+            assert (await heard(late[0])).startswith(b"HTTP/1.1 200")
+            span = ending.KILL_AFTER - ending.KILL_MARGIN + 2.0  # s, 2.0 of them the longest abandon time
+            assert int(peer.requests[0].headers["req-deadline-ms"]) <= (span - 1.0) * 1000
+
+    run(story())
+
+
+def test_a_queue_that_is_inherited_once_the_node_lets_nobody_in_is_emptied_and_closed() -> None:
+    """The list that its callers had to wait for comes late."""
+
+    async def story() -> None:
+        async with Peer() as peer, running(known=False) as (node, address):
+            (queue,) = bind_sockets(0, "127.0.0.1")
+            node._start(node._adopt([queue]))
+            stays, waits = connect(address), connect(queue.getsockname())
+            stays.sendall(wire_of(1)[:1])
+            waits.sendall(wire_of(2))
+            while not node._callers.connected:
+                await asyncio.sleep(0.001)
+            node.stop()
+            while node._callers.listeners:
+                await asyncio.sleep(0.001)
+            endpoints = {"index": 1, "snapshot": True, "endpoints": rows(peer)}
+            node._hear(read_list(endpoints), News.REMEMBERED)
+            assert (await heard(waits)).startswith(b"HTTP/1.1 200")
+            assert not node._callers.listeners and queue.fileno() < 0
+            stays.close()
+
+    run(story())
+
+
+def test_one_caller_that_is_gone_before_it_is_let_in_keeps_out_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The listener closes right after: whoever was not let in meets a reset."""
+    stop, accept = Callers.stop, socket.socket.accept
+    late: list[socket.socket] = []
+    failures = [errno.ECONNABORTED]
+
+    def fails_once(listener: socket.socket) -> tuple[socket.socket, Address]:
+        if late and failures:
+            raise OSError(failures.pop(), "gone")
+        return accept(listener)
+
+    def crossed(callers: Callers) -> None:
+        late.append(connect(callers.listeners[0].getsockname()))
+        late[0].sendall(wire_of(1))
+        stop(callers)
+
+    monkeypatch.setattr(Callers, "stop", crossed)
+    monkeypatch.setattr(socket.socket, "accept", fails_once)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, _):
+            node.stop()
+            while not late:
+                await asyncio.sleep(0)
+            assert (await heard(late[0])).startswith(b"HTTP/1.1 200")
+            assert node.counters.read()["accepts_failed"] == 1
+
+    run(story())
+
+
 def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """It connects right before the listener closes, on a node that nobody else is connected to."""
     late: list[socket.socket] = []
