A signal while the program loads or leaves doesn't end it

Cause: __main__.py held SIGHUP and SIGUSR1 in main(), after its imports, which are most of a start; either one sent earlier killed the process. And asyncio's close of the loop takes the node's handlers away, so that one sent between the node's end and the program's (SIGHUP, SIGUSR1, a second SIGTERM) ended it by that signal and not with 0. Change: they are held before the rest is imported, and blocked once the node has ended.

Ruled out: SIGTERM while it loads ends a process that has no listener yet, and has taken nothing. Left: the interpreter's own start, before this package's first line.

--- a/notchjunction/__main__.py
+++ b/notchjunction/__main__.py
@@ -2,11 +2,26 @@
 
 from __future__ import annotations
 
+import signal
+
+
+def hold_signals() -> None:
+    """Guards against being ended by a request that comes before the node can answer it.
+
+    One for counters is passed over, one for new configuration is kept until then.
+    """
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
+if __name__ == "__main__":
+    hold_signals()  # also while the rest is loaded, which takes most of a start
+
+# ruff: noqa: E402
 import argparse
 import asyncio
 import logging
 import os
-import signal
 import sys
 from pathlib import Path
 
@@ -15,10 +30,13 @@
 from notchjunction.net.node import Node
 
 log = logging.getLogger("notchjunction")
+LATE = {signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT}
 
 
 async def serve(told: node_input.NodeInput) -> None:
     await Node(told).run()
+    # Guards against another end than 0: the loop's close takes the node's handlers away.
+    signal.pthread_sigmask(signal.SIG_BLOCK, LATE)
 
 
 def check(file: str) -> int:
@@ -37,10 +55,7 @@
 
 
 def main() -> int:
-    # Guards against being ended by a request that comes before the node can answer it. One for new
-    # configuration is kept until then.
-    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    hold_signals()
     parser = argparse.ArgumentParser(prog="notchjunction", description=__doc__)
     parser.add_argument("--log-level", default="INFO", help="of the standard error log (default: INFO)")
     parser.add_argument("--check", metavar="FILE", help="say what is wrong with a configuration, and end")
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import errno
+import json
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -14,10 +16,10 @@
 from notchjunction.interface import News
 from notchjunction.net import callers, ending
 from notchjunction.net.callers import Callers, CallerStream
-from notchjunction.net.connections import Address
+from notchjunction.net.connections import Address, text_of
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
-from tests.helpers import Client, Peer, Reply, rows, running, wire_of
+from tests.helpers import Client, Peer, Reply, configuration, free_address, rows, running, wire_of
 from tests.test_large import Talk, served
 from tests.test_net import run
 
@@ -359,6 +361,58 @@
     run(story())
 
 
+LOADING = """
+import os, runpy, signal, sys
+class Signals:
+    def find_spec(self, name, path=None, target=None):
+        if name == "notchjunction.net.node":
+            os.kill(os.getpid(), signal.SIGHUP)
+            os.kill(os.getpid(), signal.SIGUSR1)
+sys.meta_path.insert(0, Signals())
+sys.argv = ["notchjunction"]
+runpy.run_module("notchjunction", run_name="__main__")
+"""
+LEAVING = """
+import asyncio, os, runpy, signal, sys
+run = asyncio.run
+def leave(work):
+    run(work)
+    for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT):
+        os.kill(os.getpid(), number)
+asyncio.run = leave
+sys.argv = ["notchjunction"]
+runpy.run_module("notchjunction", run_name="__main__")
+"""
+
+
+@pytest.mark.parametrize(("when", "code"), [(LOADING, 2), (LEAVING, 0)], ids=["loading", "leaving"])
+def test_a_signal_before_or_after_the_node_runs_does_not_end_the_program(
+    when: str, code: int, tmp_path: Path
+) -> None:
+    """For new configuration or counters, or a second one to end; with no input it ends with 2."""
+
+    async def story() -> None:
+        file = tmp_path / "told.json"
+        file.write_text(json.dumps(configuration()))
+        listen = text_of(free_address())
+        program = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            when,
+            env={"GW_CONFIG": str(file), "GW_LISTEN": listen} if when is LEAVING else {},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert program.stderr is not None
+        if when is LEAVING:
+            while b"event=start" not in await program.stderr.readline():
+                pass
+            program.terminate()
+        said = (await program.stderr.read()).decode()
+        assert await program.wait() == code, said
+
+    run(story())
+
+
 def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """It connects right before the listener closes, on a node that nobody else is connected to."""
     late: list[socket.socket] = []
