--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -246,6 +246,10 @@
         for caller in list(self._callers):
             caller.turn_back_upload()
 
+    def linger_within(self) -> float:
+        """s that a caller is read from after its last answer."""
+        return LINGER_LAST if self.last else LINGER_WITHIN
+
     def adopt_stream(self, state: Mapping[str, Any], caller_sock: socket.socket, download: Download) -> None:
         """A caller whose answer another process of this node began to pass on."""
         caller = self._adopted(caller_sock, "streams_adopted")
@@ -283,7 +287,7 @@
         self._full = full
         self._requests = RequestReader()
         self._reading: asyncio.Future[bytes] | None = None
-        self._parted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._parted = False  # its sending has ended
         self._open = True
         self._busy = False
         # When the request's last byte was read; of one that came ahead of its turn, the first.
@@ -353,13 +357,13 @@
             self._callers.counters.add("callers_closed")
 
     def part_if_idle(self) -> None:
-        """Ends the sending where no request is open; its coroutine reads on for a moment, and closes."""
+        """Ends the sending where no request is open; its coroutine reads on for a moment."""
         if self._rests():
-            self._part()
+            self._part_from_outside()
 
     def close_if_idle(self) -> bool:
         """The same where its descriptor is needed at once: what has come by now is all that is read."""
-        if self._stream.closed() or not (self._parted.done() or self._rests()):
+        if self._stream.closed() or not (self._parted or self._rests()):
             return False
         self._part()
         self._throw_away()
@@ -368,7 +372,7 @@
 
     def _rests(self) -> bool:
         """Guards against closing over a request that has come and is not yet read."""
-        under_way = self._busy or self._requests.begun or self._has_read() or self._parted.done()
+        under_way = self._busy or self._requests.begun or self._has_read() or self._parted
         if under_way or self._stream.closed():
             return False
         try:
@@ -381,14 +385,19 @@
 
     def _part(self) -> None:
         """Ends the sending. Guards against a request that crosses this: from here on none is sent on."""
-        if self._parted.done():
+        if self._parted:
             return
-        self._parted.set_result(None)
+        self._parted = True
         self._stir()
         self._callers.lingering[self] = self._callers.clock()
         with suppress(OSError):
             self._stream.socket.shutdown(socket.SHUT_WR)
 
+    def _part_from_outside(self) -> None:
+        """The same while its coroutine waits for what comes, which may be nothing."""
+        self._part()
+        asyncio.get_running_loop().call_later(self._callers.linger_within(), self.close)
+
     def _throw_away(self) -> None:
         """Reads what has come: a close over it would be a reset."""
         with suppress(OSError):
@@ -422,8 +431,8 @@
             reading = self._read()
             if self._requests.awaits_go_ahead():
                 await self._write(GO_AHEAD)
-            late = await self._wait(reading, self._parted)
-            if self._parted.done():
+            late = await self._wait(reading)
+            if self._parted:
                 return None
             if reading.done():
                 self._feed()
@@ -642,7 +651,7 @@
 
     def turn_back_upload(self) -> None:
         if self._discards and not self._turned_back and (self._callers.mover is None or self._stays):
-            self._part()  # it had its answer a while ago, and nobody goes on with it
+            self._part_from_outside()  # it had its answer a while ago, and nobody goes on with it
         under_way = self._upload is not None and not self._upload.ended
         if under_way and self._job is not None and not self._turned_back:
             self._turned_back = True
@@ -670,7 +679,7 @@
         """
         self._discards = True
         while not self._cast_off():
-            if self._parted.done():
+            if self._parted:
                 await self._linger()
                 return True
             if self._callers.moving.is_set() and not self._stays:
@@ -681,7 +690,7 @@
                 break  # the process ends, and nobody can go on with it
             told = asyncio.ensure_future(self._callers.moving.wait())
             reading = self._read(self._callers.streams.piece())
-            late = await self._wait(reading, self._parted, *([] if self._stays else [told]))
+            late = await self._wait(reading, *([] if self._stays else [told]))
             told.cancel()
             if reading.done():
                 self._feed()
@@ -768,7 +777,7 @@
             return
         left = LINGER_MOST
         with suppress(OSError, TimeoutError):
-            async with asyncio.timeout(LINGER_LAST if self._callers.last else LINGER_WITHIN):
+            async with asyncio.timeout(self._callers.linger_within()):
                 while left > 0:
                     left -= len(await self._read())
                     self._reading = None
