A second request read as a parting answer is ready is answered, too

Cause: callers.py _respond looked only at bytes already given to the parser (begun). Bytes read while the answer became ready stay in the finished read, and the connection was closed over them with 'Connection: close'. Change: a finished read counts as begun, as it does in an idle close.

Shown: the story had one answer of two before.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -338,7 +338,8 @@
         if answer is None:
             return False
         # Guards against closing over a request that came with this one, drain or not.
-        parts = self._callers.parting and (self._requests.going or not self._requests.begun)
+        more = self._requests.begun or self._has_read()
+        parts = self._callers.parting and (self._requests.going or not more)
         keep = request.keep and not self._full and not parts
         if isinstance(answer, Download):
             assert job is not None
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -13,12 +13,15 @@
 import pytest
 from tornado.netutil import bind_sockets
 
+from notchjunction.http1.messages import Answer, Request
 from notchjunction.interface import News
 from notchjunction.net import callers, ending
-from notchjunction.net.callers import Callers, CallerStream
+from notchjunction.net.callers import Caller, Callers, CallerStream
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.discovery import read_list
+from notchjunction.net.jobs import Job
 from notchjunction.net.node import Node
+from notchjunction.net.relay import Download
 from tests.helpers import Client, Peer, Reply, configuration, free_address, rows, running, wire_of
 from tests.test_large import Talk, served
 from tests.test_net import run
@@ -413,6 +416,37 @@
     run(story())
 
 
+def test_a_request_read_as_the_answer_before_it_is_ready_is_answered_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The node parts with its callers; the second request has been read, but not looked at."""
+    take = Caller._take
+    second: list[socket.socket] = []
+
+    async def crossed(caller: Caller, request: Request) -> tuple[Job | None, Answer | Download | None]:
+        taken = await take(caller, request)
+        if second:
+            second.pop().sendall(wire_of(2))
+            while not caller._has_read():
+                await asyncio.sleep(0)
+        return taken
+
+    monkeypatch.setattr(Caller, "_take", crossed)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            node._callers.part()
+            second.append(sock := connect(address))
+            sock.sendall(wire_of(1))
+            while second:
+                await asyncio.sleep(0)
+            found = await heard(sock)
+            assert found.count(b"HTTP/1.1 200") == len(peer.requests) == 2
+            assert found.count(b"Connection: close") == 1
+
+    run(story())
+
+
 def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """It connects right before the listener closes, on a node that nobody else is connected to."""
     late: list[socket.socket] = []
