A node starts also where the process before it hangs in the midst of the handover

Cause: handover.py _join closed the socket beneath its transport when the handover failed after the channel was open (a timeout, no state). The loop went on watching that number; the node's own listener got it next, and add_reader raised RuntimeError ('File descriptor 17 is used by transport'), which ended the start: a crash. _welcome had the same lines. Change: a channel that fails is ended by its transport.

Shown: the story of a listener alone failed before: the node never listened.

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -115,6 +115,10 @@
         if done is not None and not done.done():
             done.set_result(True)
 
+    def abort(self) -> None:
+        """Ends it at once. Guards against a loop that goes on watching the number of a closed descriptor."""
+        self._writer.transport.abort()
+
     def close(self) -> None:
         self._writer.close()
         for number in list(self._awaited):
@@ -162,6 +166,7 @@
 
     async def _join(self) -> Inherited:
         sock = socket.socket(socket.AF_UNIX)
+        channel: Channel | None = None
         listeners: list[socket.socket] = []
         try:
             sock.setblocking(False)
@@ -181,7 +186,10 @@
         except BaseException:
             for listener in listeners:
                 listener.close()
-            sock.close()
+            if channel is not None:
+                channel.abort()
+            else:
+                sock.close()
             raise
         for listener in listeners:
             listener.setblocking(False)
@@ -303,6 +311,7 @@
         self._run(self._welcome(sock))
 
     async def _welcome(self, sock: socket.socket) -> None:
+        channel: Channel | None = None
         try:
             async with asyncio.timeout(JOINED_WITHIN):
                 descriptors = [listener.fileno() for listener in self._node.listeners()]
@@ -312,7 +321,10 @@
                 await channel.hear()
         except (Broken, OSError, TimeoutError) as error:
             log.warning("handover fails", extra=pairs(why=repr(error)))
-            sock.close()
+            if channel is not None:
+                channel.abort()
+            else:
+                sock.close()
             return
         # In one go: word that comes later follows the state on the channel.
         channel.say(state=self._node.state())
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import json
+import os
 import socket
 import sys
 from collections.abc import Awaitable, Callable
@@ -15,7 +16,7 @@
 
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.interface import News
-from notchjunction.net import callers, ending
+from notchjunction.net import callers, ending, handover
 from notchjunction.net.callers import Caller, Callers, CallerStream
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.discovery import read_list
@@ -364,6 +365,74 @@
     run(story())
 
 
+def test_a_follower_that_hangs_before_it_has_the_listener_harms_no_caller_after_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The caller that comes next gets the number of the descriptor that was closed."""
+    monkeypatch.setattr(handover, "JOINED_WITHIN", 0.05)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, address):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.001)
+            caller, hangs = connect(address), socket.socket(socket.AF_UNIX)
+            while not node._callers.connected:
+                await asyncio.sleep(0.001)
+            node._callers.pause()
+            late = connect(address)
+            fillers = [os.dup(late.fileno()) for _ in range(20)]  # so that no lower number is free
+            hangs.connect(str(tmp_path / handover.FILE))
+            hangs.setblocking(False)
+            while await asyncio.get_running_loop().sock_recv(hangs, 4096):
+                pass
+            node._callers.go_on()
+            while node.counters.read()["callers_opened"] < 2:
+                await asyncio.sleep(0.001)
+            late.sendall(wire_of(1, extra="Connection: close\r\n"))
+            assert (await heard(late)).startswith(b"HTTP/1.1 200")
+            assert not node.counters.read().get("failures")
+            caller.close()
+            hangs.close()
+            for filler in fillers:
+                os.close(filler)
+
+    run(story())
+
+
+@pytest.mark.parametrize("gives", ["a listener alone", "no state"])
+def test_a_process_that_hangs_as_it_is_followed_keeps_the_next_one_from_nothing(
+    gives: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The next one's own listener gets the number of the descriptor that was closed."""
+    monkeypatch.setattr(handover, "JOINED_WITHIN", 0.1)
+
+    async def story() -> None:
+        address = free_address()
+        identity = {"node": "n", "listen": text_of(address), "version": str(handover.VERSION)}
+        ends = asyncio.Event()
+
+        async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with socket.socket() as given:
+                raw = writer.get_extra_info("socket")
+                socket.send_fds(raw._sock, [json.dumps(identity).encode()], [given.fileno()])
+            if gives == "no state":
+                await reader.readline()
+                writer.write(b"{}\n")
+            await ends.wait()
+            writer.close()
+
+        server = await asyncio.start_unix_server(hang, str(tmp_path / handover.FILE))
+        async with Peer() as peer, running(peer, shared=tmp_path, listen=address) as (node, _):
+            sock = connect(address)
+            sock.sendall(wire_of(1, extra="Connection: close\r\n"))
+            assert (await heard(sock)).startswith(b"HTTP/1.1 200")
+            assert node.counters.read()["handovers_failed"] == 1
+            ends.set()
+        server.close()
+
+    run(story())
+
+
 LOADING = """
 import os, runpy, signal, sys
 class Signals:
