A stream given to a process in the moment of its end is taken, and later ones stay

Cause: node.py _drain ended by the count of callers alone. What another process of the node had written to handover.py's queue of streams by then was closed with it: an answer half passed was cut off. Change: before it counts as empty, a process shuts that queue down and reads it to its end; who gives later fails and keeps.

Left: what lies in the queue of a process that is killed is lost; a giver is told nothing back.

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -256,12 +256,32 @@
         os.rename(new, f"{folder}/{STREAMS}")
         self._loop.add_reader(listener.fileno(), self._accept_giver, listener)
 
-    def _accept_giver(self, listener: socket.socket) -> None:
+    def _accept_giver(self, listener: socket.socket) -> bool:
         with suppress(OSError):
             giver, _ = listener.accept()
             giver.setblocking(False)
             self._taking.append(giver)
             self._loop.add_reader(giver.fileno(), self._take_stream, giver)
+            return True
+        return False
+
+    def take_last(self) -> None:
+        """Takes in all that was given by now. Guards against a stream that is given to a process as it ends.
+
+        A queue that is shut down is read to its end, and who would add to it fails and keeps the stream.
+        """
+        if not self._taking:
+            return
+        listener = self._taking[0]
+        with suppress(OSError):
+            listener.shutdown(socket.SHUT_RD)
+        while self._accept_giver(listener):
+            pass
+        for giver in self._taking[1:]:
+            with suppress(OSError):
+                giver.shutdown(socket.SHUT_RD)
+            while giver in self._taking:
+                self._take_stream(giver)
 
     def _take_stream(self, giver: socket.socket) -> None:
         given: list[socket.socket] = []
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -377,7 +377,7 @@
         giver: Giver | None = None
         while not ending.over:
             handover, now = self._handover, self.now()
-            for effect in ending.look(now, self._followed(), lambda: self._callers.connected):
+            for effect in ending.look(now, self._followed(), self._connected):
                 match effect:
                     case Do.LEAD:
                         self._callers.drain()
@@ -428,6 +428,12 @@
         self._print_counters()
         log.info("exit", extra=pairs(held=self._decider.held))
 
+    def _connected(self) -> int:
+        """Callers, and whom another process of the node has given to this one; asked before it ends."""
+        if not self._callers.connected and self._handover is not None:
+            self._handover.take_last()
+        return self._callers.connected
+
     def _followed(self) -> bool:
         return self._handover is not None and self._handover.followed
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -15,6 +15,7 @@
 from tornado.netutil import bind_sockets
 
 from notchjunction.http1.messages import Answer, Request
+from notchjunction.http1.parser import RequestReader
 from notchjunction.interface import News
 from notchjunction.net import callers, ending, handover
 from notchjunction.net.callers import Caller, Callers, CallerStream
@@ -365,6 +366,43 @@
     run(story())
 
 
+def test_a_caller_given_to_a_process_in_the_moment_of_its_end_is_taken(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has its answer, and still sends its body; the process has nobody else and is about to end."""
+    stop = Callers.stop
+    rest = RequestReader()
+    rest.feed(wire_of(1, extra="Content-Length: 100000\r\n").replace(b"GET", b"POST") + b"x" * 70_000)
+    assert rest.next() is not None
+    caller, given = socket.socketpair()
+    gave: list[bool] = []
+
+    def crossed(callers: Callers) -> None:
+        stop(callers)
+        giver = handover.Giver(str(tmp_path))
+        gave.append(giver({"keep": True, "rest": rest.state()}, given))
+        giver.close()
+        given.close()
+
+    monkeypatch.setattr(Callers, "stop", crossed)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.001)
+            node.stop()
+            while not node.counters.read().get("bodies_adopted"):
+                await asyncio.sleep(0.001)
+            assert gave == [True] and node._ending is not None and not node._ending.over
+            caller.sendall(b"x" * 30_000)
+            assert await heard(caller) == b""
+        assert node.counters.read()["bodies_adopted"] == 1 and not node.counters.read().get("failures")
+        with pytest.raises(OSError):
+            handover.Giver(str(tmp_path))  # so that who would give more keeps it
+
+    run(story())
+
+
 def test_a_follower_that_hangs_before_it_has_the_listener_harms_no_caller_after_it(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
