--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -35,13 +35,17 @@
 
 BACKLOG = 1024  # connections that wait to be accepted; a burst of callers, also after a restart
 ACCEPT_MOST = 16  # connections accepted at one go; jobs get their turn in between, however many knock
+# What the system says at an accept of that one connection, and not of the listener (accept(2)).
+ONE_FAILED = (errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTUNREACH)
 HEAD_WITHIN = 2.6  # s from connecting, or a later request's first byte, to a whole head; some take 2 s
 BODY_PACE = 48 * 1024  # bytes a second that a body comes with at least; slow callers send 64 kB
 BODY_SLACK = 2.2  # s that it may lag behind: pauses of slow callers; half a request is answered within 3 s
 WRITTEN_WITHIN = 10.0  # s that a caller may take to read its answer, or a piece of it; then it counts as gone
 REFUSED_WITHIN = 1.0  # s that a caller over the limit has for the one request that is refused
-LINGER_WITHIN = 0.5  # s of reading on after an error, so that a reset does not destroy it on its way
+LINGER_WITHIN = 0.5  # s of reading on after the last answer, so that a reset does not destroy it on its way
+LINGER_LAST = 0.2  # s of it once all has to be answered: the kill may come 0.3 s after that
 LINGER_MOST = 1024 * 1024  # bytes thrown away in that time; more costs too much for politeness
+LINGER_SPARED = 0.1  # s of it that each has even where descriptors are short; over most round trips
 IDLE_MOST = 120.0  # s that a caller may stand idle; longer than pauses in traffic
 IDLE_SPARED = 2.0  # s idle after which a caller is closed where descriptors are short; sound ones come again
 SILENT_SPARED = 0.5  # s from connecting after which one that said nothing is; sound ones send at once
@@ -114,6 +118,7 @@
         # Those that have sent nothing yet, and those between two requests; the longest so come first.
         self.silent: dict[Caller, float] = {}
         self.idle: dict[Caller, float] = {}
+        self.lingering: dict[Caller, float] = {}  # their sending has ended; they are read from for a moment
         self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
         self._short_said = -math.inf
@@ -124,6 +129,7 @@
         self._look: asyncio.TimerHandle | None = None  # nobody is let in before it
         self.draining = False
         self.parting = False
+        self.last = False  # by now all has to be answered
         self.mover: Mover | None = None
         self.moving = asyncio.Event()
         counters.gauge("callers_connected", lambda: descriptors.callers)
@@ -140,6 +146,9 @@
     def adopt(self, listeners: list[socket.socket]) -> None:
         self.listeners = listeners
         self._paused = False
+        if self._stops:
+            # Guards against letting callers in up to the node's end: their list has come only now.
+            self.stop()
         self._listen()
 
     def _listen(self) -> None:
@@ -206,7 +215,8 @@
                 if not short or self.clock() > self._short_said + SHORT_SAID:
                     log.warning("accept fails", extra=pairs(why=error))
                     self._short_said = self.clock() if short else self._short_said
-                if short and self._press():
+                if error.errno in ONE_FAILED or (short and self._press()):
+                    # Guards against resets for all behind that one, as where the listener is closed next.
                     continue
                 if short:
                     # Guards against a loop that does nothing but fail: the listener stays readable.
@@ -255,11 +265,15 @@
 
     def _press(self) -> bool:
         """Makes room where a new caller would else get no answer: those who say nothing go first."""
-        return self._close_one((self.silent, SILENT_PRESSED), (self.idle, IDLE_PRESSED))
+        return self._close_one(
+            (self.lingering, LINGER_SPARED), (self.silent, SILENT_PRESSED), (self.idle, IDLE_PRESSED)
+        )
 
     def close_oldest(self) -> bool:
         """Gives up the caller that has been idle longest, else one that has sent nothing since it came."""
-        return self._close_one((self.idle, IDLE_SPARED), (self.silent, SILENT_SPARED))
+        return self._close_one(
+            (self.lingering, LINGER_SPARED), (self.idle, IDLE_SPARED), (self.silent, SILENT_SPARED)
+        )
 
     def _close_one(self, *rows: tuple[dict[Caller, float], float]) -> bool:
         """One of the first row, else of the next, that has been in it for at least so many s."""
@@ -304,9 +318,14 @@
 
     def turn_back_uploads(self) -> None:
         """What is not whole by the node's end never ran."""
+        self.last = True
         for caller in list(self._callers):
             caller.turn_back_upload()
 
+    def linger_within(self) -> float:
+        """s that a caller is read from after its last answer."""
+        return LINGER_LAST if self.last else LINGER_WITHIN
+
     def adopt_stream(self, state: Mapping[str, Any], caller_sock: socket.socket, download: Download) -> None:
         """A caller whose answer another process of this node began to pass on."""
         caller = self._adopted(caller_sock, "streams_adopted")
@@ -332,7 +351,7 @@
         since = self.clock() - least
         for caller in list(self._callers):
             if self.idle.get(caller, self.silent.get(caller, 0.0)) <= since:
-                caller.close_if_idle()
+                caller.part_if_idle()
 
 
 class Caller:
@@ -344,6 +363,7 @@
         self._full = full
         self._requests = RequestReader()
         self._reading: asyncio.Future[bytes] | None = None
+        self._parted = False  # its sending has ended
         self._open = True
         self._busy = False
         # When the request's last byte was read; of one that came ahead of its turn, the first.
@@ -372,7 +392,7 @@
                 await self._linger()
                 return
             if request is None:
-                return
+                break
             self._busy = True
             keep = await self._respond(request)
             # Also where the connection ends after it: a close would destroy the answer on its way to a caller
@@ -384,8 +404,7 @@
             self._rest()
             if self._requests.begun:
                 await asyncio.sleep(0)  # guards against a caller of many requests at once taking all turns
-        if self._requests.unread or self._requests.going:
-            await self._linger()
+        await self._linger()
 
     async def _respond(self, request: Request) -> bool:
         """Serves one request; whether the connection can be used again."""
@@ -396,7 +415,8 @@
         if answer is None:
             return False
         # Guards against closing over a request that came with this one, drain or not.
-        parts = self._callers.parting and (self._requests.going or not self._requests.begun)
+        more = self._requests.begun or self._has_read()
+        parts = self._callers.parting and (self._requests.going or not more)
         keep = request.keep and not self._full and not parts
         if isinstance(answer, Download):
             assert job is not None
@@ -414,19 +434,55 @@
             self._callers.descriptors.give_back_caller()
             self._callers.counters.add("callers_closed")
 
+    def part_if_idle(self) -> None:
+        """Ends the sending where no request is open; its coroutine reads on for a moment."""
+        if self._rests():
+            self._part_from_outside()
+
     def close_if_idle(self) -> bool:
+        """The same where its descriptor is needed at once: what has come by now is all that is read."""
+        if self._stream.closed() or not (self._parted or self._rests()):
+            return False
+        self._part()
+        self._throw_away()
+        self.close()
+        return True
+
+    def _rests(self) -> bool:
         """Guards against closing over a request that has come and is not yet read."""
-        if self._busy or self._requests.begun or self._has_read() or self._stream.closed():
+        under_way = self._busy or self._requests.begun or self._has_read() or self._parted
+        if under_way or self._stream.closed():
             return False
         try:
             self._stream.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            self.close()
             return True
         except OSError:
             pass
         return False
 
+    def _part(self) -> None:
+        """Ends the sending. Guards against a request that crosses this: from here on none is sent on."""
+        if self._parted:
+            return
+        self._parted = True
+        self._stir()
+        self._callers.lingering[self] = self._callers.clock()
+        with suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
+
+    def _part_from_outside(self) -> None:
+        """The same while its coroutine waits for what comes, which may be nothing."""
+        self._part()
+        asyncio.get_running_loop().call_later(self._callers.linger_within(), self.close)
+
+    def _throw_away(self) -> None:
+        """Reads what has come: a close over it would be a reset."""
+        with suppress(OSError):
+            for _ in range(LINGER_MOST // PIECE):
+                if not self._stream.socket.recv(PIECE):
+                    return
+
     def _rest(self) -> None:
         """Between two requests, unless the next one has begun to come."""
         now = self._callers.clock()
@@ -440,9 +496,10 @@
     def _stir(self) -> None:
         self._callers.silent.pop(self, None)
         self._callers.idle.pop(self, None)
+        self._callers.lingering.pop(self, None)
 
     async def _request(self) -> Request | None:
-        """The next whole request; None when the caller has sent nothing for too long."""
+        """The next whole request; None when the caller is parted with, or has sent nothing for too long."""
         late = False
         while (request := self._requests.next()) is None:
             if self._thrown:
@@ -455,6 +512,8 @@
             if self._requests.awaits_go_ahead():
                 await self._write(GO_AHEAD)
             late = await self._wait(reading)
+            if self._parted:
+                return None
             if reading.done():
                 self._feed()
         return request
@@ -659,6 +718,8 @@
             return False
         self._callers.counters.add("streams_moved")
         download.move()
+        # Guards against ending it for the other process, too.
+        self._stream.close()
         return True
 
     async def resume(self, state: Mapping[str, Any], download: Download) -> None:
@@ -679,10 +740,12 @@
         if keep and not self._callers.parting:
             self._rest()
             await self.converse()
+        else:
+            await self._linger()
 
     def turn_back_upload(self) -> None:
         if self._discards and not self._turned_back and (self._callers.mover is None or self._stays):
-            self._stream.close()  # it had its answer a while ago, and nobody goes on with it
+            self._part_from_outside()  # it had its answer a while ago, and nobody goes on with it
         under_way = self._upload is not None and not self._upload.ended
         if under_way and self._job is not None and not self._turned_back:
             self._turned_back = True
@@ -699,13 +762,20 @@
     def _cast_off(self) -> bool:
         try:
             return self._requests.piece()[1]
-        except Malformed as error:
-            raise StreamClosedError from error
+        except Malformed:
+            self._part()
+            return False
 
     async def _discard(self, keep: bool) -> bool:
-        """Reads the rest of a body whose job has its answer, and throws it away; whether it has moved."""
+        """Reads the rest of a body whose job has its answer, and throws it away.
+
+        Says whether the connection is over here: it has moved, or the rest is not waited for.
+        """
         self._discards = True
         while not self._cast_off():
+            if self._parted:
+                await self._linger()
+                return True
             if self._callers.moving.is_set() and not self._stays:
                 if self._move_rest(keep):
                     return True
@@ -716,10 +786,10 @@
             reading = self._read(self._callers.streams.piece())
             late = await self._wait(reading, *([] if self._stays else [told]))
             told.cancel()
-            if not reading.done() and late:
-                raise StreamClosedError
             if reading.done():
                 self._feed()
+            elif late:
+                self._part()
         self._discards = False
         return False
 
@@ -735,6 +805,8 @@
         self._stays = not moved
         if moved:
             self._callers.counters.add("bodies_moved")
+            # Guards against ending it for the other process, too.
+            self._stream.close()
         return moved
 
     async def resume_rest(self, state: Mapping[str, Any]) -> None:
@@ -815,12 +887,15 @@
 
     async def _linger(self) -> None:
         """Reads on for a moment: a close over unread bytes is a reset, which may destroy what was written."""
-        if self._stream.closed() or self._callers.descriptors.full_of_callers():
+        if self._stream.closed():
+            return
+        self._part()
+        if self._callers.descriptors.full_of_callers():
+            self._throw_away()
             return
         left = LINGER_MOST
         with suppress(OSError, TimeoutError):
-            self._stream.socket.shutdown(socket.SHUT_WR)
-            async with asyncio.timeout(LINGER_WITHIN):
+            async with asyncio.timeout(self._callers.linger_within()):
                 while left > 0:
                     left -= len(await self._read())
                     self._reading = None
--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -115,6 +115,10 @@
         if done is not None and not done.done():
             done.set_result(True)
 
+    def abort(self) -> None:
+        """Ends it at once. Guards against a loop that goes on watching the number of a closed descriptor."""
+        self._writer.transport.abort()
+
     def close(self) -> None:
         self._writer.close()
         for number in list(self._awaited):
@@ -162,6 +166,7 @@
 
     async def _join(self) -> Inherited:
         sock = socket.socket(socket.AF_UNIX)
+        channel: Channel | None = None
         listeners: list[socket.socket] = []
         try:
             sock.setblocking(False)
@@ -181,7 +186,10 @@
         except BaseException:
             for listener in listeners:
                 listener.close()
-            sock.close()
+            if channel is not None:
+                channel.abort()
+            else:
+                sock.close()
             raise
         for listener in listeners:
             listener.setblocking(False)
@@ -248,12 +256,32 @@
         os.rename(new, f"{folder}/{STREAMS}")
         self._loop.add_reader(listener.fileno(), self._accept_giver, listener)
 
-    def _accept_giver(self, listener: socket.socket) -> None:
+    def _accept_giver(self, listener: socket.socket) -> bool:
         with suppress(OSError):
             giver, _ = listener.accept()
             giver.setblocking(False)
             self._taking.append(giver)
             self._loop.add_reader(giver.fileno(), self._take_stream, giver)
+            return True
+        return False
+
+    def take_last(self) -> None:
+        """Takes in all that was given by now. Guards against a stream that is given to a process as it ends.
+
+        A queue that is shut down is read to its end, and who would add to it fails and keeps the stream.
+        """
+        if not self._taking:
+            return
+        listener = self._taking[0]
+        with suppress(OSError):
+            listener.shutdown(socket.SHUT_RD)
+        while self._accept_giver(listener):
+            pass
+        for giver in self._taking[1:]:
+            with suppress(OSError):
+                giver.shutdown(socket.SHUT_RD)
+            while giver in self._taking:
+                self._take_stream(giver)
 
     def _take_stream(self, giver: socket.socket) -> None:
         given: list[socket.socket] = []
@@ -303,6 +331,7 @@
         self._run(self._welcome(sock))
 
     async def _welcome(self, sock: socket.socket) -> None:
+        channel: Channel | None = None
         try:
             async with asyncio.timeout(JOINED_WITHIN):
                 descriptors = [listener.fileno() for listener in self._node.listeners()]
@@ -312,7 +341,10 @@
                 await channel.hear()
         except (Broken, OSError, TimeoutError) as error:
             log.warning("handover fails", extra=pairs(why=repr(error)))
-            sock.close()
+            if channel is not None:
+                channel.abort()
+            else:
+                sock.close()
             return
         # In one go: word that comes later follows the state on the channel.
         channel.say(state=self._node.state())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import sys
-from collections.abc import AsyncIterator, Callable, Iterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Mapping, Sequence
 from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
@@ -232,6 +232,12 @@
     return (b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text, "keep")
 
 
+def wire_of(job_id: int, left: int = 2000, extra: str = "") -> bytes:
+    """A whole request, for callers that write it at a moment of their own."""
+    head = f"GET /api?x=1 HTTP/1.1\r\nHost: app\r\nReq-Id: {job_id}\r\nReq-Kind: plain\r\n"
+    return f"{head}Req-Deadline-Ms: {left}\r\n{extra}\r\n".encode()
+
+
 class Client:
     """A caller with one connection; each job has an id of its own."""
 
@@ -342,6 +348,7 @@
     pushed: bool = False,
     fleet: Mapping[str, Any] | None = None,
     told: Mapping[str, Any] | None = None,
+    starting: Callable[[Node], Awaitable[None]] | None = None,
     **terms: Any,
 ) -> AsyncIterator[tuple[Node, Address]]:
     """A node on a free port of the loopback address, with its list remembered or not."""
@@ -366,6 +373,8 @@
     )
     node = Node(given)
     run = asyncio.create_task(node.run())
+    if starting is not None:
+        await starting(node)
     await node.listening.wait()
     try:
         yield node, listen
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,578 @@
+"""Closes and ends that cross bytes on their way: what was taken is answered, and no answer meets a reset."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from tornado.netutil import bind_sockets
+
+from notchjunction.http1.messages import Answer, Request
+from notchjunction.http1.parser import RequestReader
+from notchjunction.interface import News
+from notchjunction.net import callers, ending, handover
+from notchjunction.net.callers import Caller, Callers, CallerStream
+from notchjunction.net.connections import Address, text_of
+from notchjunction.net.discovery import read_list
+from notchjunction.net.jobs import Job
+from notchjunction.net.node import Node
+from notchjunction.net.relay import Download
+from tests.helpers import Client, Peer, Reply, configuration, free_address, rows, running, wire_of
+from tests.test_large import Talk, served
+from tests.test_net import run
+
+# More than a caller's system takes in unasked, and less than the node's holds: a reset destroys the rest.
+LONG: Reply = (b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000, "keep")
+RECEIVED_MOST = 8 * 1024
+
+
+def connect(address: Address) -> socket.socket:
+    """A caller whose writes happen at once, wherever the story stands, and that reads only when told to."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVED_MOST)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.connect(address)
+    return sock
+
+
+async def heard(sock: socket.socket) -> bytes:
+    """All that comes until the connection ends; a reset is an error."""
+    sock.setblocking(False)
+    found = b""
+    async with asyncio.timeout(5):
+        while piece := await asyncio.get_running_loop().sock_recv(sock, 65536):
+            found += piece
+    sock.close()
+    return found
+
+
+class Crossing:
+    """Does something in the moment in which the node ends a connection, before or after it has said so."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, do: Callable[[], None], after: bool = False) -> None:
+        self.over = asyncio.Event()
+        shutdown, close = socket.socket.shutdown, CallerStream.close
+
+        def once() -> None:
+            if not self.over.is_set():
+                self.over.set()
+                do()
+
+        def crossed_shutdown(sock: socket.socket, how: int) -> None:
+            if not after:
+                once()
+            shutdown(sock, how)
+            once()
+
+        def crossed_close(stream: CallerStream) -> None:
+            once()
+            close(stream)
+
+        monkeypatch.setattr(socket.socket, "shutdown", crossed_shutdown)
+        monkeypatch.setattr(CallerStream, "close", crossed_close)
+
+
+async def drained(node: Node) -> None:
+    node.stop()
+
+
+async def led_away(node: Node) -> None:
+    assert await node.out_of_service()
+
+
+async def room_made(node: Node) -> None:
+    while not node._callers.idle:
+        await asyncio.sleep(0)
+    assert node._callers.close_oldest()
+
+
+async def short_of_descriptors(node: Node) -> None:
+    node._descriptors.callers_elsewhere = 10_000
+
+
+async def nothing(_: Node) -> None:
+    pass
+
+
+@pytest.mark.parametrize("after", [False, True], ids=["before", "after"])
+@pytest.mark.parametrize(
+    ("ends", "extra", "spans"),
+    [
+        (drained, "", {}),
+        (led_away, "", {}),
+        (room_made, "", {"IDLE_SPARED": 0.0}),
+        (nothing, "", {"IDLE_MOST": 0.05}),
+        (nothing, "Connection: close\r\n", {}),
+        (short_of_descriptors, "Connection: close\r\n", {}),
+    ],
+)
+def test_a_request_that_crosses_a_close_destroys_no_answer_and_is_not_sent_on(
+    ends: Callable[[Node], Awaitable[None]],
+    extra: str,
+    spans: dict[str, float],
+    after: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for name, span in spans.items():
+        monkeypatch.setattr(callers, name, span)
+
+    async def story() -> None:
+        async with Peer(LONG) as peer, running(peer) as (node, address):
+            caller = connect(address)
+            crossing = Crossing(monkeypatch, lambda: caller.sendall(wire_of(2)), after)
+            caller.sendall(wire_of(1, extra=extra))
+            await peer.asked.wait()
+            await ends(node)
+            await crossing.over.wait()
+            found = await heard(caller)
+            assert found.startswith(b"HTTP/1.1 200") and found.endswith(b"x" * 60_000)
+            assert len(peer.requests) == 1
+
+    run(story())
+
+
+@pytest.mark.parametrize("ends", ["noise", "stalls", "the node ends"])
+def test_a_body_given_up_after_its_answer_destroys_no_answer(
+    ends: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its job was turned back early; more of the body comes as the node gives it up."""
+    monkeypatch.setattr(callers, "BODY_SLACK", 0.1 if ends == "stalls" else 60.0)
+    monkeypatch.setattr(callers, "BODY_PACE", 10_000_000)
+    monkeypatch.setattr(ending, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
+
+    async def story() -> None:
+        async with running() as (node, address):
+            caller = connect(address)
+            crossing = Crossing(monkeypatch, lambda: caller.sendall(b"y" * 1000))
+            caller.sendall(wire_of(1, extra="Transfer-Encoding: chunked\r\n").replace(b"GET", b"POST"))
+            caller.sendall(b"%x\r\n%b\r\n" % (70_000, b"x" * 70_000))
+            while not any(one._discards for one in node._callers._callers):
+                await asyncio.sleep(0.001)
+            if ends == "noise":
+                caller.sendall(b"what is this\r\n")
+            elif ends == "the node ends":
+                node.stop()
+            await crossing.over.wait()
+            assert (await heard(caller)).startswith(b"HTTP/1.1 503")
+
+    run(story())
+
+
+def test_a_request_that_crosses_the_end_of_a_moved_answer_destroys_none_of_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        go_on = asyncio.Event()
+        size = 100_000
+
+        async def large(talk: Talk) -> None:
+            await talk.request()
+            await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size, b"x" * 70_000)
+            await go_on.wait()
+            await talk.send(b"x" * (size - 70_000))
+
+        async with served(large, shared=tmp_path) as (old, address, _):
+            caller = connect(address)
+            caller.sendall(wire_of(1, extra="Connection: close\r\n"))
+            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.001)
+                old.stop()
+                while not new.counters.read().get("streams_adopted") or old._callers.connected:
+                    await asyncio.sleep(0.001)
+                crossing = Crossing(monkeypatch, lambda: caller.sendall(wire_of(2)))
+                go_on.set()
+                await crossing.over.wait()
+                assert (await heard(caller)).endswith(b"x" * size)
+
+    run(story())
+
+
+@pytest.mark.parametrize("then", ["closes", "sends on", "says nothing", "says nothing at the last"])
+def test_a_caller_is_read_from_for_a_moment_only(then: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    last = then == "says nothing at the last"
+    monkeypatch.setattr(callers, "LINGER_WITHIN", 0.05 if then == "says nothing" else 60.0)
+    monkeypatch.setattr(callers, "LINGER_LAST", 0.05 if last else 60.0)
+    monkeypatch.setattr(callers, "LINGER_MOST", 100_000)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            node._callers.last = last
+            client = await Client().open(address)
+            client.ask(extra="Connection: close\r\n")
+            assert (await client.answer()).status == 200 and await client.closed()
+            if then == "closes":
+                client.writer.close()
+            elif then == "sends on":
+                client.send(b"x" * 200_000)
+            async with asyncio.timeout(5):
+                while node._callers.connected:
+                    await asyncio.sleep(0.001)
+            assert not node._callers.lingering and not node._descriptors.callers
+
+    run(story())
+
+
+def test_callers_that_have_their_last_answer_make_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(callers, "LINGER_WITHIN", 60.0)
+    monkeypatch.setattr(callers, "LINGER_SPARED", 0.0)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            open_still = [await Client().open(address) for _ in range(6)]
+            for client in open_still:
+                client.ask(extra="Connection: close\r\n")
+                assert (await client.answer()).status == 200
+            crowd = [await Client().open(address) for _ in range(4)]
+            for client in crowd:
+                client.ask()
+                assert (await client.answer()).status == 200
+            assert not node.counters.read().get("callers_refused")
+            for client in open_still + crowd:
+                client.writer.close()
+
+    run(story())
+
+
+@pytest.mark.parametrize("form", ["small", "two at once", "large", "whole by then"])
+def test_a_request_that_is_read_past_the_nodes_end_is_refused_and_not_sent_on(
+    form: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its first byte came before; the clock is past the end when its last byte, or its beginning, does."""
+    for span in ("HEAD_WITHIN", "BODY_SLACK"):
+        monkeypatch.setattr(callers, span, 60.0)  # the clock is stepped by less
+    wire = wire_of(1, left=60_000)
+    if form == "two at once":
+        wire += wire_of(2, left=60_000)
+    elif form in ("large", "whole by then"):
+        head = wire_of(1, left=60_000, extra="Content-Length: 200000\r\n").replace(b"GET", b"POST")
+        wire = head + b"x" * (200_000 if form == "whole by then" else 100_000)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            caller = connect(address)
+            caller.sendall(wire[:1])
+            while not any(one._requests.begun for one in node._callers._callers):
+                await asyncio.sleep(0.001)
+            node.stop()
+            while not node._callers.parting:
+                await asyncio.sleep(0.001)
+            node._offset += 10.0
+            caller.setblocking(False)
+            await asyncio.get_running_loop().sock_sendall(caller, wire[1:])
+            found = await heard(caller)
+            assert found.count(b"HTTP/1.1 503") == (2 if form == "two at once" else 1)
+            assert found.count(b"HTTP/1.1 ") == found.count(b"HTTP/1.1 503")
+            assert not peer.requests and not peer.connections
+
+    run(story())
+
+
+def test_the_nodes_end_counts_from_its_signal_also_where_its_start_is_not_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It waits for a process before it, and is told to end; the kill doesn't wait for the wait."""
+    joined, waiting = asyncio.Event(), asyncio.Event()
+    late: list[socket.socket] = []
+    opens = Callers.open
+
+    async def join(_: Node) -> None:
+        waiting.set()
+        await joined.wait()
+
+    def opened(callers: Callers, address: Address, shared: bool = False) -> None:
+        opens(callers, address, shared)
+        late.append(connect(address))
+        late[0].sendall(wire_of(1, left=60_000))
+
+    monkeypatch.setattr(Node, "_join", join)
+    monkeypatch.setattr(Callers, "open", opened)
+
+    async def story() -> None:
+        async def told_to_end_meanwhile(starts: Node) -> None:
+            await waiting.wait()
+            starts.stop()
+            starts._offset += 1.0
+            joined.set()
+
+        async with Peer() as peer, running(peer, starting=told_to_end_meanwhile):
+            assert (await heard(late[0])).startswith(b"HTTP/1.1 200")
+            span = ending.KILL_AFTER - ending.KILL_MARGIN + 2.0  # s, 2.0 of them the longest abandon time
+            assert int(peer.requests[0].headers["req-deadline-ms"]) <= (span - 1.0) * 1000
+
+    run(story())
+
+
+def test_a_queue_that_is_inherited_once_the_node_lets_nobody_in_is_emptied_and_closed() -> None:
+    """The list that its callers had to wait for comes late."""
+
+    async def story() -> None:
+        async with Peer() as peer, running(known=False) as (node, address):
+            (queue,) = bind_sockets(0, "127.0.0.1")
+            node._start(node._adopt([queue]))
+            stays, waits = connect(address), connect(queue.getsockname())
+            stays.sendall(wire_of(1)[:1])
+            waits.sendall(wire_of(2))
+            while not node._callers.connected:
+                await asyncio.sleep(0.001)
+            node.stop()
+            while node._callers.listeners:
+                await asyncio.sleep(0.001)
+            endpoints = {"index": 1, "snapshot": True, "endpoints": rows(peer)}
+            node._hear(read_list(endpoints), News.REMEMBERED)
+            assert (await heard(waits)).startswith(b"HTTP/1.1 200")
+            assert not node._callers.listeners and queue.fileno() < 0
+            stays.close()
+
+    run(story())
+
+
+def test_one_caller_that_is_gone_before_it_is_let_in_keeps_out_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The listener closes right after: whoever was not let in meets a reset."""
+    stop, accept = Callers.stop, socket.socket.accept
+    late: list[socket.socket] = []
+    failures = [errno.ECONNABORTED]
+
+    def fails_once(listener: socket.socket) -> tuple[socket.socket, Address]:
+        if late and failures:
+            raise OSError(failures.pop(), "gone")
+        return accept(listener)
+
+    def crossed(callers: Callers) -> None:
+        late.append(connect(callers.listeners[0].getsockname()))
+        late[0].sendall(wire_of(1))
+        stop(callers)
+
+    monkeypatch.setattr(Callers, "stop", crossed)
+    monkeypatch.setattr(socket.socket, "accept", fails_once)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, _):
+            node.stop()
+            while not late:
+                await asyncio.sleep(0)
+            assert (await heard(late[0])).startswith(b"HTTP/1.1 200")
+            assert node.counters.read()["accepts_failed"] == 1
+
+    run(story())
+
+
+def test_a_caller_given_to_a_process_in_the_moment_of_its_end_is_taken(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has its answer, and still sends its body; the process has nobody else and is about to end."""
+    stop = Callers.stop
+    rest = RequestReader()
+    rest.feed(wire_of(1, extra="Content-Length: 100000\r\n").replace(b"GET", b"POST") + b"x" * 70_000)
+    assert rest.next() is not None
+    caller, given = socket.socketpair()
+    gave: list[bool] = []
+
+    def crossed(callers: Callers) -> None:
+        stop(callers)
+        giver = handover.Giver(str(tmp_path))
+        gave.append(giver({"keep": True, "rest": rest.state()}, given))
+        giver.close()
+        given.close()
+
+    monkeypatch.setattr(Callers, "stop", crossed)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.001)
+            node.stop()
+            while not node.counters.read().get("bodies_adopted"):
+                await asyncio.sleep(0.001)
+            assert gave == [True] and node._ending is not None and not node._ending.over
+            caller.sendall(b"x" * 30_000)
+            assert await heard(caller) == b""
+        assert node.counters.read()["bodies_adopted"] == 1 and not node.counters.read().get("failures")
+        with pytest.raises(OSError):
+            handover.Giver(str(tmp_path))  # so that who would give more keeps it
+
+    run(story())
+
+
+def test_a_follower_that_hangs_before_it_has_the_listener_harms_no_caller_after_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The caller that comes next gets the number of the descriptor that was closed."""
+    monkeypatch.setattr(handover, "JOINED_WITHIN", 0.05)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, address):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.001)
+            caller, hangs = connect(address), socket.socket(socket.AF_UNIX)
+            while not node._callers.connected:
+                await asyncio.sleep(0.001)
+            node._callers.pause()
+            late = connect(address)
+            fillers = [os.dup(late.fileno()) for _ in range(20)]  # so that no lower number is free
+            hangs.connect(str(tmp_path / handover.FILE))
+            hangs.setblocking(False)
+            while await asyncio.get_running_loop().sock_recv(hangs, 4096):
+                pass
+            node._callers.go_on()
+            while node.counters.read()["callers_opened"] < 2:
+                await asyncio.sleep(0.001)
+            late.sendall(wire_of(1, extra="Connection: close\r\n"))
+            assert (await heard(late)).startswith(b"HTTP/1.1 200")
+            assert not node.counters.read().get("failures")
+            caller.close()
+            hangs.close()
+            for filler in fillers:
+                os.close(filler)
+
+    run(story())
+
+
+@pytest.mark.parametrize("gives", ["a listener alone", "no state"])
+def test_a_process_that_hangs_as_it_is_followed_keeps_the_next_one_from_nothing(
+    gives: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The next one's own listener gets the number of the descriptor that was closed."""
+    monkeypatch.setattr(handover, "JOINED_WITHIN", 0.1)
+
+    async def story() -> None:
+        address = free_address()
+        identity = {"node": "n", "listen": text_of(address), "version": str(handover.VERSION)}
+        ends = asyncio.Event()
+
+        async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with socket.socket() as given:
+                raw = writer.get_extra_info("socket")
+                socket.send_fds(raw._sock, [json.dumps(identity).encode()], [given.fileno()])
+            if gives == "no state":
+                await reader.readline()
+                writer.write(b"{}\n")
+            await ends.wait()
+            writer.close()
+
+        server = await asyncio.start_unix_server(hang, str(tmp_path / handover.FILE))
+        async with Peer() as peer, running(peer, shared=tmp_path, listen=address) as (node, _):
+            sock = connect(address)
+            sock.sendall(wire_of(1, extra="Connection: close\r\n"))
+            assert (await heard(sock)).startswith(b"HTTP/1.1 200")
+            assert node.counters.read()["handovers_failed"] == 1
+            ends.set()
+        server.close()
+
+    run(story())
+
+
+LOADING = """
+import os, runpy, signal, sys
+class Signals:
+    def find_spec(self, name, path=None, target=None):
+        if name == "notchjunction.net.node":
+            os.kill(os.getpid(), signal.SIGHUP)
+            os.kill(os.getpid(), signal.SIGUSR1)
+sys.meta_path.insert(0, Signals())
+sys.argv = ["notchjunction"]
+runpy.run_module("notchjunction", run_name="__main__")
+"""
+LEAVING = """
+import asyncio, os, runpy, signal, sys
+run = asyncio.run
+def leave(work):
+    run(work)
+    for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT):
+        os.kill(os.getpid(), number)
+asyncio.run = leave
+sys.argv = ["notchjunction"]
+runpy.run_module("notchjunction", run_name="__main__")
+"""
+
+
+@pytest.mark.parametrize(("when", "code"), [(LOADING, 2), (LEAVING, 0)], ids=["loading", "leaving"])
+def test_a_signal_before_or_after_the_node_runs_does_not_end_the_program(
+    when: str, code: int, tmp_path: Path
+) -> None:
+    """For new configuration or counters, or a second one to end; with no input it ends with 2."""
+
+    async def story() -> None:
+        file = tmp_path / "told.json"
+        file.write_text(json.dumps(configuration()))
+        listen = text_of(free_address())
+        program = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            when,
+            env={"GW_CONFIG": str(file), "GW_LISTEN": listen} if when is LEAVING else {},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert program.stderr is not None
+        if when is LEAVING:
+            while b"event=start" not in await program.stderr.readline():
+                pass
+            program.terminate()
+        said = (await program.stderr.read()).decode()
+        assert await program.wait() == code, said
+
+    run(story())
+
+
+def test_a_request_read_as_the_answer_before_it_is_ready_is_answered_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The node parts with its callers; the second request has been read, but not looked at."""
+    take = Caller._take
+    second: list[socket.socket] = []
+
+    async def crossed(caller: Caller, request: Request) -> tuple[Job | None, Answer | Download | None]:
+        taken = await take(caller, request)
+        if second:
+            second.pop().sendall(wire_of(2))
+            while not caller._has_read():
+                await asyncio.sleep(0)
+        return taken
+
+    monkeypatch.setattr(Caller, "_take", crossed)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            node._callers.part()
+            second.append(sock := connect(address))
+            sock.sendall(wire_of(1))
+            while second:
+                await asyncio.sleep(0)
+            found = await heard(sock)
+            assert found.count(b"HTTP/1.1 200") == len(peer.requests) == 2
+            assert found.count(b"Connection: close") == 1
+
+    run(story())
+
+
+def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It connects right before the listener closes, on a node that nobody else is connected to."""
+    late: list[socket.socket] = []
+    stop = Callers.stop
+
+    def crossed(callers: Callers) -> None:
+        late.append(connect(callers.listeners[0].getsockname()))
+        late[0].sendall(wire_of(1))
+        stop(callers)
+
+    monkeypatch.setattr(Callers, "stop", crossed)
+
+    async def story() -> None:
+        async with Peer() as peer:
+            async with running(peer) as (node, _):
+                node.stop()
+                while not late:
+                    await asyncio.sleep(0)
+                assert (await heard(late[0])).startswith(b"HTTP/1.1 200")
+            assert node.counters.read()["answered_honoured"] == 1
+
+    run(story())
