--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -6,6 +6,7 @@
 import errno
 import json
 import os
+import signal
 import socket
 import sys
 from collections.abc import Awaitable, Callable
@@ -310,6 +311,57 @@
     run(story())
 
 
+@pytest.mark.parametrize("when", ["as it starts", "as it ends"])
+def test_new_configuration_as_a_node_starts_or_ends_is_taken_and_undoes_nothing(
+    when: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The new profile has another name and a longer time; a caller stays over the first part of the end."""
+    file = tmp_path / "told.json"
+    settings = configuration()["settings"]
+    changed = {**settings["profiles"][0], "name": "other", "abandon_time": 9000}
+    file.write_text(json.dumps(configuration(profiles=[settings["profiles"][0], changed])))
+    waiting, joined = asyncio.Event(), asyncio.Event()
+
+    async def join(_: Node) -> None:
+        waiting.set()
+        await joined.wait()
+
+    monkeypatch.setattr(Node, "_join", join)
+
+    async def story() -> None:
+        async def told_meanwhile(starts: Node) -> None:
+            await waiting.wait()
+            if when == "as it starts":
+                os.kill(os.getpid(), signal.SIGHUP)
+                while not starts.counters.read().get("reloads"):
+                    await asyncio.sleep(0.001)
+            joined.set()
+
+        async with Peer() as peer, running(peer, file=file, starting=told_meanwhile) as (node, address):
+            stays = connect(address)
+            wire = wire_of(1, left=60_000).replace(b"plain", b"other")
+            stays.sendall(wire[:1])
+            while not any(one._requests.begun for one in node._callers._callers):
+                await asyncio.sleep(0.001)
+            node.stop()
+            end_at = node._end_at
+            while not node._callers.parting:
+                await asyncio.sleep(0.001)
+            if when == "as it ends":
+                os.kill(os.getpid(), signal.SIGHUP)
+                while not node.counters.read().get("reloads"):
+                    await asyncio.sleep(0.001)
+                assert node._end_at == end_at and not node._callers.listeners
+            assert node._callers.draining and node._callers.parting
+            left = end_at - node.now()
+            stays.sendall(wire[1:])
+            assert (await heard(stays)).startswith(b"HTTP/1.1 200")
+            assert int(peer.requests[0].headers["req-deadline-ms"]) <= left * 1000
+        assert not node.counters.read().get("failures") and not node.counters.read().get("reloads_failed")
+
+    run(story())
+
+
 def test_a_queue_that_is_inherited_once_the_node_lets_nobody_in_is_emptied_and_closed() -> None:
     """The list that its callers had to wait for comes late."""
 
