--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -390,6 +390,8 @@
             return
         self._parted = True
         self._stir()
+        if self._stream.closed():
+            return  # the caller went first; its coroutine has not heard of it yet
         self._callers.lingering[self] = self._callers.clock()
         with suppress(OSError):
             self._stream.socket.shutdown(socket.SHUT_WR)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 from tornado.netutil import bind_sockets
@@ -72,9 +73,9 @@
             shutdown(sock, how)
             once()
 
-        def crossed_close(stream: CallerStream) -> None:
+        def crossed_close(stream: CallerStream, exc_info: Any = False) -> None:
             once()
-            close(stream)
+            close(stream, exc_info)
 
         monkeypatch.setattr(socket.socket, "shutdown", crossed_shutdown)
         monkeypatch.setattr(CallerStream, "close", crossed_close)
@@ -166,6 +167,39 @@
     run(story())
 
 
+@pytest.mark.parametrize("last", [b"", b"what is this\r\n"], ids=["the node ends", "noise"])
+def test_a_caller_that_goes_as_its_body_is_given_up_is_no_failure(
+    last: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its last bytes and its end come together: the connection has ended before they are looked at."""
+    close = CallerStream.close
+
+    async def story() -> None:
+        async with running() as (node, address):
+            over: list[CallerStream] = []
+
+            def ended(stream: CallerStream, exc_info: Any = False) -> None:
+                close(stream, exc_info)
+                if not last:
+                    node._callers.turn_back_uploads()
+                over.append(stream)
+
+            monkeypatch.setattr(CallerStream, "close", ended)
+            caller = connect(address)
+            caller.sendall(wire_of(1, extra="Transfer-Encoding: chunked\r\n").replace(b"GET", b"POST"))
+            caller.sendall(b"%x\r\n%b\r\n" % (70_000, b"x" * 70_000))
+            while not any(one._discards for one in node._callers._callers):
+                await asyncio.sleep(0.001)
+            caller.recv(65536)
+            caller.sendall(last)
+            caller.close()
+            while node._callers.connected:
+                await asyncio.sleep(0.001)
+            assert len(over) == 2 and not node.counters.read().get("failures") and not node._callers.lingering
+
+    run(story())
+
+
 def test_a_request_that_crosses_the_end_of_a_moved_answer_destroys_none_of_it(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
