Cold budgets hold for the sum over all processes: learned from work done, checked in the emulator

Term: over the span that the settings name, beyond N only 2 roots of N + 2 are chance, summed over all processes. `cold_sum` (checkers.py) checks that from rows of what reaches cold servers (`Pushed`), at the emulated server's true capacity; nodes that each take the whole budget for themselves are caught.

Cause, `_warm_take` as it was: - first sends of 10 s were divided by the servers that are warm now. Those sends had gone to all servers, so that a part grew as fellows turned cold, tenfold with one of ten left; and `_cold_left` multiplies all the time since the last send by it, so that all nodes became due in one moment; - sends that dead servers refused counted as taken by warm ones, as often as clients came again.

Not played: servers given back by an operator, a wrong group size (stories of FakeHosts hold, as before).

Now each node's mean of jobs done (30 s, `clearing.Take`), an even part of it, twice that at most while few are warm; it does not fade while none is. Sums of means are means of sums: see docs/design.md.

--- a/notchjunction/emulator/checkers.py
+++ b/notchjunction/emulator/checkers.py
@@ -4,7 +4,7 @@
 
 from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Iterator
-from math import inf
+from math import inf, sqrt
 from typing import NamedTuple
 
 from notchjunction.emulator.trace import (
@@ -12,6 +12,7 @@
     Final,
     Landed,
     Probed,
+    Pushed,
     Ran,
     Row,
     Sent,
@@ -25,6 +26,8 @@
 RETRY_SHARE = 0.2  # retries a first send at most; the design's bound
 BOUND_SPAN = 10.0  # s over which that bound holds; the design's
 KNOWING_SHARE = 2 / 3  # of the push on a cold server that came from nodes told of its start; the rule's
+CHANCE_ROOTS = 2.0  # roots of what a cold server is allowed by which chance may pass it; the operators'
+CHANCE_MORE = 2.0  # requests by which chance may pass it besides; the operators'
 PROBE_SHARE = 0.1  # probes a first send at least; the design's bound
 PROBE_SPAN = 5.0  # s between two probes of a node at most; the design's bound
 
@@ -98,6 +101,43 @@
             yield f"{row.at:.3f} server {row.server} was pushed over while cold"
 
 
+class Window(NamedTuple):
+    """What was pushed on a cold server in the span that ends with one of its requests."""
+
+    at: float
+    server: int
+    pushed: float  # requests of mean work, by all nodes
+    allowed: float  # the same, by the settings
+    knowing: float  # share of it that came from nodes that had been told of the start
+
+    @property
+    def excess(self) -> float:
+        """Roots of what is allowed by which it is passed, past the requests that chance may add."""
+        return (self.pushed - self.allowed - CHANCE_MORE) / sqrt(self.allowed)
+
+
+def cold_windows(story: Story) -> Iterator[Window]:
+    """Each window that ends with a request to a cold server, summed over all processes of all nodes."""
+    recent: dict[int, deque[Pushed]] = defaultdict(deque)
+    for row in story.rows:
+        if isinstance(row, Pushed):
+            pushed = recent[row.server]
+            pushed.append(row)
+            while pushed[0].at < row.at - story.tip_span:
+                pushed.popleft()
+            total = sum(each.work for each in pushed)
+            knowing = sum(each.work for each in pushed if each.knowing)
+            yield Window(row.at, row.server, total, row.allowed, knowing / total)
+
+
+def cold_sum(story: Story) -> Iterator[str]:
+    """Rule 4 for the fleet: what all nodes push on a cold server passes its budget by chance at most."""
+    for window in cold_windows(story):
+        if window.excess > CHANCE_ROOTS and window.knowing >= KNOWING_SHARE:
+            most = f"{window.allowed:.1f} and chance"
+            yield f"{window.at:.3f} server {window.server} was sent {window.pushed:.1f} cold, for {most}"
+
+
 def retry_bound(story: Story) -> Iterator[str]:
     """Further dispatches of a node are at most a fifth of its first ones over any span of 10 s."""
     firsts: dict[int, deque[float]] = defaultdict(deque)
@@ -133,7 +173,7 @@
 
 
 def _node(row: Row) -> int:
-    return -1 if isinstance(row, Tipped) else row.node
+    return -1 if isinstance(row, Tipped | Pushed) else row.node
 
 
 class Use(NamedTuple):
@@ -191,7 +231,7 @@
     return sorted(changes.items())
 
 
-CHECKERS = (one_answer, no_double_effects, clean_drains, gentle_fail_back, retry_bound, probe_bound)
+CHECKERS = (one_answer, no_double_effects, clean_drains, gentle_fail_back, cold_sum, retry_bound, probe_bound)
 
 
 def breaches(story: Story) -> list[str]:
--- a/notchjunction/emulator/scenario.py
+++ b/notchjunction/emulator/scenario.py
@@ -111,6 +111,12 @@
     client_pause: float = 0.2  # s after a turn-back at least, and as much again at random
     client_patience: float = 1.0  # of the abandon time after which a try is given up
 
+    @property
+    def mean_work(self) -> float:
+        """Seconds of work that a job is in the mean, on a server of speed 1 in a tier of share 1."""
+        rates = sum(stream.rate for stream in self.streams)
+        return sum(stream.work * stream.rate for stream in self.streams) / rates
+
     @property
     def rows(self) -> tuple[Tier, ...]:
         """Its tiers, the first one first."""
--- a/notchjunction/emulator/servers.py
+++ b/notchjunction/emulator/servers.py
@@ -87,6 +87,7 @@
         random: Random,
         ran: Callable[[Server, Call], None] = lambda server, call: None,
         tipped: Callable[[Server, float], None] = lambda server, knowing: None,
+        pushed: Callable[[Server, Call], None] = lambda server, call: None,
         below: Callable[[Call, float, Callable[[bool], None]], Below] | None = None,
         calls: float = 0.0,
         numbers: Callable[[Server, Call], Numbers | None] = lambda server, call: None,
@@ -94,12 +95,14 @@
         self.number, self.tier, self.zone, self.speed = number, tier, zone, speed
         self._scenario, self._clock, self._random = scenario, clock, random
         self._ran, self._tipped, self._below, self._numbers = ran, tipped, below, numbers
+        self._pushed = pushed
         self._calls = calls  # that each job makes to the next tier
         self.started_at = 0.0
         self.life = 0  # its starts; a connection belongs to one
         self.links = 0  # connections that it holds
         self.up = True
         self.presence = Presence.READY
+        self.falls = True  # when it is sent too much while cold; not where a study asks by how much it was
         # What faults set.
         self.hung = False
         self.slow = self.lies = 1.0
@@ -146,9 +149,12 @@
         if self.started_at == 0.0 or self._clock.now > self.started_at + self._scenario.cold_time:
             return True
         self._forget_pushes()
+        return sum(work for _, work, _ in self.pushed) + seconds <= care * self.allowed()
+
+    def allowed(self) -> float:
+        """Seconds of work that it bears over the span, as warm as it is now."""
         scenario = self._scenario
-        bears = scenario.tip_multiple * self.speed * self.tier.workers * scenario.tip_span * self.warmth()
-        return sum(work for _, work, _ in self.pushed) + seconds <= care * bears
+        return scenario.tip_multiple * self.speed * self.tier.workers * scenario.tip_span * self.warmth()
 
     # Connections.
 
@@ -206,7 +212,8 @@
         if self.started_at == 0.0 or self._clock.now > self.started_at + self._scenario.cold_time:
             return
         self.pushed.append((self._clock.now, call.seconds * self.tier.share, call.knowing))
-        if not self.bears():
+        self._pushed(self, call)
+        if self.falls and not self.bears():
             total = sum(work for _, work, _ in self.pushed)
             knowing = sum(work for _, work, told in self.pushed if told)
             self._tipped(self, knowing / total)
@@ -349,6 +356,7 @@
     ran: Callable[[Server, Call], None],
     tipped: Callable[[Server, float], None],
     call_below: Callable[[int, Call, float, Callable[[bool], None]], Below],
+    pushed: Callable[[Server, Call], None] = lambda server, call: None,
 ) -> list[list[Server]]:
     """A scenario's servers, tier by tier; `call_below` is told the number of the server that calls on."""
     memory = Memory(scenario.profiles)
@@ -368,6 +376,7 @@
                 random,
                 ran=ran,
                 tipped=tipped,
+                pushed=pushed,
                 below=None if last else partial(call_below, number),
                 calls=0.0 if last else scenario.rows[depth + 1].calls,
                 numbers=partial(memory.of, depth),
--- a/notchjunction/emulator/trace.py
+++ b/notchjunction/emulator/trace.py
@@ -90,7 +90,18 @@
     knowing: float  # share of the work that came from nodes that had been told of its start
 
 
-Row = Taken | Sent | Landed | Ran | Answered | Told | Probed | Tipped
+@dataclass(frozen=True, slots=True)
+class Pushed:
+    """Work reached a cold server, whether it takes it or not."""
+
+    at: float
+    server: int
+    work: float  # in requests of mean work
+    allowed: float  # the same, that the settings allow it over their span as warm as it is now
+    knowing: bool  # whether the sender had been told of its start
+
+
+Row = Taken | Sent | Landed | Ran | Answered | Told | Probed | Tipped | Pushed
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,3 +113,4 @@
     grace: float  # s after word of a drain within which a send is forgiven
     slack: float  # s past the abandon time within which a final answer is forgiven
     ended_at: float
+    tip_span: float = 0.0  # s over which what is pushed on a cold server adds up; 0: nothing was noted of it
--- a/notchjunction/emulator/world.py
+++ b/notchjunction/emulator/world.py
@@ -16,7 +16,7 @@
 from notchjunction.emulator.node import TICK, Asked, Make, Node
 from notchjunction.emulator.scenario import Fault, Scenario, Stream
 from notchjunction.emulator.servers import Below, Call, Server, build
-from notchjunction.emulator.trace import Final, Ran, Row, Story, Tipped
+from notchjunction.emulator.trace import Final, Pushed, Ran, Row, Story, Tipped
 from notchjunction.interface import Effect
 from notchjunction.rules import Balancer
 
@@ -35,7 +35,8 @@
         self.cut: frozenset[int] = frozenset()  # zones that are cut off from the others
         self._make = make
         self._tries = 0
-        self.tiers = build(scenario, self, self.random, self._ran, self._has_tipped, self._call_below)
+        told = (self._ran, self._has_tipped, self._call_below, self._has_pushed)
+        self.tiers = build(scenario, self, self.random, *told)
         self.servers = [server for row in self.tiers for server in row]
         self.discovery = Discovery(scenario, self, len(self.tiers))
         self._made = 0
@@ -65,7 +66,8 @@
 
     def play(self) -> Story:
         self.env.run(BEGAN + self.scenario.length)
-        return Story(tuple(self.rows), self.scenario.profiles, GRACE, 2 * TICK, self.now)
+        scenario = self.scenario
+        return Story(tuple(self.rows), scenario.profiles, GRACE, 2 * TICK, self.now, scenario.tip_span)
 
     # The network.
 
@@ -112,6 +114,11 @@
     def _has_tipped(self, server: Server, knowing: float) -> None:
         self.rows.append(Tipped(self.now, server.number, knowing))
 
+    def _has_pushed(self, server: Server, call: Call) -> None:
+        mean = self.scenario.mean_work
+        allowed = server.allowed() / (mean * server.tier.share)
+        self.rows.append(Pushed(self.now, server.number, call.seconds / mean, allowed, call.knowing))
+
     # Clients.
 
     def _arrive(self, stream: Stream) -> None:
@@ -126,7 +133,7 @@
         left = min(began + profile.abandon_time - self.now, patience)
         if left <= 0:
             return
-        node = self.random.choice(self.nodes)
+        node = self._deal()
         again = AGAIN_HARMLESS if profile.effect is Effect.REISSUABLE else AGAIN
 
         def done(final: Final, advice: float) -> None:
@@ -137,6 +144,10 @@
         work = stream.work * self.random.uniform(0.5, 1.5)
         node.take(Asked(stream.profile, left, work, done, stream.operator, first, repeat=tries > 1))
 
+    def _deal(self) -> Node:
+        """The node that a client's next try goes to."""
+        return self.random.choice(self.nodes)
+
     # Faults.
 
     def _fault(self, do: faults.Do, fault: Fault) -> None:
--- a/notchjunction/records.py
+++ b/notchjunction/records.py
@@ -67,7 +67,6 @@
     idle: deque[float] = field(default_factory=lambda: deque(maxlen=IDLE_MOST))
     cold_from: float = -math.inf  # since when this node's part of the cold budget adds up to the next send
     cold_due: float = 1.0  # sends that it has to add up to
-    warm_take: float = 0.0  # what this node sent each warm server in a second when this one came
     out_since: float = -math.inf  # since when an operator had it out, if it was given back
     owed: bool = False  # given back and not yet sent to
 
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -18,7 +18,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from notchjunction.clearing import Clearing
+from notchjunction.clearing import Clearing, Take
 from notchjunction.interface import (
     Effect,
     Group,
@@ -108,7 +108,7 @@
         self._recent: deque[Dispatch] = deque()
         self._own: deque[tuple[float, End]] = deque(maxlen=TOLD_MOST)
         self._notes: deque[tuple[float]] = deque()
-        self._clearing = Clearing(host.now())
+        self._clearing, self._take = Clearing(host.now()), Take(host.now())
         self._links: deque[tuple[float, bool]] = deque(maxlen=LAST_FEW)
         self._spent: dict[int, deque[float]] = {}
         self._lefts: dict[int, deque[tuple[float, bool]]] = {}
@@ -233,6 +233,8 @@
     def _cleared(self, held: Held | None, dispatch: Dispatch, seconds: float, now: float) -> None:
         """A server has done a job: what the room and the usual times are worked out from."""
         self._clearing.note(dispatch.contract_time, seconds, now)
+        # Guards against budgets learned from what dead or overdriven servers refuse, as clients come again.
+        self._take.note(self._warm, max(1, len(self._ready)))
         if held is not None and held.number in self._spent:
             self._spent[held.number].append(seconds)
 
@@ -618,6 +620,7 @@
         now = self._host.now()
         if now >= self._usual_until:
             self._usual_until = now + USUAL_SPAN
+            self._take.fade(now, self._warm)
             # One time a server: quick servers answer more jobs and would pass for the usual.
             latest = {end.server.entry.server: end.seconds for end in self._ends if end.seconds}
             waits = (server.wait for server in self._pool if server.wait)
@@ -657,17 +660,13 @@
     def _is_cold(self, server: Server, now: float) -> bool:
         return server.entry.started_at > 0 and now < server.entry.started_at + self._terms.cold_time
 
-    def _warm_take(self) -> float:
-        """What this node sends a warm server in a second; never quite nothing."""
-        self._usual()  # counts them anew
-        warm = self._warm or len(self._ready) or 1
-        least = 1.0 / (COLD_SPAN * self._terms.nodes * self._terms.processes)
-        return max(self._lately(self._firsts) / RETRY_SPAN / warm, least)
-
     def _cold_left(self, server: Server, now: float) -> float:
         """Sends that this node's part of the cold budget has come to since the last one there."""
-        # Guards against a fleet that sends ever less because it has sent little.
-        each = max(server.warm_take, self._warm_take())
+        self._usual()  # counts the warm ones anew
+        # Guards against one warm server that passes for doing all that the fleet did; none gets so much.
+        part = min(SERVER_SPREAD, len(self._ready) / self._warm) if self._warm else 1.0
+        least = 1.0 / (COLD_SPAN * self._terms.nodes * self._terms.processes)
+        each = max(part * self._take.rate(), least)
         # Added up as the server warms, and not foretold: many nodes' next sends lie seconds ahead.
         between = (server.cold_from + now) / 2 - server.entry.started_at
         warmed = min(max(0.0, between) / self._terms.cold_time, 1.0)
@@ -775,7 +774,6 @@
         known = self._servers[entry.server] = Server(entry)
         if self._is_cold(known, now):
             known.cold_from, known.cold_due = now, self._random.random()
-            known.warm_take = self._warm_take()
         return known
 
     def _is_open(self, server: Server) -> bool:
