--- a/notchjunction/clearing.py
+++ b/notchjunction/clearing.py
@@ -13,7 +13,7 @@
 RATE_LEAST = 0.1  # s that count as passed at least; the first answers would make a rate without bound
 SLOWER_TIMES = 1.5  # times the calmest middle time up to which answers are calm; less is chance
 CALM_MOST = 32  # stretches of answers remembered to find the calmest; a minute or more, longer than troubles
-TAKE_SPAN = 30.0  # s over which what servers did fades; a fleet may be dead or cold for many seconds
+TAKE_SPAN = 30.0  # s of what servers did that count; a fleet may be dead or cold for many seconds
 TAKE_LEAST = 0.3  # of that span, seen before a rate is taken whole; a new process's first job proves none
 STRETCH_LEAST = 16  # answers in a stretch; fewer make a middle by chance
 
@@ -75,26 +75,30 @@
 class Take:
     """Jobs that the servers did for this node, each an even part, in a second.
 
-    A mean that fades, not the most seen: such means of all nodes add up to that of the fleet, also while
-    traffic moves from node to node. Past what servers can do it does not go, as refusals do not count.
+    Those of the last span, not the most seen: such counts of all nodes add up to that of the fleet, also
+    while traffic moves from node to node. Past what servers can do it does not go, as refusals do not count.
     """
 
     def __init__(self, now: float) -> None:
         self._at = now
-        self._seen = self._rate = 0.0
+        self._passed = self._rate = 0.0  # s that passed with a server warm; parts of jobs a second
+        self._done: deque[tuple[float, float]] = deque()  # after how much of that, and the part
 
     def note(self, warm: int, ready: int) -> None:
         """One of so many servers has done a job."""
         if warm:
-            self._rate += 1.0 / (ready * TAKE_SPAN)
+            self._done.append((self._passed, 1.0 / ready))
 
-    def fade(self, now: float, warm: int) -> None:
-        # Guards against a fleet that sends ever less because it has sent little: with none warm, none fades.
-        faded = math.exp((self._at - now) / TAKE_SPAN) if warm else 1.0
+    def pass_on(self, now: float, warm: int) -> None:
+        """Time has passed, with so many servers warm; older jobs count no more."""
+        # Guards against a fleet that sends ever less because it has sent little: no time without warm ones.
+        self._passed += now - self._at if warm else 0.0
         self._at = now
-        self._rate *= faded
-        self._seen = 1.0 - (1.0 - self._seen) * faded
+        while self._done and self._done[0][0] < self._passed - TAKE_SPAN:
+            self._done.popleft()
+        # Guards against new processes that each take their first jobs for a rate, and add up.
+        span = min(max(self._passed, TAKE_LEAST * TAKE_SPAN), TAKE_SPAN)
+        self._rate = sum(part for _, part in self._done) / span
 
     def rate(self) -> float:
-        # Guards against new processes that each take their first jobs for a rate, and add up.
-        return self._rate / max(self._seen, TAKE_LEAST)
+        return self._rate
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -621,7 +621,7 @@
         now = self._host.now()
         if now >= self._usual_until:
             self._usual_until = now + USUAL_SPAN
-            self._take.fade(now, self._warm)
+            self._take.pass_on(now, self._warm)
             # One time a server: quick servers answer more jobs and would pass for the usual.
             latest = {end.server.entry.server: end.seconds for end in self._ends if end.seconds}
             waits = (server.wait for server in self._pool if server.wait)
--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -235,7 +235,7 @@
 def test_a_new_process_takes_its_first_jobs_for_no_rate() -> None:
     take = Take(0.0)
     take.note(warm=4, ready=4)
-    take.fade(0.1, warm=4)
+    take.pass_on(0.1, warm=4)
     assert take.rate() < 0.03  # and not a quarter of a job in a tenth of a second
 
 
@@ -245,11 +245,11 @@
     for step in range(2000):
         takes[step >= 1000].note(warm=10, ready=10)  # ten a second in all, one a server
         for take in takes:
-            take.fade(step / 10, warm=10)
+            take.pass_on(step / 10, warm=10)
         sums.append(sum(take.rate() for take in takes))
     assert min(sums[200:]) > 0.9 and max(sums[200:]) < 1.1
     before = takes[1].rate()
-    takes[1].fade(400.0, warm=0)
+    takes[1].pass_on(400.0, warm=0)
     assert takes[1].rate() == before
 
 
