--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -208,7 +208,7 @@
         dispatch.out = False
         dispatch.may_have_run = outcome.result not in NEVER_RAN
         self._landed(dispatch)
-        if outcome.result is not Result.RECALLED and outcome.result is not Result.TIMED_OUT:
+        if outcome.result not in UNHEARD:
             dispatch.server.heard_at = now
         self._noted_link(dispatch, outcome.result, now)
         if outcome.load is not None:
@@ -824,6 +824,7 @@
 
 
 UNKNOWN_PROFILE = Profile(contract_time=1.0, abandon_time=math.inf)  # taken as at-most-once
+UNHEARD = (Result.RECALLED, Result.TIMED_OUT, Result.NEVER_SENT)
 NEVER_RAN = (Result.FULL, Result.NO_CONNECTION, Result.NEVER_SENT)
 OWNED_ANYWHERE = (Result.FULL, Result.NO_CONNECTION, Result.RESET, Result.SPOILT)
 OWNED_DEEPEST = (*OWNED_ANYWHERE, Result.ERROR, Result.TIMED_OUT)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -327,6 +327,27 @@
     assert host.sent(host.take())
 
 
+@pytest.mark.parametrize(
+    ("result", "silent"), [(Result.NEVER_SENT, True), (Result.RECALLED, True), (Result.ERROR, False)]
+)
+def test_a_dispatch_that_was_never_written_is_no_word_from_its_server(result: Result, silent: bool) -> None:
+    host = FakeHost(3)
+    host.serve(40)
+    host.advance(0.01)
+    jobs = [host.take(time_left=30.0) for _ in range(6)]
+    sent = [host.sent(job)[0] for job in jobs]
+    number = max(set(sent), key=sent.count)
+    stays = [job for job, to in zip(jobs, sent, strict=True) if to == number]
+    server = host.core._servers[number]
+    host.advance(0.3)
+    for job in set(jobs) - set(stays):
+        host.end(job)  # the others answer
+    host.advance(0.3)
+    assert server in host.core._silent(host.clock)
+    host.end(stays[1], result)
+    assert (server in host.core._silent(host.clock)) is silent
+
+
 def test_a_probe_that_fails_at_once_is_not_taken_for_a_quick_one() -> None:
     host = FakeHost(3, nodes=9, probes=False)
     for server, seconds in ((0, 0.1), (1, 0.1), (2, 0.1), (0, 0.5)):
