Reread: one way to a connection where descriptors are short; a figure nobody read is gone

Servers and Discovery each had the same second try (connection_to serves both); an idle connection and then a caller at rest make room in one place. Following kept the time for asking that nothing read any more. Behaviour stays; test_following, test_room, test_redial, test_gone and test_net pass (302).

--- a/notchjunction/following.py
+++ b/notchjunction/following.py
@@ -94,7 +94,6 @@
     """One node's calls for the list; `ask_within` in s, 0: none stated; `pushed`: an agent has the list."""
 
     def __init__(self, ask_within: float, pushed: bool = False, seed: int = 0) -> None:
-        self._ask_within = ask_within
         self._pushed = pushed
         self._random = Random(f"list {seed}")
         self._wait_most = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -267,3 +267,15 @@
             return await (reading if reading is not None else read_piece(self._stream, most))
         except StreamClosedError as error:
             raise Cut(_cause(error), clean=error.real_error is None) from error
+
+
+def connection_to(address: Address, spare_one: Callable[[], bool]) -> Connection:
+    """A new connection; where the operating system has no descriptor for it, once more after `spare_one`."""
+    try:
+        return Connection(address)
+    except NoDescriptor:
+        # Guards against callers at rest holding what others left of the operating system's descriptors: they
+        # would keep servers from being reached, and the list from being asked for.
+        if not spare_one():
+            raise
+        return Connection(address)
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -16,7 +16,15 @@
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence
 from notchjunction.net import words
-from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent, address_of, text_of
+from notchjunction.net.connections import (
+    Address,
+    Connection,
+    Cut,
+    NotSent,
+    address_of,
+    connection_to,
+    text_of,
+)
 from notchjunction.net.logs import pairs
 
 log = logging.getLogger(__name__)
@@ -165,7 +173,7 @@
         connection = self._connection
         if connection is None or not connection.fit():
             self.close()
-            connection = self._connection = self._new()
+            connection = self._connection = connection_to(self._address, self._spare_one)
             await connection.open()
         request = Request("GET", target, {"host": text_of(self._address)})
         answer = await connection.exchange(request, AnswerReader(LIST_MOST, LIST_MOST), heard=heard)
@@ -175,15 +183,6 @@
             self.close()
         return answer
 
-    def _new(self) -> Connection:
-        try:
-            return Connection(self._address)
-        except NoDescriptor:
-            # Guards against callers at rest that keep the list from being asked for.
-            if not self._spare_one():
-                raise
-            return Connection(self._address)
-
 
 def _parsed(body: bytes) -> Any:
     try:
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -18,7 +18,15 @@
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Load, Result
 from notchjunction.net import words
-from notchjunction.net.connections import Address, Connection, Cut, NoDescriptor, NotSent, Withheld
+from notchjunction.net.connections import (
+    Address,
+    Connection,
+    Cut,
+    NoDescriptor,
+    NotSent,
+    Withheld,
+    connection_to,
+)
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.relay import Download, Streams, Upload
@@ -268,15 +276,19 @@
         idle.extend(unsettled)
         if found is not None:
             return found
-        if self._descriptors.full() and not self.close_oldest() and not self._spare_one():
+        if self._descriptors.full() and not self._make_room():
             self._counters.add("descriptors_short")
             raise NoDescriptor
         return await self._dialled(server, address)
 
+    def _make_room(self) -> bool:
+        """Closes an idle connection, else a caller at rest."""
+        return self.close_oldest() or self._spare_one()
+
     async def _dialled(self, server: str, address: Address) -> Connection:
         """A new connection, or the first of two to come up; the other one may still serve a later request."""
         # Guards against requests lost one by one where many connections come up late, each by itself.
-        dials = [self._dial(self._new(address))]
+        dials = [self._dial(connection_to(address, self._make_room))]
         loop = asyncio.get_running_loop()
         until = loop.time() + self._connect_within
         first: Dial | None = None
@@ -329,15 +341,6 @@
         self._counters.add("answers_strayed")
         self._stray_at = self._clock()
 
-    def _new(self, address: Address) -> Connection:
-        try:
-            return Connection(address)
-        except NoDescriptor:
-            # Guards against callers at rest holding what others left of the operating system's descriptors.
-            if not self.close_oldest() and not self._spare_one():
-                raise
-            return Connection(address)
-
     def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
         for server, kept in list(self._idle.items()):
             for connection in list(kept):
