Kept connections always rest before they are used again, so no first stray answer is taken

Cause: a kept connection had to rest (SETTLED) only within STRAY_SPAN after a stray answer was seen. The first one in a minute, written by its server while the next request was on its way to the same connection, was read as that request's answer: a caller was served what no server made for it.

Change: every kept connection rests for 30 ms before it is used again; the newest that has rested is chosen, else a new one is opened, counted as connections_unsettled. The doubt window has no use any more and is gone; answers_strayed stays. Cost: about r times 0.03 more connections for r requests a second to a server.

Stories that reuse a connection now step the clock, or wait, past the rest first, so that they still meet a kept connection; their assertions are as before.

Ruled out: looking harder for unread bytes at the writing; those that are still on the way can't be seen.

--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -39,8 +39,9 @@
 LIVES_LEAST = 3  # of them; fewer are chance
 LIVES_SPAN = 60.0  # s that they count; then the settings hold again, as the server may have changed
 DOUBT_SPAN = 10.0  # s after a kept connection was reset in which what may run once only is not put on one
-STRAY_SPAN = 60.0  # s after bytes that nobody asked for in which kept connections have to rest first
-SETTLED = 0.03  # s of rest; a second answer that is to come has come by then
+# s that a kept connection rests before it is used again; a second answer that is to come has come by then.
+# It costs a node that sends a server r requests a second about r times 0.03 more connections there.
+SETTLED = 0.03
 PROBE_WITHIN = 0.5  # s that a probe may take; a later answer says little of now
 REDIAL_SHARE = 0.3  # of the connect time-out after which a second connection is tried beside one not yet up
 LATE_WITHIN = 2.0  # s after which a connection that nobody waits for any more is given up; past most delays
@@ -99,7 +100,7 @@
         self._addresses: dict[str, Address] = {}
         self._idle: dict[str, deque[Connection]] = {}
         self._late: dict[str, set[Dial]] = {}
-        self._reset_at = self._stray_at = -math.inf
+        self._reset_at = -math.inf
         self._lives: dict[str, deque[tuple[float, float]]] = {}
         counters.gauge("connections_idle", lambda: sum(len(kept) for kept in self._idle.values()))
         counters.gauge("servers_known", lambda: len(self._addresses))
@@ -255,30 +256,32 @@
         return request.method == "GET" or self._clock() - self._reset_at > DOUBT_SPAN
 
     async def _connected(self, server: str, kept: bool) -> Connection:
-        """The newest idle connection that is fit, if one may be used; else a new one to a ready server."""
+        """The newest idle connection that is fit and has rested, if one may be used; else a new one."""
         address = self._addresses.get(server)
         if address is None:
             raise NotSent("no longer in the list")
         idle = self._idle.get(server, deque()) if kept else deque()
-        doubt = self._clock() - self._stray_at < STRAY_SPAN
+        rested_by = self._clock() - SETTLED
         unsettled: deque[Connection] = deque()
         found: Connection | None = None
         while idle and found is None:
             connection = idle.pop()
-            if not self._fit(server, connection):
-                self._counters.add("connections_found_unfit")
-                self._close_idle(server, connection)
-            elif doubt and connection.idle_since > self._clock() - SETTLED:
+            if connection.idle_since > rested_by:
                 # Guards against a second answer that comes late: it would pass for the next request's.
                 unsettled.appendleft(connection)
-            else:
+            elif self._fit(server, connection):
                 found = connection
+            else:
+                self._counters.add("connections_found_unfit")
+                self._close_idle(server, connection)
         idle.extend(unsettled)
         if found is not None:
             return found
         if self._descriptors.full() and not self._make_room():
             self._counters.add("descriptors_short")
             raise NoDescriptor
+        if unsettled:
+            self._counters.add("connections_unsettled")
         return await self._dialled(server, address)
 
     def _make_room(self) -> bool:
@@ -337,9 +340,8 @@
         self._give_back(server, dial.connection, keep=up)
 
     def _strayed(self) -> None:
-        """Some server sends what nobody asked for: where one does, more is to be expected of all."""
+        """A server sends what nobody asked for."""
         self._counters.add("answers_strayed")
-        self._stray_at = self._clock()
 
     def _retire(self, unwanted: Callable[[str, Connection], bool]) -> None:
         for server, kept in list(self._idle.items()):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -30,7 +30,7 @@
 from notchjunction.net.discovery import Discovery, Unusable, read_list
 from notchjunction.net.jobs import ask_of
 from notchjunction.net.logs import KeyValueFormatter, pairs
-from notchjunction.net.servers import Exchanged, Servers
+from notchjunction.net.servers import SETTLED, Exchanged, Servers
 from notchjunction.rules import RENEW_LEAST
 from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, configuration, news, rows, running
 
@@ -64,6 +64,10 @@
         )
         self.servers.point({"s0": peer.address})
 
+    def rested(self) -> None:
+        """Kept connections may be used again."""
+        self.clock += 2 * SETTLED
+
     async def send(self, within: float = 2.0) -> Exchanged:
         return await self.servers.dispatch("s0", JOB, within)
 
@@ -188,7 +192,9 @@
                 peer.left.clear()
                 assert (await sent.send()).ended.result is Result.HONOURED
                 await peer.left.wait()
+                sent.rested()
             assert len(peer.requests) == peer.connections == 3
+            assert sent.counters.read().get("connections_unsettled", 0) == 0
 
     run(story())
 
@@ -198,16 +204,19 @@
         async with Peer() as peer:
             sent = Dispatches(peer)
             await sent.send()
+            sent.rested()
             peer.reply = (b"", "reset")
             assert (await sent.send()).ended.result is Result.RESET and peer.connections == 1
             peer.reply = OK
             for connections in (2, 3):
                 await sent.send()
                 assert peer.connections == connections
+                sent.rested()
             await sent.servers.dispatch("s0", Request("GET", "/api", {"req-id": "1"}), 2.0)
             assert peer.connections == 3
             sent.clock += 10.5
             await sent.send()  # the kept ones have stood idle for too long by now
+            sent.rested()
             await sent.send()
             assert peer.connections == 4
 
@@ -329,6 +338,7 @@
                 exchanged = await sent.send()
                 assert exchanged.ended.result is Result.HONOURED
                 assert exchanged.answer is not None and exchanged.answer.body == b"ok"
+                sent.rested()
             assert peer.connections == 1
 
     run(story())
@@ -355,6 +365,7 @@
                 client.ask()
                 found = await client.answer()
                 assert (found.status, found.body, found.keep) == (200, b"ok", True)
+                await asyncio.sleep(2 * SETTLED)
             assert peer.connections == 1 and peer.requests[0].target == "/api?x=1"
             assert int(peer.requests[0].headers["req-deadline-ms"]) <= 2000
             assert node.counters.read()["answered_honoured"] == 2
--- a/tests/test_redial.py
+++ b/tests/test_redial.py
@@ -55,6 +55,7 @@
             held.release.set()
             await held.came_up.wait()
             await settle(lambda: node.counters.read()["connections_idle"] == 2)
+            await asyncio.sleep(2 * servers.SETTLED)
             server.reply = SILENT
             other = await Client().open(listen)
             client.ask()
