A request whose last byte goes out as its time ends counts as one that may have run

Cause: Connection.exchange awaited the stream's write, and Servers._exchange called a time-out before written() a dispatch without a connection. Where a request went out in two parts, and the loop found room for the rest and the end of the time in one turn, the stream wrote the last byte first; then the time-out cancelled the task before it had resumed, so written() was never called: the server had all of the request, and the node held that it never ran, and was free to send it again.

Change: the write is shielded, and a cancelled exchange looks at how it ended; if it did, written() is told.

Seen before: the story had the outcome 'no connection' for a request that its server got whole. After: 'timed out'.

Ruled out: requests that go out in one part (their write is over before the task yields), a StreamClosedError out of a write (the stream settles the write as soon as the operating system has its last byte, so an error means that it has not), and bodies that go on (no time-out runs until their last byte is written).

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -123,7 +123,14 @@
         """
         self._strayed = None
         try:
-            await self._stream.write(encode_request(request))
+            writing = self._stream.write(encode_request(request))
+            try:
+                await asyncio.shield(writing)  # so that it still says how it ended
+            except asyncio.CancelledError:
+                if rest is None and writing.done() and writing.exception() is None:
+                    # Guards against word that it never ran: its last byte went out as its time ended.
+                    written()
+                raise
             if rest is not None:
                 early = await self._write_rest(request, rest, answers, wanted)
                 if early is not None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 import pytest
+from tornado.iostream import IOStream
 
 from notchjunction import following
 from notchjunction.__main__ import main
@@ -262,6 +263,33 @@
     run(story())
 
 
+def test_a_request_whose_last_byte_went_out_as_its_time_ended_may_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    within, tries, write = 0.1, 0, IOStream.write_to_fd
+
+    def late(stream: IOStream, data: memoryview) -> int | None:
+        nonlocal tries
+        tries += 1
+        if tries == 1:
+            raise BlockingIOError
+        if tries == 2:
+            # The loop comes late: it finds room to write and the end of the time side by side.
+            time.sleep(1.5 * within)
+            raise BlockingIOError
+        return write(stream, data)
+
+    async def story() -> None:
+        async with Peer(SILENT) as peer:
+            sent = Dispatches(peer)
+            monkeypatch.setattr(IOStream, "write_to_fd", late)
+            assert (await sent.send(within)).ended.result is Result.TIMED_OUT
+            await peer.asked.wait()
+            assert len(peer.requests) == 1 and sent.descriptors.held == 0
+
+    run(story())
+
+
 def test_a_server_dropped_while_connecting_gets_no_request() -> None:
     async def story() -> None:
         async with Peer() as peer:
