The node's own end of a connection is no end of an answer

Cause: a Cut counts as clean where the stream holds no error, and a stream that this node closes holds none. A dispatch that is cancelled while its large answer goes on closes the connection under whoever passes the answer on; where the answer has no length, its end was then taken for the answer's, and the caller was told a part as whole (with the last chunk).

Change: a connection remembers that it was closed here; no end is clean then.

Seen before: the story of a cancelled dispatch had no Cut, and the answer as over.

Ruled out: an end by the server that was heard ahead of our own is told as broken, too; the dispatch has been given up by then.

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -87,6 +87,7 @@
         self.idle_since = 0.0
         self.kept = False  # whether it has served before
         self._strayed: Callable[[], None] | None = None  # to be told, while it stands idle
+        self._closed_here = False
         self.lived: float | None = None  # s that it stood idle until the other side ended it
         if opened is not None:
             self._stream = IOStream(opened, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
@@ -263,6 +264,7 @@
         return False
 
     def close(self) -> None:
+        self._closed_here = True
         self._stream.close()
         if self._reading is not None and self._reading.done() and not self._reading.cancelled():
             self._reading.exception()  # seen: an idle connection's end is no failure
@@ -273,7 +275,9 @@
         try:
             return await (reading if reading is not None else read_piece(self._stream, most))
         except StreamClosedError as error:
-            raise Cut(_cause(error), clean=error.real_error is None) from error
+            # Guards against an answer given up by this node that passes for a whole one.
+            clean = error.real_error is None and not self._closed_here
+            raise Cut(_cause(error), clean) from error
 
 
 def connection_to(address: Address, spare_one: Callable[[], bool]) -> Connection:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -22,12 +22,12 @@
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
 from notchjunction.net import callers, connections, ending, handover, relay
-from notchjunction.net.connections import Address
+from notchjunction.net.connections import Address, Cut
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
-from notchjunction.net.relay import Streams
+from notchjunction.net.relay import Download, Streams
 from tests.helpers import Client, FakeHost, Peer, call, configuration, free_address, rows, running
-from tests.test_net import run
+from tests.test_net import JOB, Dispatches, run
 from tests.test_upgrade import until_yes
 
 MB = 1024 * 1024
@@ -958,6 +958,31 @@
     run(story())
 
 
+async def never_ends(talk: Talk) -> None:
+    """A large answer that only the end of its connection would end."""
+    await talk.request()
+    await talk.send(b"HTTP/1.1 200 OK\r\n\r\n" + BODY[:200_000])
+    await talk.reader.read()
+
+
+def test_the_nodes_own_end_of_a_connection_is_no_answers_end() -> None:
+    async def story() -> None:
+        async with Scripted(never_ends) as peer:
+            sent = Dispatches(peer)
+            begun: asyncio.Future[Download] = asyncio.get_running_loop().create_future()
+            work = asyncio.create_task(sent.servers.dispatch("s0", JOB, 2.0, begun=begun.set_result))
+            download = await begun
+            work.cancel()
+            await asyncio.wait({work})
+            with pytest.raises(Cut):
+                while not download.over:
+                    await download.more()
+                    download.ready_piece()
+            download.close()
+
+    run(story())
+
+
 def test_nothing_of_an_answer_is_read_here_once_it_has_moved() -> None:
     """An event that is already due comes after the move: what it tells of belongs to the other process."""
 
