A large answer that begins after its recall is not passed on

Cause: Decider.begun looked whether the job had its answer, and not whether the dispatch was recalled. A recall that waits to be picked (the module takes back what a server has swallowed) and an answer that begins in the same moment gave the orders Stop, Begin: the job cancelled the dispatch and then passed its answer on. The caller got a part of it: as whole where it had no length, else cut off.

Change: begun asks what is asked at the writing (stands); an answer to a recalled dispatch is given up, and the job goes on without it.

After: the job is turned back or written off, as its kind demands. The stories of large bodies and of the decider pass.

Ruled out: a whole answer that crosses its recall; it is in hand and may be passed on.

--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -262,8 +262,8 @@
         return not ticket.answered and dispatch not in ticket.stopped
 
     def begun(self, ticket: Ticket, dispatch: int) -> bool:
-        """A large answer has begun to come; false where the job has its answer already."""
-        if ticket.answered or ticket.begun:
+        """A large answer has begun to come; false where the job has its answer, or recalled this one."""
+        if ticket.begun or not self.stands(ticket, dispatch):
             return False
         ticket.begun = True
         ticket.orders.put_nowait(Begin(dispatch))
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from notchjunction.decider import Decider, Stop, Ticket
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
@@ -983,6 +984,25 @@
     run(story())
 
 
+def test_an_answer_that_begins_after_its_recall_is_not_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    begun = Decider.begun
+
+    def recalled(self: Decider, ticket: Ticket, dispatch: int) -> bool:
+        self._order(ticket.number, Stop(dispatch))  # it waits to be picked
+        return begun(self, ticket, dispatch)
+
+    async def story() -> None:
+        monkeypatch.setattr(Decider, "begun", recalled)
+        async with served(never_ends) as (node, address, _):
+            caller = await Caller().open(address)
+            caller.begin()
+            status, body, _ = await caller.whole()
+            assert status in (502, 503) and not body
+            await nothing_left(node)
+
+    run(story())
+
+
 def test_nothing_of_an_answer_is_read_here_once_it_has_moved() -> None:
     """An event that is already due comes after the move: what it tells of belongs to the other process."""
 
