A body in pieces whose caller goes is broken off where jobs are not recalled, too

Cause: a dispatch under way waits for the next piece without a time-out, until its job recalls it. Where recalls are off (limits.cancel, the settings' default) nobody does: once the caller had gone, or the job was turned back in the midst of its body, the dispatch waited for ever, and with it a connection to a server, its descriptor and the job's record.

Change: a body that is closed with some of it not given out wakes whoever waits for it, with Withheld: the request was never whole. One that was given out whole still ends as before.

Seen before: the story of a caller that goes midway, with recalls off, had a job kept past 5 s (with recalls on it passed). After: nothing is left in either. The stories of large bodies and of fleets pass.

Ruled out: recalls by the job itself, which would change what servers see of whole requests.

--- a/notchjunction/net/relay.py
+++ b/notchjunction/net/relay.py
@@ -9,7 +9,7 @@
 
 from notchjunction.http1.messages import Answer, Malformed
 from notchjunction.http1.parser import AnswerReader
-from notchjunction.net.connections import PIECE, Connection, Cut
+from notchjunction.net.connections import PIECE, Connection, Cut, Withheld
 
 STEPS = ((32, PIECE), (128, 16 * 1024))  # streams up to which a piece has so many bytes
 PIECE_LEAST = 4 * 1024  # bytes of one past those; memory then depends on the number of descriptors alone
@@ -38,6 +38,7 @@
         self._news = asyncio.Event()
         self._taken = asyncio.Event()
         self._open = True
+        self._lost = False  # whether it was closed with some of it not given out
         streams.open += 1
 
     def wants_more(self) -> bool:
@@ -57,8 +58,11 @@
         self._news.set()
 
     async def get(self) -> bytes:
-        """The next piece; an empty one at the end."""
+        """The next piece; an empty one at the end. Withheld where the rest was given up."""
         while not self._pieces:
+            if self._lost:
+                # Guards against a dispatch that nobody recalls: it would wait for ever for what never comes.
+                raise Withheld("the rest was given up")
             if self.ended:
                 return b""
             self._news.clear()
@@ -73,7 +77,9 @@
         if self._open:
             self._open = False
             self._streams.open -= 1
+            self._lost = not self.ended or bool(self._pieces)
             self._pieces.clear()
+            self._news.set()
 
 
 class Download:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -1072,3 +1072,18 @@
                 assert not ran and old.counters.read()["bodies_moved"] == 1
 
     run(story())
+
+
+@pytest.mark.parametrize("recalls", [True, False])
+def test_a_body_whose_caller_goes_is_broken_off_whether_or_not_jobs_are_recalled(recalls: bool) -> None:
+    async def story() -> None:
+        async with served(never_ends, recalls=recalls) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            caller.begin(BODY)
+            caller.send(BODY[:200_000])
+            while not peer.connections:
+                await asyncio.sleep(0.002)
+            caller.writer.close()
+            await nothing_left(node)
+
+    run(story())
