A server that takes nothing of a body in pieces is given up after 10 s, as documented

Cause: only what an answer gives was bounded by STALL_MOST. Until a body's last byte is written no other time runs, so a write to a server that reads nothing waited for ever: with it its job, however long its caller stayed, and where jobs are not recalled also after the caller had gone.

Change: each write of a body that goes on, the head's too, is over within STALL_MOST, or the dispatch is one that was not sent: what is not yet written is not whole at the server.

Seen before: the story of a server that takes nothing, with a caller that goes and one that stays, had the job kept past 5 s, or no answer. After: 503 for the one that stays, and nothing left in both.

Ruled out: bounding requests that are whole; their own time does.

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -18,6 +18,7 @@
 
 Address = tuple[str, int]
 PIECE = 64 * 1024  # bytes read at once
+STALL_MOST = 10.0  # s in which the other side gives or takes nothing; over any pause of a slow one
 HOLD_SPAN = 0.3  # s after its head that an answer which may be large is held; it may be short, or spoilt
 BUFFER_MOST = 2 * (BODY_MOST + HEAD_MOST)  # bytes kept of either direction; a message and some of the next
 
@@ -126,7 +127,8 @@
         try:
             writing = self._stream.write(encode_request(request))
             try:
-                await asyncio.shield(writing)  # so that it still says how it ended
+                # Shielded, so that it still says how it ended.
+                await (asyncio.shield(writing) if rest is None else self._taken(writing))
             except asyncio.CancelledError:
                 if rest is None and writing.done() and writing.exception() is None:
                     # Guards against word that it never ran: its last byte went out as its time ended.
@@ -194,9 +196,18 @@
             # Guards against a request that becomes whole at a server after its caller has gone.
             raise Withheld("no longer wanted")
         if out:
-            await self._stream.write(out)
+            await self._taken(self._stream.write(out))
         return bool(piece)
 
+    async def _taken(self, writing: asyncio.Future[None]) -> None:
+        """Waits until a part of a body that goes on is written; NotSent where that takes too long."""
+        # Guards against a server that takes nothing: no other time runs until the last byte is written.
+        if not writing.done():
+            await asyncio.wait({writing}, timeout=STALL_MOST)
+        if not writing.done():
+            raise NotSent("takes nothing more")
+        writing.result()
+
     @property
     def socket(self) -> socket.socket:
         found: socket.socket = self._stream.socket
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -1087,3 +1087,31 @@
             await nothing_left(node)
 
     run(story())
+
+
+@pytest.mark.parametrize("goes", [True, False])
+def test_a_server_that_takes_nothing_of_a_body_is_given_up(
+    goes: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(connections, "STALL_MOST", 0.5)
+
+    async def story() -> None:
+        over = asyncio.Event()
+
+        async def takes_nothing(talk: Talk) -> None:
+            await over.wait()
+
+        async with served(takes_nothing, recalls=False) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            caller.begin(BODY * 16)
+            caller.send(BODY * 16)
+            while not peer.connections:
+                await asyncio.sleep(0.002)
+            if goes:
+                caller.writer.transport.abort()
+            else:
+                assert (await caller.answer()).status == 503
+            await nothing_left(node)
+            over.set()
+
+    run(story())
