A next process that finds no descriptor left costs the loop nothing until it is let in

Cause: Handover._accept and _accept_giver return on any OSError. With no descriptor left (EMFILE) the listener stays readable, and the event loop calls them at each turn.

Change: as for the operators' listener: the reader is removed, accepts_failed is counted, and the reader is put back after SHORT_PAUSE, unless the listener was withdrawn or replaced meanwhile.

Left as it was: a descriptor that is sent along where there is none left is lost by the operating system.

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -12,13 +12,14 @@
 import logging
 import os
 import socket
-from collections.abc import Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Protocol
 
 from notchjunction.net.counters import Counters
+from notchjunction.net.descriptors import SHORT, SHORT_PAUSE
 from notchjunction.net.logs import pairs
 
 log = logging.getLogger(__name__)
@@ -223,7 +224,7 @@
                 self._file_is = _file(new)
                 os.rename(new, f"{folder}/{FILE}")
                 self._take_streams(folder)
-            self._loop.add_reader(self._listener.fileno(), self._accept)
+            self._hear(self._listener, self._accept)
         except OSError as error:
             log.warning("handover cannot be offered", extra=pairs(why=error))
             if self._listener is not None:
@@ -254,16 +255,32 @@
         listener.bind(new)
         listener.listen(BACKLOG)
         os.rename(new, f"{folder}/{STREAMS}")
-        self._loop.add_reader(listener.fileno(), self._accept_giver, listener)
+        self._hear(listener, self._accept_giver)
+
+    def _hear(self, listener: socket.socket, accept: Callable[[socket.socket], Any]) -> None:
+        """Who knocks is let in, unless the listener was withdrawn by now."""
+        if listener is self._listener or listener in self._taking:
+            self._loop.add_reader(listener.fileno(), accept, listener)
+
+    def _not_accepted(
+        self, error: OSError, listener: socket.socket, accept: Callable[[socket.socket], Any]
+    ) -> None:
+        if error.errno in SHORT:
+            # Guards against a loop that does nothing but fail: the listener stays readable.
+            self._counters.add("accepts_failed")
+            self._loop.remove_reader(listener.fileno())
+            self._loop.call_later(SHORT_PAUSE, self._hear, listener, accept)
 
     def _accept_giver(self, listener: socket.socket) -> bool:
-        with suppress(OSError):
+        try:
             giver, _ = listener.accept()
-            giver.setblocking(False)
-            self._taking.append(giver)
-            self._loop.add_reader(giver.fileno(), self._take_stream, giver)
-            return True
-        return False
+        except OSError as error:
+            self._not_accepted(error, listener, self._accept_giver)
+            return False
+        giver.setblocking(False)
+        self._taking.append(giver)
+        self._loop.add_reader(giver.fileno(), self._take_stream, giver)
+        return True
 
     def take_last(self) -> None:
         """Takes in all that was given by now. Guards against a stream that is given to a process as it ends.
@@ -321,11 +338,11 @@
             log.warning("streams can't move", extra=pairs(why=error))
             return None
 
-    def _accept(self) -> None:
-        assert self._listener is not None
+    def _accept(self, listener: socket.socket) -> None:
         try:
-            sock, _ = self._listener.accept()
-        except OSError:
+            sock, _ = listener.accept()
+        except OSError as error:
+            self._not_accepted(error, listener, self._accept)
             return
         sock.setblocking(False)
         self._run(self._welcome(sock))
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -268,6 +268,45 @@
     run(story())
 
 
+@pytest.mark.parametrize(
+    ("file", "kind"), [(handover.FILE, socket.SOCK_STREAM), (handover.STREAMS, socket.SOCK_SEQPACKET)]
+)
+def test_the_next_process_that_can_not_be_let_in_yet_is_later_and_costs_nothing_until_then(
+    file: str, kind: socket.SocketKind, tmp_path: Path
+) -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.001)
+            with socket.socket(socket.AF_UNIX, kind) as follower, socket.socket(socket.AF_UNIX, kind) as late:
+                follower.setblocking(False)
+                with no_descriptor_left():
+                    follower.connect(str(tmp_path / file))
+                    began = time.monotonic()
+                    turns = 0
+                    while node.counters.read().get("accepts_failed", 0) < 2 or turns < 200:
+                        turns += 1
+                        await asyncio.sleep(0)
+                    assert node.counters.read()["accepts_failed"] <= tries_since(began)
+                if kind is socket.SOCK_STREAM:
+                    told = json.loads(await node._loop.sock_recv(follower, handover.FIRST_MOST))
+                    assert told["node"] == "n"
+                else:
+                    while len(node._handover._taking) < 2:
+                        await asyncio.sleep(0.001)
+                # Withdrawn within the pause: it is heard no more, whatever has its number by now.
+                with no_descriptor_left():
+                    late.connect(str(tmp_path / file))
+                    failed = node.counters.read()["accepts_failed"]
+                    while node.counters.read()["accepts_failed"] == failed:
+                        await asyncio.sleep(0)
+                    node._handover.close()
+                await asyncio.sleep(2 * SHORT_PAUSE)
+                assert node.counters.read().get("failures", 0) == 0
+
+    run(story())
+
+
 # A start needs nobody else where there is a remembered list, whole or in part.
 
 GARBAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{[\xff"
