What was given last is served without a loop that spins

Cause: Handover.take_last shuts the streams' listener down for reading, and leaves it in the event loop. It stays readable from then on: where an answer was adopted in that look, the process lives on to serve it, and the loop calls _accept_giver at each turn until it ends.

Change: take_last takes the listener out of the loop first, and it is not put back after a pause for want of descriptors; the next look takes again. A new offer has a new listener.

Ruled out: to know it by the error, which is the same as where nobody knocks (EAGAIN).

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -138,6 +138,7 @@
         self._channels: list[Channel] = []
         self._succeeded = False  # by a process that came after the one which followed
         self._taking: list[socket.socket] = []  # the listener for streams, and those who give some
+        self._shut = False  # nobody can give streams any more; those who did by now are let in
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -255,11 +256,12 @@
         listener.bind(new)
         listener.listen(BACKLOG)
         os.rename(new, f"{folder}/{STREAMS}")
+        self._shut = False
         self._hear(listener, self._accept_giver)
 
     def _hear(self, listener: socket.socket, accept: Callable[[socket.socket], Any]) -> None:
-        """Who knocks is let in, unless the listener was withdrawn by now."""
-        if listener is self._listener or listener in self._taking:
+        """Who knocks is let in, unless the listener was withdrawn by now, or is read to its end."""
+        if listener is self._listener or (listener in self._taking and not self._shut):
             self._loop.add_reader(listener.fileno(), accept, listener)
 
     def _not_accepted(
@@ -290,6 +292,9 @@
         if not self._taking:
             return
         listener = self._taking[0]
+        # Guards against a loop that does nothing but fail: what is shut down stays readable.
+        self._shut = True
+        self._loop.remove_reader(listener.fileno())
         with suppress(OSError):
             listener.shutdown(socket.SHUT_RD)
         while self._accept_giver(listener):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -435,3 +435,32 @@
                     await asyncio.to_thread(process.wait)
 
     run(story())
+
+
+def test_what_was_given_last_is_served_without_a_loop_that_spins(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A listener that is shut down stays readable while what it gave is still served."""
+    accept = handover.Handover._accept_giver
+    accepts = 0
+
+    def counted(self: handover.Handover, listener: socket.socket) -> bool:
+        nonlocal accepts
+        accepts += 1
+        return accept(self, listener)
+
+    monkeypatch.setattr(handover.Handover, "_accept_giver", counted)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            await offered(node)
+            assert node._handover is not None
+            giver = handover.Giver(str(tmp_path))
+            node._handover.take_last()
+            assert accepts == 2  # the giver, and nobody after it
+            for _ in range(200):
+                await asyncio.sleep(0)
+            assert accepts <= 3
+            giver.close()
+
+    run(story())
