Past the margin slow heads are told 408, so that a new caller has an answer

Cause: a caller with part of a head is in none of silent, idle, lingering: Callers._press finds nobody, whoever comes waits for ROOM_WITHIN (1.2 s) and is dropped unheard, while half heads stay for HEAD_WITHIN (2.6 s).

Change: callers whose head is under way are known with the time since when. Where nobody else can go, those for over HEAD_PRESSED (1.0 s) are told 408, the longest first, four a look and none while 16 are read from for a last moment. They end as others do: the sending first, then 0.1 s of reading. Never one whose request is whole, whose body comes, or of whom anything is unread.

Why 1.0 s: sound slow callers take up to 2 s, so it holds past the margin only; with the moment of reading it must be over before ROOM_WITHIN, for whoever comes as a flood begins.

Seen without: the new caller has no answer within the story's 10 s. Without the look at what has come the request that crosses is told 408; where bodies count as heads, the body's caller is. With: passes.

test_past_the_margin_callers_wait_for_an_answer_but_not_for_long sets HEAD_PRESSED to 30 s: its crowd must stay, as before, however late the loop is.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -53,6 +53,8 @@
 IDLE_PRESSED = (
     0.25  # s idle, likewise; the pauses of busy callers are shorter, and those who wait can bear it
 )
+HEAD_PRESSED = 1.0  # s of a head under way, likewise; shorter than ROOM_WITHIN, in which others wait for it
+TURNED_MOST = 16  # of those read from for a last moment; none is told 408 for room while there are as many
 TRIED_MOST = 4  # callers looked at to make room for one; the longest idle are rarely about to send
 ROOM_LOOK = 0.01  # s between looks for room past the margin, while callers wait; refusals take less
 ROOM_WITHIN = 1.2  # s that they wait for it, then they are dropped; the refused have 1 s for their request
@@ -116,6 +118,7 @@
         # Those that have sent nothing yet, and those between two requests; the longest so come first.
         self.silent: dict[Caller, float] = {}
         self.idle: dict[Caller, float] = {}
+        self.heads: dict[Caller, float] = {}  # part of a head has come, and no whole one is unread
         self.lingering: dict[Caller, float] = {}  # their sending has ended; they are read from for a moment
         self.ids: set[str] = set()  # of the jobs that are held
         self._limited = False
@@ -263,9 +266,23 @@
 
     def _press(self) -> bool:
         """Makes room where a new caller would else get no answer: those who say nothing go first."""
-        return self._close_one(
+        if self._close_one(
             (self.lingering, LINGER_SPARED), (self.silent, SILENT_PRESSED), (self.idle, IDLE_PRESSED)
-        )
+        ):
+            return True
+        self._turn_slow_heads_away()
+        return False
+
+    def _turn_slow_heads_away(self) -> None:
+        """Tells those whose head has come for longest 408; they leave room a moment later, with that read.
+
+        Guards against a flood of half heads: each has its time to be whole, and others wait for that unheard.
+        """
+        due = self.clock() - HEAD_PRESSED
+        for caller, since in list(islice(self.heads.items(), TRIED_MOST)):
+            if since > due or len(self.lingering) >= TURNED_MOST:
+                return
+            caller.turn_away_in_head()
 
     def close_oldest(self) -> bool:
         """Gives up the caller that has been idle longest, else one that has sent nothing since it came."""
@@ -437,6 +454,12 @@
         if self._rests():
             self._part_from_outside()
 
+    def turn_away_in_head(self) -> None:
+        """Answers 408 and ends the sending, unless more of the head has just come."""
+        if self._quiet():
+            self._stream.write(encode_answer(self._bad(408)))
+            self._part_from_outside()
+
     def close_if_idle(self) -> bool:
         """The same where its descriptor is needed at once: what has come by now is all that is read."""
         if self._stream.closed() or not (self._parted or self._rests()):
@@ -447,9 +470,11 @@
         return True
 
     def _rests(self) -> bool:
+        return not (self._busy or self._requests.begun) and self._quiet()
+
+    def _quiet(self) -> bool:
         """Guards against closing over a request that has come and is not yet read."""
-        under_way = self._busy or self._requests.begun or self._has_read() or self._parted
-        if under_way or self._stream.closed():
+        if self._has_read() or self._parted or self._stream.closed():
             return False
         try:
             self._stream.socket.recv(1, socket.MSG_PEEK)
@@ -496,10 +521,17 @@
     def _stir(self) -> None:
         self._callers.silent.pop(self, None)
         self._callers.idle.pop(self, None)
+        self._callers.heads.pop(self, None)
         self._callers.lingering.pop(self, None)
 
     async def _request(self) -> Request | None:
         """The next whole request; None when the caller is parted with, or has sent nothing for too long."""
+        try:
+            return await self._next_request()
+        finally:
+            self._callers.heads.pop(self, None)
+
+    async def _next_request(self) -> Request | None:
         late = False
         while (request := self._requests.next()) is None:
             if self._thrown:
@@ -508,6 +540,10 @@
                 raise Malformed(408, "request too slow")
             if late:
                 return None
+            if self._requests.in_body:
+                self._callers.heads.pop(self, None)
+            elif self._requests.begun:
+                self._callers.heads.setdefault(self, self._callers.clock())
             reading = self._read()
             if self._requests.awaits_go_ahead():
                 await self._write(GO_AHEAD)
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -28,6 +28,7 @@
     Client,
     Peer,
     Program,
+    RawClient,
     Reply,
     configuration,
     free_address,
@@ -106,6 +107,7 @@
     room_within: float, answered: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(callers, "REFUSED_WITHIN", 0.3)
+    monkeypatch.setattr(callers, "HEAD_PRESSED", 30.0)  # the crowd stays, however late the loop is
     monkeypatch.setattr(callers, "ROOM_WITHIN", room_within)
 
     async def story() -> None:
@@ -166,6 +168,67 @@
     run(story())
 
 
+def test_past_the_margin_half_heads_are_told_408_and_a_new_caller_has_an_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for span in ("HEAD_WITHIN", "REFUSED_WITHIN", "ROOM_WITHIN", "BODY_SLACK"):
+        monkeypatch.setattr(callers, span, 30.0)  # nobody goes by itself
+    turn_away = callers.Caller.turn_away_in_head
+    crossing: list[RawClient] = []
+
+    def crossed(caller: callers.Caller) -> None:
+        if crossing:
+            crossing.pop().more(b"Req-Kind: plain\r\nReq-Deadline-Ms: 2000\r\n\r\n")
+        turn_away(caller)
+
+    monkeypatch.setattr(callers.Caller, "turn_away_in_head", crossed)
+
+    async def answer_to(client: RawClient) -> bytes:
+        async with asyncio.timeout(10):
+            return await asyncio.get_running_loop().sock_recv(client.socket, 4096)
+
+    async def story() -> None:
+        async with (
+            Peer(lambda request: SILENT if "?" in request.target else OK) as peer,
+            running(peer, sockets=28) as (node, address),
+        ):
+            held = await Client().open(address)
+            held.ask()
+            await peer.asked.wait()
+            body, ending = RawClient(address), RawClient(address)
+            body.ask(b"x" * 50, "POST", length=100)
+            ending.more(HALF)
+            crossing.append(ending)
+            while not node._callers.heads or not any(
+                caller._requests.in_body for caller in node._callers._callers
+            ):
+                await asyncio.sleep(0.001)
+            halves = [RawClient(address) for _ in range(5)]
+            for half in halves:
+                half.more(HALF.replace(b"1\r\n", b"2\r\n"))
+            while len(node._callers.heads) < 6:
+                await asyncio.sleep(0.001)
+            late = RawClient(address)
+            late.ask()
+            assert (await answer_to(late)).startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+            assert (await answer_to(ending)).startswith(b"HTTP/1.1 200")  # its request came in that moment
+            assert (await answer_to(halves[0])).startswith(b"HTTP/1.1 408")
+            assert await answer_to(halves[0]) == b""  # an end, and no reset
+            body.more(b"x" * 50)
+            assert (await answer_to(body)).startswith(b"HTTP/1.1 200")
+            assert (await held.answer()).status != 408
+            assert "callers_dropped" not in node.counters.read()
+            for client in (body, ending, late, *halves):
+                client.socket.close()
+
+    run(story())
+
+
+def test_who_comes_as_a_flood_of_half_heads_begins_waits_less_than_until_dropped() -> None:
+    left = callers.ROOM_WITHIN - callers.HEAD_PRESSED - callers.LINGER_SPARED
+    assert left > 2 * callers.ROOM_LOOK
+
+
 def test_a_young_caller_at_rest_goes_only_after_those_who_say_nothing() -> None:
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
