Callers in the queue are let in though descriptors are short as it closes

Cause: at a drain's CLOSE Callers.stop finds no descriptor (EMFILE) and holds off for SHORT_PAUSE, listener open. In the same look the node counts nobody as connected, ends, and closes the listener: a reset for all in its queue.

Change: while the node lets in who waits and a listener is still open, the drain goes on, up to the time by which all has to be answered.

Seen without: the caller of the story (the last look at the queue, now also with no descriptor left in that moment) has a connection reset; with: 200. A node that never finds one ends by its end, as a second story says; without, it ends at once.

The story of the last look undoes its hook once it has run, since a later look calls the same: as strict as before.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -140,6 +140,11 @@
     def connected(self) -> int:
         return len(self._callers) + (self._waiting is not None)
 
+    @property
+    def queued(self) -> bool:
+        """Whether callers may wait who are to be let in before the node ends, if it can be in time."""
+        return self._stops and bool(self.listeners) and not self.last
+
     def open(self, address: Address, shared: bool = False) -> None:
         """Lets callers in; where it is shared, another process may bind the same address."""
         self.adopt(bind_sockets(address[1], address[0], backlog=BACKLOG, reuse_port=shared))
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -436,7 +436,8 @@
         """Callers, and whom another process of the node has given to this one; asked before it ends."""
         if not self._callers.connected and self._handover is not None:
             self._handover.take_last()
-        return self._callers.connected
+        # Guards against a reset for each in the queue where there was no descriptor for them as it closed.
+        return self._callers.connected + self._callers.queued
 
     def _followed(self) -> bool:
         return self._handover is not None and self._handover.followed
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
 from pathlib import Path
 from typing import Any
 
@@ -26,7 +27,17 @@
 from notchjunction.net.jobs import Job
 from notchjunction.net.node import Node
 from notchjunction.net.relay import Download
-from tests.helpers import Client, Peer, Reply, configuration, free_address, rows, running, wire_of
+from tests.helpers import (
+    Client,
+    Peer,
+    Reply,
+    configuration,
+    free_address,
+    no_descriptor_left,
+    rows,
+    running,
+    wire_of,
+)
 from tests.test_large import Talk, served
 from tests.test_net import run
 
@@ -640,15 +651,23 @@
     run(story())
 
 
-def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
-    """It connects right before the listener closes, on a node that nobody else is connected to."""
+@pytest.mark.parametrize("short", [False, True])
+def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(
+    short: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It connects right before the listener closes, on a node that nobody else is connected to.
+
+    Where descriptors are short in that moment, it is let in a little later.
+    """
     late: list[socket.socket] = []
     stop = Callers.stop
 
     def crossed(callers: Callers) -> None:
         late.append(connect(callers.listeners[0].getsockname()))
         late[0].sendall(wire_of(1))
-        stop(callers)
+        monkeypatch.setattr(Callers, "stop", stop)
+        with no_descriptor_left() if short else nullcontext():
+            stop(callers)
 
     monkeypatch.setattr(Callers, "stop", crossed)
 
@@ -662,3 +681,20 @@
             assert node.counters.read()["answered_honoured"] == 1
 
     run(story())
+
+
+def test_a_node_that_finds_no_descriptor_as_it_ends_does_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """By when all has to be answered it waits for nobody who can't be let in."""
+    monkeypatch.setattr(Callers, "stop", lambda callers: setattr(callers, "_stops", True))
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, _):
+            node.stop()
+            assert node._ending is not None
+            while not node._callers.queued:
+                await asyncio.sleep(0.001)
+            while not node._ending.over:
+                await asyncio.sleep(0.001)
+            assert node.now() >= node._ending.end_at
+
+    run(story())
