An early answer is told though the loop is late in that moment

Cause: Caller._answer waits for the answer and for the next piece of the body. Where both are over in one turn, the answer there and the piece overdue (a late loop is enough), the caller was told 408 in place of its answer.

Change: lateness counts only while there is no answer.

Seen without: the story's caller, whose job is turned back as the clock steps by 60 s, is told 408; with: 503.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -637,7 +637,8 @@
             if upload is not None and not upload.ended:
                 if upload.wants_more():
                     late = await self._wait(work, self._read(self._callers.streams.piece()))
-                    if late and not self._has_read():
+                    # Guards against a late loop's delay undoing an answer that is there.
+                    if late and not self._has_read() and not work.done():
                         error = self._bad(408)
                 else:
                     room = asyncio.create_task(upload.room())
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -683,6 +683,34 @@
     run(story())
 
 
+def test_an_early_answer_is_told_though_the_loop_is_late_in_that_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """By the time the answer is seen the next piece of the body is overdue, too."""
+    answer = Job.answer
+
+    async def story() -> None:
+        async with running() as (node, address):
+            clock = node._callers.clock
+
+            async def late(job: Job, *there: Callable[[], bool]) -> Any:
+                found = await answer(job, *there)
+                node._callers.clock = lambda: clock() + 60.0
+                return found
+
+            monkeypatch.setattr(Job, "answer", late)
+            caller = connect(address)
+            caller.sendall(wire_of(1, extra="Transfer-Encoding: chunked\r\n").replace(b"GET", b"POST"))
+            caller.sendall(b"%x\r\n%b" % (90_000, b"x" * 70_000))
+            caller.setblocking(False)
+            async with asyncio.timeout(5):
+                found = await node._loop.sock_recv(caller, 4096)
+            assert found.startswith(b"HTTP/1.1 503")
+            caller.close()
+
+    run(story())
+
+
 def test_a_node_that_finds_no_descriptor_as_it_ends_does_end(monkeypatch: pytest.MonkeyPatch) -> None:
     """By when all has to be answered it waits for nobody who can't be let in."""
     monkeypatch.setattr(Callers, "stop", lambda callers: setattr(callers, "_stops", True))
