A caller given to a process as it ends is taken though descriptors are short then

Cause: Handover.take_last accepts until nobody knocks, and takes a want of descriptors (EMFILE) for that. The node counts nobody as connected, ends, and closes the queue: what was given in it is reset.

Change: take_last notes that some may wait. The drain goes on and asks again with its next look, up to the time by which all has to be answered.

Seen without: the caller of the story, now also with no descriptor left in that moment, is never adopted, and the story ends by its time-out; with: it is adopted, as without the want.

Left as it was: descriptors that are sent along where there is none left are lost by the operating system.

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -139,6 +139,7 @@
         self._succeeded = False  # by a process that came after the one which followed
         self._taking: list[socket.socket] = []  # the listener for streams, and those who give some
         self._shut = False  # nobody can give streams any more; those who did by now are let in
+        self.queued = False  # whether some of those may wait, as there was no descriptor for them
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -272,6 +273,7 @@
             self._counters.add("accepts_failed")
             self._loop.remove_reader(listener.fileno())
             self._loop.call_later(SHORT_PAUSE, self._hear, listener, accept)
+            self.queued = self._shut
 
     def _accept_giver(self, listener: socket.socket) -> bool:
         try:
@@ -295,6 +297,7 @@
         # Guards against a loop that does nothing but fail: what is shut down stays readable.
         self._shut = True
         self._loop.remove_reader(listener.fileno())
+        self.queued = False
         with suppress(OSError):
             listener.shutdown(socket.SHUT_RD)
         while self._accept_giver(listener):
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -434,10 +434,12 @@
 
     def _connected(self) -> int:
         """Callers, and whom another process of the node has given to this one; asked before it ends."""
+        given = False
         if not self._callers.connected and self._handover is not None:
             self._handover.take_last()
-        # Guards against a reset for each in the queue where there was no descriptor for them as it closed.
-        return self._callers.connected + self._callers.queued
+            given = self._handover.queued and not self._callers.last
+        # Guards against a reset for each in a queue where there was no descriptor for them as it closed.
+        return self._callers.connected + (self._callers.queued or given)
 
     def _followed(self) -> bool:
         return self._handover is not None and self._handover.followed
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -463,11 +463,15 @@
     run(story())
 
 
+@pytest.mark.parametrize("short", [False, True])
 def test_a_caller_given_to_a_process_in_the_moment_of_its_end_is_taken(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    short: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It has its answer, and still sends its body; the process has nobody else and is about to end."""
-    stop = Callers.stop
+    """It has its answer, and still sends its body; the process has nobody else and is about to end.
+
+    Where descriptors are short in that moment, it is taken a little later.
+    """
+    stop, take_last = Callers.stop, handover.Handover.take_last
     rest = RequestReader()
     rest.feed(wire_of(1, extra="Content-Length: 100000\r\n").replace(b"GET", b"POST") + b"x" * 70_000)
     assert rest.next() is not None
@@ -481,6 +485,12 @@
         giver.close()
         given.close()
 
+    def at_first_short(self: handover.Handover) -> None:
+        monkeypatch.setattr(handover.Handover, "take_last", take_last)
+        with no_descriptor_left() if short else nullcontext():
+            take_last(self)
+
+    monkeypatch.setattr(handover.Handover, "take_last", at_first_short)
     monkeypatch.setattr(Callers, "stop", crossed)
 
     async def story() -> None:
