What is given to a process that has no descriptor for it waits, and is not lost

Cause: Handover._take_stream receives a message while no descriptor is left. The system then delivers its text and lets go of the connections that came with it: the caller's connection ends, and its giver has already let it go.

Change: it looks first whether two descriptors can be had; where not, the giver's socket is heard again after SHORT_PAUSE, and the message stays in its queue. take_last asks again with the drain's next look, as for those who knock.

Ruled out: to look at the message without taking it; that takes descriptors as well.

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -33,6 +33,7 @@
 FIRST_MOST = 4096  # bytes of the first line, which comes with the listeners
 LISTENERS_MOST = 8  # descriptors that may come with it; one address has one or two
 STREAMS = "notchjunction.streams"  # where the serving process takes answers under way; one message each
+STREAM_SOCKETS = 2  # connections that come with such a message at most: a caller's and its server's
 STREAM_MOST = 512 * 1024  # bytes of such a message: a state, and what of an answer was not read yet
 BACKLOG = 16
 LINE_MOST = 8 * 1024 * 1024  # bytes of a line; the list of tens of thousands of servers
@@ -262,18 +263,22 @@
 
     def _hear(self, listener: socket.socket, accept: Callable[[socket.socket], Any]) -> None:
         """Who knocks is let in, unless the listener was withdrawn by now, or is read to its end."""
-        if listener is self._listener or (listener in self._taking and not self._shut):
+        read_out = self._shut and bool(self._taking) and listener is self._taking[0]
+        if listener is self._listener or (listener in self._taking and not read_out):
             self._loop.add_reader(listener.fileno(), accept, listener)
 
     def _not_accepted(
         self, error: OSError, listener: socket.socket, accept: Callable[[socket.socket], Any]
     ) -> None:
         if error.errno in SHORT:
-            # Guards against a loop that does nothing but fail: the listener stays readable.
-            self._counters.add("accepts_failed")
-            self._loop.remove_reader(listener.fileno())
-            self._loop.call_later(SHORT_PAUSE, self._hear, listener, accept)
-            self.queued = self._shut
+            self._put_off(listener, accept)
+
+    def _put_off(self, sock: socket.socket, take: Callable[[socket.socket], Any]) -> None:
+        # Guards against a loop that does nothing but fail: the socket stays readable.
+        self._counters.add("accepts_failed")
+        self._loop.remove_reader(sock.fileno())
+        self._loop.call_later(SHORT_PAUSE, self._hear, sock, take)
+        self.queued = self._shut
 
     def _accept_giver(self, listener: socket.socket) -> bool:
         try:
@@ -305,21 +310,25 @@
         for giver in self._taking[1:]:
             with suppress(OSError):
                 giver.shutdown(socket.SHUT_RD)
-            while giver in self._taking:
-                self._take_stream(giver)
+            while giver in self._taking and self._take_stream(giver):
+                pass
 
-    def _take_stream(self, giver: socket.socket) -> None:
+    def _take_stream(self, giver: socket.socket) -> bool:
+        """False where nothing could be taken now."""
+        if not _has_descriptors(STREAM_SOCKETS, giver):
+            self._put_off(giver, self._take_stream)
+            return False
         given: list[socket.socket] = []
         try:
-            text, descriptors, _, _ = socket.recv_fds(giver, STREAM_MOST, 2)
+            text, descriptors, _, _ = socket.recv_fds(giver, STREAM_MOST, STREAM_SOCKETS)
             given = [socket.socket(fileno=descriptor) for descriptor in descriptors]
             if text:
                 for each in given:
                     each.setblocking(False)
                 self._adopt(json.loads(text), given)
-                return
+                return True
         except BlockingIOError:
-            return
+            return False
         except (OSError, ValueError, KeyError, TypeError) as error:
             log.warning("stream not adopted", extra=pairs(why=repr(error)))
         for each in given:
@@ -327,6 +336,7 @@
         self._loop.remove_reader(giver.fileno())
         self._taking.remove(giver)
         giver.close()
+        return True
 
     def _adopt(self, state: Mapping[str, Any], given: list[socket.socket]) -> None:
         """With its server an answer under way; alone a caller who has its answer and still sends."""
@@ -497,6 +507,20 @@
         os.close(self._descriptor)
 
 
+def _has_descriptors(count: int, sock: socket.socket) -> bool:
+    """Guards against what is sent along where there is no descriptor for it: the system lets go of it."""
+    tried: list[int] = []
+    try:
+        for _ in range(count):
+            tried.append(os.dup(sock.fileno()))
+    except OSError as error:
+        return error.errno not in SHORT
+    finally:
+        for each in tried:
+            os.close(each)
+    return True
+
+
 def _file(path: str) -> tuple[int, int]:
     found = os.stat(path)
     return found.st_dev, found.st_ino
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -693,6 +693,33 @@
     run(story())
 
 
+def test_what_is_given_where_there_is_no_descriptor_for_it_waits_and_is_not_lost(tmp_path: Path) -> None:
+    rest = RequestReader()
+    rest.feed(wire_of(1, extra="Content-Length: 100000\r\n").replace(b"GET", b"POST") + b"x" * 70_000)
+    assert rest.next() is not None
+    caller, given = socket.socketpair()
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.001)
+            giver = handover.Giver(str(tmp_path))
+            while len(node._handover._taking) < 2:
+                await asyncio.sleep(0.001)
+            with no_descriptor_left():
+                assert giver({"keep": False, "rest": rest.state()}, given)
+                for _ in range(200):
+                    await asyncio.sleep(0)
+                assert "bodies_adopted" not in node.counters.read()
+            given.close()
+            caller.sendall(b"x" * 30_000)
+            assert await heard(caller) == b""
+            assert node.counters.read()["bodies_adopted"] == 1
+            giver.close()
+
+    run(story())
+
+
 def test_an_early_answer_is_told_though_the_loop_is_late_in_that_moment(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
