--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
 from pathlib import Path
 from typing import Any
 
@@ -26,7 +27,17 @@
 from notchjunction.net.jobs import Job
 from notchjunction.net.node import Node
 from notchjunction.net.relay import Download
-from tests.helpers import Client, Peer, Reply, configuration, free_address, rows, running, wire_of
+from tests.helpers import (
+    Client,
+    Peer,
+    Reply,
+    configuration,
+    free_address,
+    no_descriptor_left,
+    rows,
+    running,
+    wire_of,
+)
 from tests.test_large import Talk, served
 from tests.test_net import run
 
@@ -452,11 +463,15 @@
     run(story())
 
 
+@pytest.mark.parametrize("short", [False, True])
 def test_a_caller_given_to_a_process_in_the_moment_of_its_end_is_taken(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    short: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It has its answer, and still sends its body; the process has nobody else and is about to end."""
-    stop = Callers.stop
+    """It has its answer, and still sends its body; the process has nobody else and is about to end.
+
+    Where descriptors are short in that moment, it is taken a little later.
+    """
+    stop, take_last = Callers.stop, handover.Handover.take_last
     rest = RequestReader()
     rest.feed(wire_of(1, extra="Content-Length: 100000\r\n").replace(b"GET", b"POST") + b"x" * 70_000)
     assert rest.next() is not None
@@ -470,6 +485,12 @@
         giver.close()
         given.close()
 
+    def at_first_short(self: handover.Handover) -> None:
+        monkeypatch.setattr(handover.Handover, "take_last", take_last)
+        with no_descriptor_left() if short else nullcontext():
+            take_last(self)
+
+    monkeypatch.setattr(handover.Handover, "take_last", at_first_short)
     monkeypatch.setattr(Callers, "stop", crossed)
 
     async def story() -> None:
@@ -640,15 +661,23 @@
     run(story())
 
 
-def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
-    """It connects right before the listener closes, on a node that nobody else is connected to."""
+@pytest.mark.parametrize("short", [False, True])
+def test_a_caller_let_in_by_the_last_look_at_the_queue_is_answered(
+    short: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It connects right before the listener closes, on a node that nobody else is connected to.
+
+    Where descriptors are short in that moment, it is let in a little later.
+    """
     late: list[socket.socket] = []
     stop = Callers.stop
 
     def crossed(callers: Callers) -> None:
         late.append(connect(callers.listeners[0].getsockname()))
         late[0].sendall(wire_of(1))
-        stop(callers)
+        monkeypatch.setattr(Callers, "stop", stop)
+        with no_descriptor_left() if short else nullcontext():
+            stop(callers)
 
     monkeypatch.setattr(Callers, "stop", crossed)
 
@@ -662,3 +691,75 @@
             assert node.counters.read()["answered_honoured"] == 1
 
     run(story())
+
+
+def test_what_is_given_where_there_is_no_descriptor_for_it_waits_and_is_not_lost(tmp_path: Path) -> None:
+    rest = RequestReader()
+    rest.feed(wire_of(1, extra="Content-Length: 100000\r\n").replace(b"GET", b"POST") + b"x" * 70_000)
+    assert rest.next() is not None
+    caller, given = socket.socketpair()
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.001)
+            giver = handover.Giver(str(tmp_path))
+            while len(node._handover._taking) < 2:
+                await asyncio.sleep(0.001)
+            with no_descriptor_left():
+                assert giver({"keep": False, "rest": rest.state()}, given)
+                for _ in range(200):
+                    await asyncio.sleep(0)
+                assert "bodies_adopted" not in node.counters.read()
+            given.close()
+            caller.sendall(b"x" * 30_000)
+            assert await heard(caller) == b""
+            assert node.counters.read()["bodies_adopted"] == 1
+            giver.close()
+
+    run(story())
+
+
+def test_an_early_answer_is_told_though_the_loop_is_late_in_that_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """By the time the answer is seen the next piece of the body is overdue, too."""
+    answer = Job.answer
+
+    async def story() -> None:
+        async with running() as (node, address):
+            clock = node._callers.clock
+
+            async def late(job: Job, *there: Callable[[], bool]) -> Any:
+                found = await answer(job, *there)
+                node._callers.clock = lambda: clock() + 60.0
+                return found
+
+            monkeypatch.setattr(Job, "answer", late)
+            caller = connect(address)
+            caller.sendall(wire_of(1, extra="Transfer-Encoding: chunked\r\n").replace(b"GET", b"POST"))
+            caller.sendall(b"%x\r\n%b" % (90_000, b"x" * 70_000))
+            caller.setblocking(False)
+            async with asyncio.timeout(5):
+                found = await node._loop.sock_recv(caller, 4096)
+            assert found.startswith(b"HTTP/1.1 503")
+            caller.close()
+
+    run(story())
+
+
+def test_a_node_that_finds_no_descriptor_as_it_ends_does_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """By when all has to be answered it waits for nobody who can't be let in."""
+    monkeypatch.setattr(Callers, "stop", lambda callers: setattr(callers, "_stops", True))
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, _):
+            node.stop()
+            assert node._ending is not None
+            while not node._callers.queued:
+                await asyncio.sleep(0.001)
+            while not node._ending.over:
+                await asyncio.sleep(0.001)
+            assert node.now() >= node._ending.end_at
+
+    run(story())
