--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, replace
-from functools import partial
 from statistics import median_high
 from typing import Any
 
@@ -131,7 +130,7 @@
         """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer.
 
         At the very writing `wanted` is asked whether it is still to be sent, and again ahead of the last of
-        `rest`, as is the list; `may_write` whether limits let it, with the time that the server is told (s).
+        `rest`; `may_write` whether limits let it, with the time that the server is told (s).
         """
         if rest is not None and rest.spent:
             # Guards against a body without its middle: what was sent on before is not kept.
@@ -207,9 +206,7 @@
                 if not wanted() or (may_write is not None and not may_write(within)):
                     raise Withheld("not to be written")
                 writing = True
-                # Guards against a body that becomes whole at a server which the list has dropped meanwhile.
-                stands = partial(self._still_wanted, server, connection, wanted)
-                answer = await connection.exchange(request, answers, rest, all_written, wanted=stands)
+                answer = await connection.exchange(request, answers, rest, all_written, wanted=wanted)
             if answers.unread and not answer.more:
                 self._strayed()
             result = read_result(answer)
@@ -359,9 +356,6 @@
         """Whether the list still has the server ready, and at that address."""
         return self._addresses.get(server) == connection.address
 
-    def _still_wanted(self, server: str, connection: Connection, wanted: Callable[[], bool]) -> bool:
-        return self._current(server, connection) and wanted()
-
     def _fit(self, server: str, connection: Connection) -> bool:
         """Guards against a request that crosses the end of a connection its server is about to close."""
         return connection.idle_since > self._clock() - self._idle_limit(server) and connection.fit()
