Checker told_in_time: what a node missed counts 6 s after discovery had it

What: rows Published (discovery has a change) and Reached (whether a node's calls can reach it), written by the emulator's Discovery; the checker told_in_time on both, among the emulator's CHECKERS and the stand-ins' SEEN; the fault list-silent, by which the watches that are open at one moment are never answered. In runs with that fault the emulator's node calls by `Following`, as the program does; in all others its calls wait for ever, so their rows stay. An outage that begins before the 6 s are over starts them anew at its end.

Why: the operators count a change as told 6 s after discovery had it and could be reached, whatever became of the calls. clean_drains judges by what the node heard alone, so a node that never asks again kept every rule.

On the way: a call's wait is the model's now. The stand-in had answered "nothing new" at the end of a wait though the call was not worked through yet, at once where the wait was 0.

--- a/notchjunction/emulator/checkers.py
+++ b/notchjunction/emulator/checkers.py
@@ -12,8 +12,10 @@
     Final,
     Landed,
     Probed,
+    Published,
     Pushed,
     Ran,
+    Reached,
     Row,
     Sent,
     Story,
@@ -23,6 +25,7 @@
 )
 from notchjunction.interface import Effect, Group, Presence
 
+TOLD_AFTER = 6.0  # s after discovery had a change and could be reached from which it counts; the operators'
 RETRY_SHARE = 0.2  # retries a first send at most; the design's bound
 BOUND_SPAN = 10.0  # s over which that bound holds; the design's
 KNOWING_SHARE = 2 / 3  # of the push on a cold server that came from nodes told of its start; the rule's
@@ -94,6 +97,35 @@
                 yield f"{row.at:.3f} node {row.node} sends to server {row.server}, told {late:.3f} s ago"
 
 
+def told_in_time(story: Story) -> Iterator[str]:
+    """Rule 3 whether or not the node heard: nothing new past the grace after a change counts as told.
+
+    It counts 6 s after discovery had it and the node could reach discovery, whatever became of its calls. An
+    outage that begins before then starts the 6 s anew at its end; one that begins later changes nothing.
+    """
+    tiers: dict[int, int] = {}  # of nodes
+    cut_off: set[int] = set()
+    counts: dict[int, dict[int, float]] = {}  # by node and server, the moment from which
+    for row in story.rows:
+        if isinstance(row, Published):
+            for node in (node for node, tier in tiers.items() if tier == row.tier):
+                if row.presence is Presence.READY:
+                    counts[node].pop(row.server, None)
+                else:
+                    counts[node].setdefault(row.server, inf if node in cut_off else row.at + TOLD_AFTER)
+        elif isinstance(row, Reached):
+            tiers[row.node] = row.tier
+            pending = counts.setdefault(row.node, {})
+            then = row.at + TOLD_AFTER if row.reachable else inf
+            pending |= {server: then for server, at in pending.items() if at > row.at}
+            (cut_off.discard if row.reachable else cut_off.add)(row.node)
+        elif isinstance(row, Sent):
+            since = counts.get(row.node, {}).get(row.server, inf)
+            if row.at > since + story.grace:
+                late = row.at - since
+                yield f"{row.at:.3f} node {row.node} sends to server {row.server}, as told {late:.3f} s ago"
+
+
 def gentle_fail_back(story: Story) -> Iterator[str]:
     """Rule 4: no cold server is pushed over by nodes that know of its start."""
     for row in story.rows:
@@ -173,7 +205,7 @@
 
 
 def _node(row: Row) -> int:
-    return -1 if isinstance(row, Tipped | Pushed) else row.node
+    return -1 if isinstance(row, Tipped | Pushed | Published) else row.node
 
 
 class Use(NamedTuple):
@@ -231,7 +263,16 @@
     return sorted(changes.items())
 
 
-CHECKERS = (one_answer, no_double_effects, clean_drains, gentle_fail_back, cold_sum, retry_bound, probe_bound)
+CHECKERS = (
+    one_answer,
+    no_double_effects,
+    clean_drains,
+    told_in_time,
+    gentle_fail_back,
+    cold_sum,
+    retry_bound,
+    probe_bound,
+)
 
 
 def breaches(story: Story) -> list[str]:
--- a/notchjunction/emulator/faults.py
+++ b/notchjunction/emulator/faults.py
@@ -92,7 +92,7 @@
 
 
 def _list_up(place: Place, fault: Fault, servers: list[Server]) -> None:
-    place.discovery.up = True
+    place.discovery.back()
 
 
 def _list_late(place: Place, fault: Fault, servers: list[Server]) -> None:
@@ -105,11 +105,19 @@
 
 def _split(place: Place, fault: Fault, servers: list[Server]) -> None:
     # By number, evenly over the nodes: the same ones for as long as it lasts.
-    place.discovery.deaf = lambda asker: (asker * 0.618) % 1.0 < fault.size
+    place.discovery.split(lambda asker: (asker * 0.618) % 1.0 < fault.size)
 
 
 def _unite(place: Place, fault: Fault, servers: list[Server]) -> None:
-    place.discovery.deaf = lambda asker: False
+    place.discovery.split(lambda asker: False)
+
+
+def _list_silent(place: Place, fault: Fault, servers: list[Server]) -> None:
+    place.discovery.fall_silent()
+
+
+def _nothing(place: Place, fault: Fault, servers: list[Server]) -> None:
+    """What began at one moment has no end."""
 
 
 TABLE = {
@@ -125,4 +133,5 @@
     Kind.LIST_DOWN: Row(_list_down, _list_up),
     Kind.LIST_LATE: Row(_list_late, _list_timely),
     Kind.LIST_SPLIT: Row(_split, _unite),
+    Kind.LIST_SILENT: Row(_list_silent, _nothing),
 }
--- a/notchjunction/emulator/node.py
+++ b/notchjunction/emulator/node.py
@@ -5,15 +5,18 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
+from math import inf
 from random import Random
 from typing import Protocol
 
 from notchjunction.emulator.clock import Clock
 from notchjunction.emulator.discovery import Discovery
+from notchjunction.emulator.discovery import Heard as Listener
 from notchjunction.emulator.scenario import Scenario
 from notchjunction.emulator.servers import Call, Server
 from notchjunction.emulator.trace import Answered, Final, Landed, Probed, Row, Sent, Taken
 from notchjunction.emulator.trace import Told as Heard
+from notchjunction.following import Following, Input
 from notchjunction.interface import (
     Decisions,
     Effect,
@@ -146,7 +149,11 @@
         self.number, self.tier, self.zone = number, tier, zone
         self.alive = True
         scenario = world.scenario
+        world.discovery.join(tier, number)
         self._version = world.discovery.version(tier)
+        # Calls wait for ever where none falls silent: to make them again would cost each run events.
+        self._following = Following(ASK_WITHIN, seed=number) if scenario.silences else None
+        self._call = 0  # the last call for the list; what comes of an earlier one is not heard
         self._jobs = 0
         self._asked: dict[int, Asked] = {}
         self._out: dict[tuple[int, int], Out] = {}
@@ -297,20 +304,37 @@
 
     # The list.
 
-    def heard(self, news: Sequence[ServerEntry] | None, version: int) -> None:
-        if not self.alive:
+    def heard(self, call: int, news: Sequence[ServerEntry] | None, version: int) -> None:
+        if not self.alive or call != self._call:
             return
+        self._call += 1  # it has ended, and is not silent any more
+        if self._following is not None:
+            event = Input.REFUSAL if news is None else Input.ANSWERED
+            self._following.tell(event, self.world.now)
         if news is None:
             self._core.listed(News.FAILED, ())
             return
         self._version = version
         self._hear(News.CHANGES, news)
         # A kept watch costs discovery no work.
-        world = self.world
-        world.after(world.hop(), partial(world.discovery.watch, self.tier, self.number, version, self._heard))
+        self._ask_for_list(self.world.discovery.watch)
 
-    def _heard(self, news: Sequence[ServerEntry] | None, version: int) -> None:
-        self.world.after(self.world.hop(), partial(self.heard, news, version))
+    def _heard(self, call: int, news: Sequence[ServerEntry] | None, version: int) -> None:
+        self.world.after(self.world.hop(), partial(self.heard, call, news, version))
+
+    def _ask_for_list(self, ask: Callable[[int, int, int, Listener, float], None]) -> None:
+        world, wait = self.world, inf
+        self._call += 1
+        if self._following is not None:
+            wait = self._following.next_wait(known=True)
+            world.after(self._following.begins(world.now, wait), partial(self._silent, self._call))
+        heard = partial(self._heard, self._call)
+        world.after(world.hop(), partial(ask, self.tier, self.number, self._version, heard, wait))
+
+    def _silent(self, call: int) -> None:
+        if self.alive and call == self._call and self._following is not None:
+            self._following.tell(Input.SILENCE, self.world.now)
+            self._ask_for_list(self.world.discovery.call)
 
     def _hear(self, kind: News, entries: Sequence[ServerEntry]) -> None:
         now = self.world.now
@@ -361,9 +385,7 @@
         self.world.after(delay, lambda: self._core.timer(token) if self.alive else None)
 
     def follow(self) -> None:
-        world = self.world
-        call = partial(world.discovery.call, self.tier, self.number, self._version, self._heard)
-        world.after(world.hop(), call)
+        self._ask_for_list(self.world.discovery.call)
 
     def set_aside(self, server: int, seconds: float) -> None:
         pass
--- a/notchjunction/emulator/scenario.py
+++ b/notchjunction/emulator/scenario.py
@@ -24,6 +24,7 @@
     LIST_DOWN = "list-down"  # calls for the list fail
     LIST_LATE = "list-late"  # news comes `size` seconds later
     LIST_SPLIT = "list-split"  # calls of `size` of the nodes fail
+    LIST_SILENT = "list-silent"  # calls that wait as it begins are never answered; later ones are
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +118,11 @@
         rates = sum(stream.rate for stream in self.streams)
         return sum(stream.work * stream.rate for stream in self.streams) / rates
 
+    @property
+    def silences(self) -> bool:
+        """Whether calls for the list may stay without an answer."""
+        return any(fault.kind is Kind.LIST_SILENT for fault in self.faults)
+
     @property
     def rows(self) -> tuple[Tier, ...]:
         """Its tiers, the first one first."""
--- a/notchjunction/emulator/trace.py
+++ b/notchjunction/emulator/trace.py
@@ -101,7 +101,27 @@
     knowing: bool  # whether the sender had been told of its start
 
 
-Row = Taken | Sent | Landed | Ran | Answered | Told | Probed | Tipped | Pushed
+@dataclass(frozen=True, slots=True)
+class Published:
+    """Discovery has a change, whoever hears of it."""
+
+    at: float
+    tier: int
+    server: int
+    presence: Presence
+
+
+@dataclass(frozen=True, slots=True)
+class Reached:
+    """Whether a node's calls can reach discovery from now on; its first one is its start."""
+
+    at: float
+    node: int
+    tier: int
+    reachable: bool
+
+
+Row = Taken | Sent | Landed | Ran | Answered | Told | Probed | Tipped | Pushed | Published | Reached
 
 
 @dataclass(frozen=True, slots=True)
--- a/notchjunction/emulator/world.py
+++ b/notchjunction/emulator/world.py
@@ -38,7 +38,7 @@
         told = (self._ran, self._has_tipped, self._call_below, self._has_pushed)
         self.tiers = build(scenario, self, self.random, *told)
         self.servers = [server for row in self.tiers for server in row]
-        self.discovery = Discovery(scenario, self, len(self.tiers))
+        self.discovery = Discovery(scenario, self, len(self.tiers), self.rows.append)
         self._made = 0
         self.nodes = [
             self._node(0, number % scenario.zones, scenario.nodes) for number in range(scenario.nodes)
--- a/notchjunction/standins/discovery.py
+++ b/notchjunction/standins/discovery.py
@@ -91,13 +91,10 @@
         after = query.get("after")
         version = int(after[0]) if after else -1
         wait = int(query.get("wait_ms", ["0"])[0]) / 1000
-        answered = False
 
         def answer(news: Sequence[ServerEntry] | None, at: int) -> None:
-            nonlocal answered
-            if answered or writer.is_closing():
+            if writer.is_closing():
                 return
-            answered = True
             self._answered_at = self._clock.now
             if news is None:
                 writer.write(encode_answer(Answer(503)))
@@ -116,7 +113,6 @@
             )
             return
         if self._clock.now - self._answered_at <= WATCH_GOES_ON:
-            self._discovery.watch(self._tier, self._node, version, answer)
+            self._discovery.watch(self._tier, self._node, version, answer, wait)
         else:
-            self._discovery.call(self._tier, self._node, version, answer)
-        self._clock.after(wait, lambda: answer((), version))
+            self._discovery.call(self._tier, self._node, version, answer, wait)
--- a/notchjunction/standins/stage.py
+++ b/notchjunction/standins/stage.py
@@ -23,6 +23,7 @@
     no_double_effects,
     one_answer,
     retry_bound,
+    told_in_time,
 )
 from notchjunction.emulator.discovery import Discovery
 from notchjunction.emulator.node import NO_TRY
@@ -34,6 +35,7 @@
     Landed,
     Probed,
     Ran,
+    Reached,
     Row,
     Sent,
     Story,
@@ -110,7 +112,7 @@
             )
             for server in self.servers
         ]
-        self.discovery = Discovery(scenario, self.clock, len(self.tiers))
+        self.discovery = Discovery(scenario, self.clock, len(self.tiers), self.rows.append)
 
     # The day.
 
@@ -124,7 +126,7 @@
                 for server in row:
                     self.below[server.number] = await self._node(depth + 1, server.zone, len(row))
             await self._all_ready()
-            self.rows.clear()
+            self.rows[:] = [row for row in self.rows if isinstance(row, Reached)]
             began = self.clock.now
             self._begin()
             for stream in scenario.streams:
@@ -184,6 +186,7 @@
         standin = DiscoveryStandIn(
             self.discovery, self.clock, tier, number, whole, addresses.__getitem__, self._told
         )
+        self.discovery.join(tier, number)
         process = NodeProcess(number, listen, self._folder)
         known = json.loads(list_text(whole(), self.discovery.version(tier), True, addresses.__getitem__))
         more = self._more(number)
@@ -338,7 +341,7 @@
         self.rows += [Told(now, node, entry.server, entry.presence) for entry in entries]
 
 
-SEEN = (one_answer, no_double_effects, clean_drains, gentle_fail_back, retry_bound)
+SEEN = (one_answer, no_double_effects, clean_drains, told_in_time, gentle_fail_back, retry_bound)
 
 
 def breaches(story: Story) -> list[str]:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,10 +7,12 @@
 
 import pytest
 
-from notchjunction.emulator.checkers import breaches
+from notchjunction.emulator import node
+from notchjunction.emulator.checkers import TOLD_AFTER, breaches, told_in_time
 from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream
-from notchjunction.emulator.trace import Answered, Final, Story, Told
-from notchjunction.emulator.world import World
+from notchjunction.emulator.trace import Answered, Final, Published, Reached, Row, Sent, Story, Told
+from notchjunction.emulator.world import GRACE, World
+from notchjunction.following import Following
 from notchjunction.interface import Host, News, Outcome, Presence, Result, Terms
 from notchjunction.rules import Balancer
 
@@ -78,6 +80,14 @@
             super().listed(news, entries)  # type: ignore[arg-type]
 
 
+class Resigned(Balancer):
+    """Never asks for the list again once a call has failed."""
+
+    def listed(self, news: News, entries: object) -> None:
+        if news is not News.FAILED:
+            super().listed(news, entries)  # type: ignore[arg-type]
+
+
 class Eager(Balancer):
     """Takes each server for warm."""
 
@@ -118,6 +128,10 @@
     CALM, streams=STEADY, servers=6, cold_share=0.05, cold_time=10.0, list_delay=0.0, tip_multiple=2.0
 )
 BUSY = (Stream(0, 250.0), Stream(1, 60.0))
+DRAINS = Fault(Kind.DRAIN, 4.0, 15.9, (0, 1, 2))
+MISSED = replace(CALM, streams=STEADY, length=16.0, faults=(Fault(Kind.LIST_DOWN, 1.0, 3.0), DRAINS))
+UNHEARD = replace(MISSED, faults=(Fault(Kind.LIST_SPLIT, 1.0, 5.0, size=0.7), DRAINS))
+SILENT = replace(MISSED, faults=(Fault(Kind.LIST_SILENT, 2.0, 2.1), DRAINS))
 
 
 @pytest.mark.parametrize(
@@ -127,6 +141,8 @@
         (Repeating, "one_answer", replace(CALM, streams=(Stream(0, 500.0),), length=6.0)),
         (Twice, "no_double_effects", replace(CALM, faults=FAULTS["crash"], streams=BUSY)),
         (Deaf, "clean_drains", replace(CALM, faults=FAULTS["release"])),
+        (Resigned, "told_in_time", MISSED),
+        (Resigned, "told_in_time", UNHEARD),
         (
             Eager,
             "gentle_fail_back",
@@ -148,3 +164,85 @@
     rows = World(scenario).play().rows
     heard = {row.node for row in rows if isinstance(row, Told) and row.presence is not Presence.READY}
     assert heard == set(range(40))
+
+
+class Waiting(Following):
+    """Waits for a silent call's answer for as long as a run lasts."""
+
+    def begins(self, now: float, wait: float) -> float:
+        return 1000.0
+
+
+def test_a_node_that_never_finds_a_watch_silent_is_caught_and_the_real_one_is_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def heard(story: Story) -> bool:
+        return any(isinstance(row, Told) and row.presence is Presence.DRAINING for row in story.rows)
+
+    for seed in (1, 2, 3):
+        story = World(replace(SILENT, seed=seed)).play()
+        assert heard(story) and breaches(story) == []
+    monkeypatch.setattr(node, "Following", Waiting)
+    story = World(SILENT).play()
+    assert not heard(story)
+    assert {text.partition(":")[0] for text in breaches(story)} == {"told_in_time"}
+
+
+HAS = 10.0  # the moment at which discovery has the change
+COUNTS = HAS + TOLD_AFTER
+JOINED = Reached(0.0, 1, 0, True)
+DRAINING = Published(HAS, 0, 5, Presence.DRAINING)
+BROKEN_OFF, BACK = Reached(HAS - 1, 1, 0, False), Reached(HAS + 20, 1, 0, True)
+
+
+def sent(at: float, node: int = 1, server: int = 5) -> Sent:
+    return Sent(at, node, 1, 0, server)
+
+
+@pytest.mark.parametrize(
+    ("rows", "broken"),
+    [
+        # Reached all along, as with a watch that fell silent: its 6 s, and the grace.
+        ([JOINED, DRAINING, sent(COUNTS + GRACE)], False),
+        ([JOINED, DRAINING, sent(COUNTS + GRACE + 0.01)], True),
+        ([JOINED, DRAINING, sent(HAS + 2.0), sent(COUNTS + GRACE)], False),
+        ([JOINED, DRAINING, sent(COUNTS + 9.0, server=6)], False),
+        ([JOINED, Published(HAS, 0, 5, Presence.GONE), sent(COUNTS + GRACE + 0.01)], True),
+        ([JOINED, DRAINING, Published(HAS + 5.0, 0, 5, Presence.GONE), sent(COUNTS + GRACE + 0.01)], True),
+        # Word of it is another rule's.
+        ([JOINED, DRAINING, Told(HAS + 0.1, 1, 5, Presence.DRAINING), sent(COUNTS)], False),
+        ([JOINED, DRAINING, Told(HAS + 0.1, 1, 5, Presence.DRAINING), sent(COUNTS + 1.0)], True),
+        # Not to be reached: from the end of that.
+        ([JOINED, BROKEN_OFF, DRAINING, sent(HAS + 30.0)], False),
+        ([JOINED, BROKEN_OFF, DRAINING, BACK, sent(BACK.at + TOLD_AFTER + GRACE)], False),
+        ([JOINED, BROKEN_OFF, DRAINING, BACK, sent(BACK.at + TOLD_AFTER + GRACE + 0.01)], True),
+        ([JOINED, DRAINING, Reached(HAS + 5.9, 1, 0, False), sent(COUNTS + GRACE + 1.0)], False),
+        ([JOINED, DRAINING, Reached(COUNTS + 0.1, 1, 0, False), sent(COUNTS + GRACE + 1.0)], True),
+        ([JOINED, Reached(0.0, 2, 0, True), BROKEN_OFF, DRAINING, sent(COUNTS + 9.0, node=2)], True),
+        # A later start of the server, and a change after that.
+        ([JOINED, DRAINING, Published(HAS + 1, 0, 5, Presence.READY), sent(COUNTS + 9.0)], False),
+        (
+            [
+                *(JOINED, DRAINING, Published(HAS + 1, 0, 5, Presence.READY)),
+                *(Published(HAS + 9, 0, 5, Presence.GONE), sent(HAS + 9 + TOLD_AFTER + GRACE)),
+            ],
+            False,
+        ),
+        (
+            [
+                *(JOINED, DRAINING, Published(HAS + 1, 0, 5, Presence.READY)),
+                *(Published(HAS + 9, 0, 5, Presence.GONE), sent(HAS + 9 + TOLD_AFTER + GRACE + 0.01)),
+            ],
+            True,
+        ),
+        # A node of another tier, and one that began with the list as it was after the change.
+        ([Reached(0.0, 1, 1, True), DRAINING, sent(COUNTS + 9.0)], False),
+        ([DRAINING, Reached(HAS + 1, 1, 0, True), sent(COUNTS + 9.0)], False),
+        ([Reached(HAS - 1, 1, 0, False), DRAINING, Reached(HAS + 1, 1, 0, True), sent(COUNTS + 2.0)], True),
+    ],
+)
+def test_a_change_counts_6_s_after_discovery_had_it_and_could_be_reached(
+    rows: list[Row], broken: bool
+) -> None:
+    story = Story(tuple(rows), CALM.profiles, GRACE, 0.01, rows[-1].at)
+    assert bool(list(told_in_time(story))) is broken
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -223,6 +223,34 @@
     asyncio.run(story())
 
 
+WAITING = """
+from notchjunction.following import Following
+Following.begins = lambda self, now, wait: 1000.0
+from notchjunction.__main__ import main
+main()
+"""
+
+
+@pytest.mark.parametrize("finds_out", [True, False])
+def test_a_watch_that_falls_silent_is_found_out_in_time_and_one_that_is_not_is_caught(
+    finds_out: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if not finds_out:
+        monkeypatch.setattr(process, "PROGRAM", [sys.executable, "-c", WAITING])
+    # All drain: while one does not, a node that was not told learns from probes to leave the others alone.
+    faults = (Fault(Kind.LIST_SILENT, 1.0, 1.1), Fault(Kind.DRAIN, 1.0, 9.9, (0, 1, 2, 3)))
+    scenario = replace(SMALL, length=10.0, list_delay=0.1, list_rate=100.0, faults=faults)
+
+    async def story() -> None:
+        found = await Stage(scenario, tmp_path).play()
+        told = {row.node for row in found.rows if isinstance(row, Told) and row.presence is Presence.DRAINING}
+        assert (len(told) == scenario.nodes) is finds_out
+        caught = {text.partition(":")[0] for text in breaches(found)}
+        assert not caught if finds_out else "told_in_time" in caught
+
+    asyncio.run(story())
+
+
 @pytest.mark.parametrize("dies", ["at its start", "in the midst"])
 def test_a_node_that_dies_is_a_result_and_no_hang(
     dies: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -6,7 +6,7 @@
 import os
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from itertools import count
 from random import Random
@@ -19,7 +19,7 @@
 from notchjunction.emulator.node import NO_TRY, Link, Links
 from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream, Tier
 from notchjunction.emulator.servers import Call, Numbers, Server
-from notchjunction.emulator.trace import Answered, Final, Row, Sent, Taken, Told
+from notchjunction.emulator.trace import Answered, Final, Published, Reached, Row, Sent, Taken, Told
 from notchjunction.emulator.world import World
 from notchjunction.interface import Effect, Group, Presence, Profile, Result
 from notchjunction.lab.baselines import VARIANTS
@@ -70,6 +70,7 @@
         Fault(Kind.CUT, 2.0, 5.0, zones=(1,)),
         Fault(Kind.LIST_LATE, 1.0, 9.0, size=3.0),
         Fault(Kind.LIST_SPLIT, 1.0, 9.0, size=0.5),
+        Fault(Kind.LIST_SILENT, 2.0, 2.1),
     ],
     ids=lambda fault: fault.kind.value,
 )
@@ -303,6 +304,48 @@
     assert heard == [None, None, 0]
 
 
+def test_a_watch_is_answered_when_its_wait_is_over_and_never_once_it_has_fallen_silent() -> None:
+    clock, rows = Hand(), list[Row]()
+    discovery = Discovery(replace(CALM, list_rate=2.0, list_delay=0.0), clock, 1, rows.append)
+    discovery.join(0, 7)
+    heard: list[tuple[int, int]] = []
+
+    def answered(news: Sequence[object] | None, version: int) -> None:
+        assert news is not None
+        heard.append((len(news), version))
+
+    discovery.call(0, 7, 0, answered, 0.0)
+    clock.on(0.4)
+    assert not heard  # not worked through
+    clock.on(0.2)
+    assert heard == [(0, 0)]
+    discovery.watch(0, 7, 0, answered, 2.0)
+    discovery.watch(0, 7, 0, answered, 3.0)
+    clock.on(2.0)
+    assert heard == [(0, 0)] * 2
+    discovery.fall_silent()
+    discovery.changed(0, server(clock)[0])
+    clock.on(9.0)
+    assert heard == [(0, 0)] * 2
+    discovery.watch(0, 7, 0, answered, 2.0)
+    assert heard == [(0, 0), (0, 0), (1, 1)]
+    assert [type(row) for row in rows] == [Reached, Published]
+
+
+def test_who_can_reach_discovery_is_noted_as_it_changes_and_no_more_of_who_has_gone() -> None:
+    clock, rows = Hand(), list[Row]()
+    discovery = Discovery(CALM, clock, 1, rows.append)
+    for asker in (1, 2, 3):
+        discovery.join(0, asker)
+    discovery.forget(3)
+    discovery.split(lambda asker: asker == 2)
+    discovery.down()
+    discovery.split(lambda asker: False)
+    discovery.back()
+    seen = [(row.node, row.reachable) for row in rows if isinstance(row, Reached)]
+    assert seen == [(1, True), (2, True), (3, True), (2, False), (1, False), (1, True), (2, True)]
+
+
 CRUNCH = replace(
     CALM,
     length=20.0,
