Checker none_for_the_gone: no attempt over 0.1 s after a caller closed

Left is no answer: one_answer still says that one is missing.

Why: the operators allow a client that has closed no attempt over 0.1 s later.

one_answer is changed on sockets alone: a send within 0.1 s after its caller withdrew is no breach there (Story.crossing). It was one at once, which no node can keep: the close and the send cross on the way. The same bound is the operators'. In virtual time, and after each other end of a job, a send after it stays a breach at once; a story holds each of these.

Seen: in virtual time a module that goes on with withdrawn jobs is caught, the real one passes.

--- a/notchjunction/emulator/checkers.py
+++ b/notchjunction/emulator/checkers.py
@@ -11,6 +11,7 @@
     Answered,
     Final,
     Landed,
+    Left,
     Probed,
     Published,
     Pushed,
@@ -26,6 +27,7 @@
 from notchjunction.interface import Effect, Group, Presence
 
 TOLD_AFTER = 6.0  # s after discovery had a change and could be reached from which it counts; the operators'
+GONE_AFTER = 0.1  # s after its caller has closed from which a job gets no attempt; the operators'
 RETRY_SHARE = 0.2  # retries a first send at most; the design's bound
 BOUND_SPAN = 10.0  # s over which that bound holds; the design's
 KNOWING_SHARE = 2 / 3  # of the push on a cold server that came from nodes told of its start; the rule's
@@ -52,12 +54,28 @@
                 yield f"{row.at:.3f} job {key} is answered late"
             ended[key] = row
         elif isinstance(row, Sent) and (row.node, row.job) in ended:
+            # Guards against blaming a node on sockets for what its caller's close has crossed.
+            end = ended[row.node, row.job]
+            if end.final is Final.WITHDRAWN and row.at < end.at + story.crossing:
+                continue
             yield f"{row.at:.3f} job {(row.node, row.job)} is sent after its answer"
     for key, row in taken.items():
         if key not in ended and row.abandon_at + story.slack < story.ended_at:
             yield f"{row.abandon_at:.3f} job {key} has no answer"
 
 
+def none_for_the_gone(story: Story) -> Iterator[str]:
+    """No attempt, first or further, begins over 0.1 s after its caller closed."""
+    gone: dict[Key, float] = {}
+    for row in story.rows:
+        if isinstance(row, Left) or (isinstance(row, Answered) and row.final is Final.WITHDRAWN):
+            gone.setdefault((row.node, row.job), row.at)
+        elif isinstance(row, Sent):
+            late = row.at - gone.get((row.node, row.job), inf)
+            if late > GONE_AFTER:
+                yield f"{row.at:.3f} job {(row.node, row.job)} is sent {late:.3f} s after its caller closed"
+
+
 def no_double_effects(story: Story) -> Iterator[str]:
     """Rule 2: what may run once runs once, and a turn-back promises that a retry is harmless."""
     ran: dict[Key, set[int]] = defaultdict(set)
@@ -265,6 +283,7 @@
 
 CHECKERS = (
     one_answer,
+    none_for_the_gone,
     no_double_effects,
     clean_drains,
     told_in_time,
--- a/notchjunction/emulator/scenario.py
+++ b/notchjunction/emulator/scenario.py
@@ -111,6 +111,7 @@
     client_tries: int = 3
     client_pause: float = 0.2  # s after a turn-back at least, and as much again at random
     client_patience: float = 1.0  # of the abandon time after which a try is given up
+    client_leaves: float = 0.0  # share of tries whose client closes after a random part of its time, for good
 
     @property
     def mean_work(self) -> float:
--- a/notchjunction/emulator/trace.py
+++ b/notchjunction/emulator/trace.py
@@ -66,6 +66,15 @@
     final: Final
 
 
+@dataclass(frozen=True, slots=True)
+class Left:
+    """Its caller's connection has ended without an answer; a withdrawal is Answered instead."""
+
+    at: float
+    node: int
+    job: int
+
+
 @dataclass(frozen=True, slots=True)
 class Told:
     at: float
@@ -121,7 +130,7 @@
     reachable: bool
 
 
-Row = Taken | Sent | Landed | Ran | Answered | Told | Probed | Tipped | Pushed | Published | Reached
+Row = Taken | Sent | Landed | Ran | Answered | Left | Told | Probed | Tipped | Pushed | Published | Reached
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,3 +143,4 @@
     slack: float  # s past the abandon time within which a final answer is forgiven
     ended_at: float
     tip_span: float = 0.0  # s over which what is pushed on a cold server adds up; 0: nothing was noted of it
+    crossing: float = 0.0  # s after a caller withdrew within which what was under way to a server may be read
--- a/notchjunction/emulator/world.py
+++ b/notchjunction/emulator/world.py
@@ -142,7 +142,12 @@
                 self.after(pause, partial(self._ask, stream, first, began, tries + 1))
 
         work = stream.work * self.random.uniform(0.5, 1.5)
-        node.take(Asked(stream.profile, left, work, done, stream.operator, first, repeat=tries > 1))
+        asked = Asked(stream.profile, left, work, done, stream.operator, first, repeat=tries > 1)
+        under_way = node.take(asked)
+        leaves = self.scenario.client_leaves
+        # Guards against a draw where no client leaves: a seed's run stays what it was.
+        if leaves and self.random.random() < leaves:
+            self.after(left * self.random.random(), under_way.withdraw)
 
     def _deal(self) -> Node:
         """The node that a client's next try goes to."""
--- a/notchjunction/lab/files.py
+++ b/notchjunction/lab/files.py
@@ -79,7 +79,7 @@
 DEFAULT = Scenario("")
 PLAIN = [field.name for field in fields(Scenario) if isinstance(field.default, int | float)]
 POSITIVE = ("length", "cold_time", "tip_span", "list_rate", "overdrive_times")  # of the plain ones, never 0
-SHARES = ("cold_share", "client_patience")
+SHARES = ("cold_share", "client_patience", "client_leaves")
 SCENARIO: dict[Any, Any] = {
     **{Optional(name): FROM_0 for name in PLAIN if name != "seed"},
     **{Optional(name): ABOVE_0 for name in POSITIVE},
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,9 +8,27 @@
 import pytest
 
 from notchjunction.emulator import node
-from notchjunction.emulator.checkers import TOLD_AFTER, breaches, told_in_time
+from notchjunction.emulator.checkers import (
+    GONE_AFTER,
+    TOLD_AFTER,
+    breaches,
+    none_for_the_gone,
+    one_answer,
+    told_in_time,
+)
 from notchjunction.emulator.scenario import Fault, Kind, Scenario, Stream
-from notchjunction.emulator.trace import Answered, Final, Published, Reached, Row, Sent, Story, Told
+from notchjunction.emulator.trace import (
+    Answered,
+    Final,
+    Left,
+    Published,
+    Reached,
+    Row,
+    Sent,
+    Story,
+    Taken,
+    Told,
+)
 from notchjunction.emulator.world import GRACE, World
 from notchjunction.following import Following
 from notchjunction.interface import Host, News, Outcome, Presence, Result, Terms
@@ -23,6 +41,7 @@
     "hang": (Fault(Kind.HANG, 3.0, 8.0, (0,)),),
     "slow": (Fault(Kind.SLOW, 3.0, 8.0, (0, 1), 6.0),),
     "release": tuple(Fault(Kind.DRAIN, 2.0 + n, 5.0 + n, (n,)) for n in range(4)),
+    "list silent": (Fault(Kind.LIST_SILENT, 2.0, 2.1), Fault(Kind.DRAIN, 3.0, 11.0, (0,))),
     "list down": (Fault(Kind.LIST_DOWN, 1.0, 8.0), Fault(Kind.DRAIN, 3.0, 11.0, (0,))),
 }
 
@@ -88,6 +107,20 @@
             super().listed(news, entries)  # type: ignore[arg-type]
 
 
+class Loyal(Balancer):
+    """Goes on with jobs whose callers have withdrawn."""
+
+    def __init__(self, terms: Terms, host: Host) -> None:
+        super().__init__(terms, host)
+        self._gone: set[int] = set()
+
+    def withdrawn(self, job: int) -> None:
+        self._gone.add(job)
+
+    def outcome(self, outcome: Outcome) -> None:
+        super().outcome(replace(outcome, over=outcome.over and outcome.job not in self._gone))
+
+
 class Eager(Balancer):
     """Takes each server for warm."""
 
@@ -141,6 +174,7 @@
         (Repeating, "one_answer", replace(CALM, streams=(Stream(0, 500.0),), length=6.0)),
         (Twice, "no_double_effects", replace(CALM, faults=FAULTS["crash"], streams=BUSY)),
         (Deaf, "clean_drains", replace(CALM, faults=FAULTS["release"])),
+        (Loyal, "none_for_the_gone", replace(CALM, streams=BUSY, client_leaves=0.3)),
         (Resigned, "told_in_time", MISSED),
         (Resigned, "told_in_time", UNHEARD),
         (
@@ -246,3 +280,61 @@
 ) -> None:
     story = Story(tuple(rows), CALM.profiles, GRACE, 0.01, rows[-1].at)
     assert bool(list(told_in_time(story))) is broken
+
+
+CLOSED = Answered(10.0, 1, 1, Final.WITHDRAWN)
+
+
+def again(at: float, node: int = 1, job: int = 1, dispatch: int = 1) -> Sent:
+    return Sent(at, node, job, dispatch, 5)
+
+
+@pytest.mark.parametrize(
+    ("rows", "broken"),
+    [
+        ([CLOSED, again(10.09)], False),
+        ([CLOSED, again(10.11)], True),
+        ([CLOSED, again(10.11, dispatch=0)], True),
+        ([CLOSED, again(10.05), again(10.11, dispatch=2)], True),
+        ([CLOSED, again(15.0, job=2), again(15.0, node=2)], False),
+        ([Answered(10.0, 1, 1, Final.HONOURED), again(15.0)], False),  # one_answer's
+        ([Left(10.0, 1, 1), again(10.09)], False),
+        ([Left(10.0, 1, 1), again(10.11)], True),
+        ([again(9.0, dispatch=0), CLOSED], False),
+    ],
+)
+def test_a_caller_that_has_closed_gets_no_attempt_later(rows: list[Row], broken: bool) -> None:
+    story = Story(tuple(rows), CALM.profiles, GRACE, 0.01, rows[-1].at)
+    assert bool(list(none_for_the_gone(story))) is broken
+
+
+@pytest.mark.parametrize(
+    ("end", "crossing", "after", "broken"),
+    [
+        (Final.WITHDRAWN, 0.0, 0.0, True),
+        (Final.WITHDRAWN, GONE_AFTER, 0.09, False),
+        (Final.WITHDRAWN, GONE_AFTER, 0.11, True),
+        (Final.HONOURED, GONE_AFTER, 0.0, True),
+        (Final.TURNED_BACK, GONE_AFTER, 0.09, True),
+    ],
+)
+def test_a_send_may_cross_its_callers_close_on_sockets_and_no_other_end(
+    end: Final, crossing: float, after: float, broken: bool
+) -> None:
+    rows = (Taken(9.0, 1, 1, 0, 12.0, 1), Answered(10.0, 1, 1, end), again(10.0 + after))
+    story = Story(rows, CALM.profiles, GRACE, 0.01, 11.0, crossing=crossing)
+    assert bool(list(one_answer(story))) is broken
+
+
+def test_so_many_clients_leave_early_and_do_not_come_again() -> None:
+    story = World(replace(CALM, streams=BUSY, client_leaves=1.0)).play()
+    assert breaches(story) == []
+    tries: dict[int, list[Taken]] = {}
+    for row in story.rows:
+        if isinstance(row, Taken):
+            tries.setdefault(row.first_try, []).append(row)
+    first_of = {(row.node, row.job): first for first, rows in tries.items() for row in rows}
+    gone = [row for row in story.rows if isinstance(row, Answered) and row.final is Final.WITHDRAWN]
+    assert len(gone) > 100
+    for row in gone:
+        assert tries[first_of[row.node, row.job]][-1].job == row.job
