--- a/notchjunction/emulator/scenario.py
+++ b/notchjunction/emulator/scenario.py
@@ -24,6 +24,7 @@
     LIST_DOWN = "list-down"  # calls for the list fail
     LIST_LATE = "list-late"  # news comes `size` seconds later
     LIST_SPLIT = "list-split"  # calls of `size` of the nodes fail
+    LIST_SILENT = "list-silent"  # calls that wait as it begins are never answered; later ones are
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +111,7 @@
     client_tries: int = 3
     client_pause: float = 0.2  # s after a turn-back at least, and as much again at random
     client_patience: float = 1.0  # of the abandon time after which a try is given up
+    client_leaves: float = 0.0  # share of tries whose client closes after a random part of its time, for good
 
     @property
     def mean_work(self) -> float:
@@ -117,6 +119,11 @@
         rates = sum(stream.rate for stream in self.streams)
         return sum(stream.work * stream.rate for stream in self.streams) / rates
 
+    @property
+    def silences(self) -> bool:
+        """Whether calls for the list may stay without an answer."""
+        return any(fault.kind is Kind.LIST_SILENT for fault in self.faults)
+
     @property
     def rows(self) -> tuple[Tier, ...]:
         """Its tiers, the first one first."""
