How late the stand-ins read counts for no node: a busy machine can't break the 0.1 s rule

Cause: on sockets a send's row is when its server's process has read it; a stall there of over 0.1 s would have blamed a sound node. The stage looks every 10 ms how late its own loop is, and the most of it is forgiven to sends that cross a close, no more. Idle it adds some ms. In virtual time nothing is forgiven.

--- a/notchjunction/emulator/checkers.py
+++ b/notchjunction/emulator/checkers.py
@@ -72,7 +72,7 @@
             gone.setdefault((row.node, row.job), row.at)
         elif isinstance(row, Sent):
             late = row.at - gone.get((row.node, row.job), inf)
-            if late > GONE_AFTER:
+            if late > max(GONE_AFTER, story.crossing):
                 yield f"{row.at:.3f} job {(row.node, row.job)} is sent {late:.3f} s after its caller closed"
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -314,6 +314,8 @@
         (Final.WITHDRAWN, 0.0, 0.0, True),
         (Final.WITHDRAWN, GONE_AFTER, 0.09, False),
         (Final.WITHDRAWN, GONE_AFTER, 0.11, True),
+        (Final.WITHDRAWN, GONE_AFTER + 0.05, 0.14, False),  # read by so much late at most
+        (Final.WITHDRAWN, GONE_AFTER + 0.05, 0.16, True),
         (Final.HONOURED, GONE_AFTER, 0.0, True),
         (Final.TURNED_BACK, GONE_AFTER, 0.09, True),
     ],
@@ -324,6 +326,8 @@
     rows = (Taken(9.0, 1, 1, 0, 12.0, 1), Answered(10.0, 1, 1, end), again(10.0 + after))
     story = Story(rows, CALM.profiles, GRACE, 0.01, 11.0, crossing=crossing)
     assert bool(list(one_answer(story))) is broken
+    late = end is Final.WITHDRAWN and after > max(GONE_AFTER, crossing)
+    assert bool(list(none_for_the_gone(story))) is late
 
 
 def test_so_many_clients_leave_early_and_do_not_come_again() -> None:
