A connection is not kept in the midst of an answer whose caller has gone

Cause: Servers._exchange asked after a large answer only whether its server keeps connections and whether bytes were left over (AnswerReader.kept), not whether the answer was over. A caller that goes midway ends the passing on with Download.close(), which counts as an end. Where jobs are recalled the recall closes the connection in the same turn; where they are not (limits.cancel, off by default) the connection was kept, and what its server still sent of the first answer was read as the next request's.

Change: such a connection is kept only if the answer was read to its end.

Seen before: with recalls off the story's second caller had status 200 and the body "forged", bytes of the first answer; with recalls on it passed.

Ruled out: the rest of 30 ms and the look for unread bytes as guards, as a server may pause for longer in the midst of a body; answers that are large and not passed on (their beginning already says that nothing is kept); answers that have moved or were adopted (closed here, whatever they were).

--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -216,7 +216,8 @@
                 download = Download(self._streams, connection, answers, answer)
                 begun(download)
                 await download.ended
-                keep = answers.kept() and not download.moved
+                # Guards against the rest of an answer whose caller went: it would pass for the next one's.
+                keep = download.over and answers.kept() and not download.moved
         except Withheld:
             result, keep = Result.NEVER_SENT, not writing
         except NoDescriptor:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -22,7 +22,7 @@
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
-from notchjunction.net import callers, connections, ending, handover, relay
+from notchjunction.net import callers, connections, ending, handover, relay, servers
 from notchjunction.net.connections import Address, Cut
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
@@ -1082,3 +1082,42 @@
             over.set()
 
     run(story())
+
+
+@pytest.mark.parametrize("recalls", [True, False])
+def test_a_connection_is_not_kept_in_the_midst_of_an_answer_whose_caller_has_gone(recalls: bool) -> None:
+    answered = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+
+    async def story() -> None:
+        left = asyncio.Event()
+
+        async def pauses(talk: Talk) -> None:
+            request, _ = await talk.request()
+            if not request.body:
+                await talk.send(answered % (2, b"ok"))
+                return
+            await talk.send(answered % (400_000, BODY[:200_000]))
+            await left.wait()
+            await talk.send(BODY[:1000])
+            await talk.request()
+            # What is still to come of the first answer reads like one to the request after it.
+            await talk.send(answered % (6, b"forged"))
+
+        async with served(pauses, recalls=recalls) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            caller.begin(b"body")
+            caller.send(b"body")
+            await caller._reader.readuntil(b"\r\n\r\n")
+            await caller._reader.readexactly(200_000)
+            caller.writer.transport.abort()
+            (held,) = node._callers._callers
+            while not held._stream.closed():
+                await asyncio.sleep(0.002)
+            left.set()
+            await nothing_left(node)
+            await asyncio.sleep(2 * servers.SETTLED)  # a kept connection may be used again by then
+            caller = await Caller().open(address)
+            caller.begin()
+            assert await caller.whole() == (200, b"ok", True) and peer.connections == 2
+
+    run(story())
