A body does not become whole at a server in the moment in which it is given up

Cause: Connection._taken gave up a server that takes nothing from within the task that writes one piece. The exchange hears of that some turns of the loop later and closes the stream only then; where room came meanwhile, the stream wrote what it still held. With the body's last piece the request was whole at the server, while the outcome said that there was no connection, and its caller was told 503.

Change: the connection is closed where it is given up.

Seen before: in the story (the operating system takes the last piece from the moment of giving up) the caller had 503 and the server all of the body. After: it has not.

Ruled out: the same for a body's beginning and for whole requests (there the exchange itself waits, and the stream is closed in the turn in which it ends), for pieces that are withheld (nothing is held by the stream then), and for a connection that breaks while the last piece goes out (a stream that has ended writes nothing more, and a write that was over is looked at first).

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -205,6 +205,8 @@
         if not writing.done():
             await asyncio.wait({writing}, timeout=STALL_MOST)
         if not writing.done():
+            # Here and not by who hears of it, turns later: the stream would write on until then.
+            self.close()
             raise NotSent("takes nothing more")
         writing.result()
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 import pytest
+from tornado.iostream import IOStream
 
 from notchjunction.decider import Decider, Stop, Ticket
 from notchjunction.http1.messages import Answer, Malformed, Request
@@ -1121,3 +1122,43 @@
             assert await caller.whole() == (200, b"ok", True) and peer.connections == 2
 
     run(story())
+
+
+def test_a_body_does_not_become_whole_at_a_server_that_was_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connections, "STALL_MOST", 0.2)
+    given_up, last = False, b"the last of it"
+    taken, write = connections.Connection._taken, IOStream.write_to_fd
+
+    async def notes_the_end(self: connections.Connection, writing: asyncio.Future[None]) -> None:
+        nonlocal given_up
+        try:
+            await taken(self, writing)
+        except connections.NotSent:
+            given_up = True
+            raise
+
+    def takes_the_last_once_it_is_late(stream: IOStream, data: memoryview) -> int | None:
+        if type(stream) is IOStream and bytes(data[-len(last) :]) == last and not given_up:
+            raise BlockingIOError
+        return write(stream, data)
+
+    async def story() -> None:
+        ran: list[Request] = []
+
+        async def takes_all(talk: Talk) -> None:
+            ran.append((await talk.request())[0])
+            await talk.request()
+
+        async with served(takes_all) as (node, address, (peer,)):
+            monkeypatch.setattr(connections.Connection, "_taken", notes_the_end)
+            monkeypatch.setattr(IOStream, "write_to_fd", takes_the_last_once_it_is_late)
+            caller = await Caller().open(address)
+            caller.begin(BODY + last)
+            caller.send(BODY + last)
+            assert (await caller.answer()).status == 503 and given_up
+            async with asyncio.timeout(5):
+                await peer.gone.wait()
+            assert not ran
+            await nothing_left(node)
+
+    run(story())
