What a server has not taken of a request as its caller goes does not come there later

Cause: whether a dispatch is still wanted was asked once, ahead of the writing. What the operating system had no room for then stayed with the stream, which wrote it whenever the server took more: a whole request within its time, the last piece of a body within 10 s. Where jobs are recalled the recall closes the stream; where they are not (limits.cancel, off by default) the request became whole at its server long after its caller had closed.

Change: while a write waits for room, it is asked every 0.05 s whether it is still wanted (of a body only once its last byte has come); if not, the connection is closed and the dispatch was not sent. A write that finds room at once asks nothing more. Whole requests and pieces wait in the same way now; as before a cancelled write says how it ended.

Ruled out: recalls by the job itself, which would change what servers see of whole requests. Not mended: what the operating system has taken and still sends, as after a lost packet; a close does not take it back.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -24,7 +24,7 @@
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import RequestReader
 from notchjunction.net import words
-from notchjunction.net.connections import BUFFER_MOST, PIECE, Address, Cut, read_piece
+from notchjunction.net.connections import BUFFER_MOST, LOOK_EVERY, PIECE, Address, Cut, read_piece
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import SHORT, SHORT_PAUSE, Descriptors
 from notchjunction.net.jobs import Job, Rights, ask_of, own_failure, passed_on
@@ -64,7 +64,6 @@
 
 AHEAD_MOST = 2 * PIECE  # bytes kept of what comes ahead of an answer: a whole message and some of the next
 THROWN_MOST = 1024 * 1024  # bytes past those that are thrown away; whoever sends more ahead only costs
-LOOK_EVERY = 0.05  # s after which it is looked whether a caller is there whose next bytes have no room
 
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what tells of an end behind unread bytes
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -19,6 +20,7 @@
 Address = tuple[str, int]
 PIECE = 64 * 1024  # bytes read at once
 STALL_MOST = 10.0  # s in which the other side gives or takes nothing; over any pause of a slow one
+LOOK_EVERY = 0.05  # s after which it is looked whether a caller is there whose bytes have no room
 HOLD_SPAN = 0.3  # s after its head that an answer which may be large is held; it may be short, or spoilt
 BUFFER_MOST = 2 * (BODY_MOST + HEAD_MOST)  # bytes kept of either direction; a message and some of the next
 
@@ -121,14 +123,13 @@
 
         `written` is called once the last byte is written; the rest of a body is taken in pieces until then.
         `heard` is called with each piece of the answer that comes. Withheld where `wanted` says no once the
-        body's last byte has come and is not yet written.
+        body's last byte has come and is not yet written; it is asked again and again while there is no room.
         """
         self._strayed = None
         try:
             writing = self._stream.write(encode_request(request))
             try:
-                # Shielded, so that it still says how it ended.
-                await (asyncio.shield(writing) if rest is None else self._taken(writing))
+                await self._taken(writing, rest, wanted)
             except asyncio.CancelledError:
                 if rest is None and writing.done() and writing.exception() is None:
                     # Guards against word that it never ran: its last byte went out as its time ended.
@@ -196,18 +197,32 @@
             # Guards against a request that becomes whole at a server after its caller has gone.
             raise Withheld("no longer wanted")
         if out:
-            await self._taken(self._stream.write(out))
+            await self._taken(self._stream.write(out), rest, wanted)
         return bool(piece)
 
-    async def _taken(self, writing: asyncio.Future[None]) -> None:
-        """Waits until a part of a body that goes on is written; NotSent where that takes too long."""
-        # Guards against a server that takes nothing: no other time runs until the last byte is written.
-        if not writing.done():
-            await asyncio.wait({writing}, timeout=STALL_MOST)
-        if not writing.done():
-            # Here and not by who hears of it, turns later: the stream would write on until then.
-            self.close()
-            raise NotSent("takes nothing more")
+    async def _taken(
+        self, writing: asyncio.Future[None], rest: Body | None, wanted: Callable[[], bool]
+    ) -> None:
+        """Waits until it is written; cancelled or not, it still says how it ended.
+
+        NotSent where a part of a body that goes on takes too long, Withheld where it is no longer wanted.
+        """
+        loop = asyncio.get_running_loop()
+        # Guards against a server that takes nothing: no other time runs until a body's last byte is written.
+        until = math.inf if rest is None else loop.time() + STALL_MOST
+        while not writing.done():
+            left = max(0.0, until - loop.time())
+            await asyncio.wait({writing}, timeout=min(left, LOOK_EVERY))
+            if writing.done():
+                break
+            # Closed here and not by who hears of it, turns later: the stream would write on until then.
+            if loop.time() >= until:
+                self.close()
+                raise NotSent("takes nothing more")
+            if (rest is None or rest.ended) and not wanted():
+                # Guards against a request that becomes whole later, as its server takes more, for nobody.
+                self.close()
+                raise Withheld("no longer wanted")
         writing.result()
 
     @property
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from tornado.iostream import IOStream
 
 from notchjunction.decider import Ask, Stop, TurnBack, WriteOff
 from notchjunction.http1.messages import BODY_MOST
@@ -452,3 +453,41 @@
             assert figures()["answers_strayed"] == 1
 
     run(story())
+
+
+@pytest.mark.parametrize("recalls", [True, False])
+@pytest.mark.parametrize("pieces", [True, False])
+def test_what_its_server_has_not_taken_as_its_caller_goes_does_not_come_there(
+    pieces: bool, recalls: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    body = (BODY if pieces else b"x" * 1000) + b"the last of it"
+    write, held, room = IOStream.write_to_fd, asyncio.Event(), False
+
+    def without_room(stream: IOStream, data: memoryview) -> int | None:
+        if type(stream) is IOStream and bytes(data[-10:]) == body[-10:] and not room:
+            held.set()
+            raise BlockingIOError
+        return write(stream, data)
+
+    async def story() -> None:
+        nonlocal room
+        whole: list[bytes] = []
+
+        async def reads(talk: Talk) -> None:
+            whole.append((await talk.request())[1])
+
+        async with served(reads, recalls=recalls) as (node, address, (peer,)):
+            monkeypatch.setattr(IOStream, "write_to_fd", without_room)
+            client = RawClient(address)
+            client.ask(body, "POST")
+            await held.wait()
+            client.go("close")
+            # There is room only once the job is over. With no look its dispatch ends by its time, or by none.
+            figures = await withdrawn(node)
+            room = True
+            async with asyncio.timeout(5):
+                await peer.gone.wait()
+            broken_off = "dispatches_never_sent", "dispatches_recalled"
+            assert not whole and sum(figures.get(name, 0) for name in broken_off) == 1
+
+    run(story())
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -1129,10 +1129,10 @@
     given_up, last = False, b"the last of it"
     taken, write = connections.Connection._taken, IOStream.write_to_fd
 
-    async def notes_the_end(self: connections.Connection, writing: asyncio.Future[None]) -> None:
+    async def notes_the_end(self: connections.Connection, *args: Any) -> None:
         nonlocal given_up
         try:
-            await taken(self, writing)
+            await taken(self, *args)
         except connections.NotSent:
             given_up = True
             raise
