A server that fails after it has left the list costs no job

Cause: Balancer._learned sets a server aside by its last outcomes, also one that has left the list while jobs were out at it; the facade (_Desk.set_aside) looks its name up, which went with the list's word, and raised KeyError out of Decider.report. Job._ended takes that for a failure of the node: the job is withdrawn from the decisions in the midst of its outcome and answered 500, instead of being sent elsewhere or turned back. A server that dies is just the one that leaves the list and resets what is out there.

Change: only the server that the list has now is set aside; the outcome of one that left, or was restarted since, still counts among the others' for comparison.

Seen before: in the story (jobs out at a server that leaves the list, by a whole list or by changes, and then resets them) KeyError in both forms.

Ruled out: the same lookup for probes and sends (both choose among servers of the list), and in what is told to peers (it passes over unknown names).

--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -722,7 +722,8 @@
         if seconds:
             server.seconds.append(seconds)
         self._ends.append(End(server, good, seconds))
-        if good:
+        # Guards against setting aside what has left the list, or was restarted: nobody knows it any more.
+        if good or self._servers.get(server.entry.server) is not server:
             return
         others = [end.good for end in self._ends if end.server is not server]
         usual = sum(others) / len(others) if others else 1.0
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -281,3 +281,17 @@
     new.decider.learn(old.decider.lessons())
     sent = [order.server for _ in range(20) for order in new.orders(new.take()) if isinstance(order, Send)]
     assert sent and old.decider._names[1] not in sent
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_server_that_fails_after_it_left_the_list_costs_no_job(whole: bool) -> None:
+    story = Story()
+    first_sends(story, 20)
+    out = [story.take() for _ in range(12)]
+    at_s1 = [ticket for ticket in out if story.decider._names[ticket.servers[0]] == "s1"]
+    left = [Listed(f"s{i}", Presence.READY, zone="a", cell=0) for i in (0, 2, 3)]
+    gone = [Listed("s1", Presence.GONE, zone="a", cell=0)]
+    story.decider.report_list(News.WHOLE if whole else News.CHANGES, left if whole else gone)
+    for ticket in at_s1:
+        story.end(ticket, Result.RESET)
+        assert [type(order) for order in story.orders(ticket)] == [Send, Send]  # there, and then elsewhere
