Of two connections to a server the one that came up serves, also as the other is refused

Cause: Servers._dialled took the first of its two dials that was over, in their order. Where the first was refused in the turn of the loop in which the second came up, the dispatch was one without a connection, though there was one; with one server its caller had 503.

Change: of those that are over the one that came up is taken.

Seen before: the story (the first is refused before the loop has told of the second) had 503.

Ruled out: waiting on for the second where the first is refused alone; a refusal is the server's word.

--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -306,7 +306,9 @@
                 ups = [dial.up for dial in dials]
                 left = max(0.0, until - loop.time())
                 done, _ = await asyncio.wait(ups, timeout=left, return_when=asyncio.FIRST_COMPLETED)
-            first = next((dial for dial in dials if dial.up in done), None)
+            # Guards against a connection that came up, passed by for one refused in the same turn.
+            over = [dial for dial in dials if dial.up in done]
+            first = min(over, key=lambda dial: dial.up.exception() is not None, default=None)
         finally:
             for dial in dials:
                 if dial is not first:
--- a/tests/test_redial.py
+++ b/tests/test_redial.py
@@ -128,3 +128,29 @@
             assert server.requests == []
 
     asyncio.run(story())
+
+
+def test_where_the_first_is_refused_as_the_second_comes_up_the_second_serves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    plain, opened, second_up = Connection.open, 0, asyncio.Event()
+
+    async def open_side_by_side(connection: Connection) -> None:
+        nonlocal opened
+        opened += 1
+        if opened == 1:
+            await second_up.wait()
+            raise NotSent("refused")
+        await plain(connection)
+        second_up.set()  # the first is over before the loop has told of either
+
+    async def story() -> None:
+        async with Peer() as server, running(server) as (node, listen):
+            monkeypatch.setattr(Connection, "open", open_side_by_side)
+            client = await Client().open(listen)
+            client.ask()
+            assert (await client.answer()).status == 200 and opened == 2
+            figures = node.counters.read()
+            assert figures["connections_opened"] - figures.get("connections_closed", 0) == 1
+
+    asyncio.run(story())
