A large answer that the node itself fails to pass on is closed

Cause: Job.answer ends with 500 where the node's own code fails, or its time is over by a loop that is very late. If a large answer had begun by then, its Download was known to nobody who would close it: Streams.open counted it for ever, and the more it counts, the smaller are the pieces of all other bodies.

Change: a job that fails closes what had begun.

Seen before: in the story (the order that says so is lost to a failure) the caller had 500 and streams_open stayed 1. After: 0. tests/test_large.py (103) and the stories of failures in test_net.py (14) pass.

Ruled out: a caller that goes in that moment, and one told 408 or 413: there the answer reaches Caller._answer, or Caller._pass_on, and both close it.

--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -111,6 +111,9 @@
             self._fail(error)
             for dispatch in list(self._tasks):
                 self._stop(dispatch)
+            for download in self._downloads.values():
+                # Guards against one that nobody closes: it would count among the streams for ever.
+                download.close(Cut("not passed on"))
             return own_failure(self._counters)
 
     def whole(self) -> None:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -19,7 +19,7 @@
 import pytest
 from tornado.iostream import IOStream
 
-from notchjunction.decider import Decider, Stop, Ticket
+from notchjunction.decider import Begin, Decider, Stop, Ticket
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
@@ -1162,3 +1162,27 @@
             await nothing_left(node)
 
     run(story())
+
+
+def test_a_large_answer_that_the_node_fails_to_pass_on_leaves_no_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pick = Decider.pick
+
+    async def misses_the_beginning(self: Decider, ticket: Ticket) -> Any:
+        order = await pick(self, ticket)
+        if isinstance(order, Begin):
+            raise RuntimeError("own")
+        return order
+
+    async def story() -> None:
+        monkeypatch.setattr(Decider, "pick", misses_the_beginning)
+        async with served(never_ends) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            caller.begin()
+            assert (await caller.whole())[0] == 500
+            async with asyncio.timeout(5):
+                await peer.gone.wait()
+            assert node.counters.read()["streams_open"] == 0
+
+    run(story())
