Large answers that end with their connection tell nothing of how long one is kept

Cause: AnswerReader.kept said of a large answer whose end is that of its connection that the connection can be used again, unless its head said close. It then stood idle for no time at all, and that went into what is learned of how long its server keeps idle ones. Three such answers in a minute made the limit about 0: each later request to the server, small ones too, dialled anew.

Change: after such an answer the connection is not kept.

Seen before: in the story three small requests, one after another, took three new connections.

Ruled out: short answers of that form (their reader already says that nothing is kept), and answers with a length or in chunks.

--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -339,7 +339,8 @@
 
     def kept(self) -> bool:
         """After a large answer's end: whether the connection can be used again."""
-        return self._keep and not self._bytes
+        # Guards against an end that belongs to the answer passing for an idle connection's.
+        return self._keep and not self._bytes and not self.sound_end()
 
     def end(self) -> Answer | None:
         """The connection has ended: the answer, if its end was to be the end of the connection."""
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -1186,3 +1186,28 @@
             assert node.counters.read()["streams_open"] == 0
 
     run(story())
+
+
+def test_answers_that_end_with_their_connection_tell_nothing_of_how_long_one_is_kept() -> None:
+    async def story() -> None:
+        async def large_to_the_end(talk: Talk) -> None:
+            while (await talk.request())[0].method == "GET":
+                await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await talk.send(b"HTTP/1.1 200 OK\r\n\r\n", BODY)
+
+        async with served(large_to_the_end) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            for _ in range(servers.LIVES_LEAST + 1):
+                caller.begin(b"")
+                status, body, _ = await caller.whole()
+                assert (status, body) == (200, BODY)
+                await nothing_left(node)
+                await asyncio.sleep(2 * servers.SETTLED)  # a kept connection may be used again by then
+            before = peer.connections
+            for _ in range(3):
+                caller.begin()
+                assert await caller.whole() == (200, b"ok", True)
+                await asyncio.sleep(2 * servers.SETTLED)
+            assert peer.connections == before + 1
+
+    run(story())
