--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -17,12 +17,13 @@
 from typing import Any
 
 import pytest
+from tornado.iostream import IOStream
 
-from notchjunction.decider import Decider, Stop, Ticket
+from notchjunction.decider import Begin, Decider, Stop, Ticket
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
-from notchjunction.net import callers, connections, ending, handover, relay
+from notchjunction.net import callers, connections, ending, handover, relay, servers
 from notchjunction.net.connections import Address, Cut
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
@@ -1082,3 +1083,131 @@
             over.set()
 
     run(story())
+
+
+@pytest.mark.parametrize("recalls", [True, False])
+def test_a_connection_is_not_kept_in_the_midst_of_an_answer_whose_caller_has_gone(recalls: bool) -> None:
+    answered = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+
+    async def story() -> None:
+        left = asyncio.Event()
+
+        async def pauses(talk: Talk) -> None:
+            request, _ = await talk.request()
+            if not request.body:
+                await talk.send(answered % (2, b"ok"))
+                return
+            await talk.send(answered % (400_000, BODY[:200_000]))
+            await left.wait()
+            await talk.send(BODY[:1000])
+            await talk.request()
+            # What is still to come of the first answer reads like one to the request after it.
+            await talk.send(answered % (6, b"forged"))
+
+        async with served(pauses, recalls=recalls) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            caller.begin(b"body")
+            caller.send(b"body")
+            await caller._reader.readuntil(b"\r\n\r\n")
+            await caller._reader.readexactly(200_000)
+            caller.writer.transport.abort()
+            (held,) = node._callers._callers
+            while not held._stream.closed():
+                await asyncio.sleep(0.002)
+            left.set()
+            await nothing_left(node)
+            await asyncio.sleep(2 * servers.SETTLED)  # a kept connection may be used again by then
+            caller = await Caller().open(address)
+            caller.begin()
+            assert await caller.whole() == (200, b"ok", True) and peer.connections == 2
+
+    run(story())
+
+
+def test_a_body_does_not_become_whole_at_a_server_that_was_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(connections, "STALL_MOST", 0.2)
+    given_up, last = False, b"the last of it"
+    taken, write = connections.Connection._taken, IOStream.write_to_fd
+
+    async def notes_the_end(self: connections.Connection, *args: Any) -> None:
+        nonlocal given_up
+        try:
+            await taken(self, *args)
+        except connections.NotSent:
+            given_up = True
+            raise
+
+    def takes_the_last_once_it_is_late(stream: IOStream, data: memoryview) -> int | None:
+        if type(stream) is IOStream and bytes(data[-len(last) :]) == last and not given_up:
+            raise BlockingIOError
+        return write(stream, data)
+
+    async def story() -> None:
+        ran: list[Request] = []
+
+        async def takes_all(talk: Talk) -> None:
+            ran.append((await talk.request())[0])
+            await talk.request()
+
+        async with served(takes_all) as (node, address, (peer,)):
+            monkeypatch.setattr(connections.Connection, "_taken", notes_the_end)
+            monkeypatch.setattr(IOStream, "write_to_fd", takes_the_last_once_it_is_late)
+            caller = await Caller().open(address)
+            caller.begin(BODY + last)
+            caller.send(BODY + last)
+            assert (await caller.answer()).status == 503 and given_up
+            async with asyncio.timeout(5):
+                await peer.gone.wait()
+            assert not ran
+            await nothing_left(node)
+
+    run(story())
+
+
+def test_a_large_answer_that_the_node_fails_to_pass_on_leaves_no_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pick = Decider.pick
+
+    async def misses_the_beginning(self: Decider, ticket: Ticket) -> Any:
+        order = await pick(self, ticket)
+        if isinstance(order, Begin):
+            raise RuntimeError("own")
+        return order
+
+    async def story() -> None:
+        monkeypatch.setattr(Decider, "pick", misses_the_beginning)
+        async with served(never_ends) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            caller.begin()
+            assert (await caller.whole())[0] == 500
+            async with asyncio.timeout(5):
+                await peer.gone.wait()
+            assert node.counters.read()["streams_open"] == 0
+
+    run(story())
+
+
+def test_answers_that_end_with_their_connection_tell_nothing_of_how_long_one_is_kept() -> None:
+    async def story() -> None:
+        async def large_to_the_end(talk: Talk) -> None:
+            while (await talk.request())[0].method == "GET":
+                await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await talk.send(b"HTTP/1.1 200 OK\r\n\r\n", BODY)
+
+        async with served(large_to_the_end) as (node, address, (peer,)):
+            caller = await Caller().open(address)
+            for _ in range(servers.LIVES_LEAST + 1):
+                caller.begin(b"")
+                status, body, _ = await caller.whole()
+                assert (status, body) == (200, BODY)
+                await nothing_left(node)
+                await asyncio.sleep(2 * servers.SETTLED)  # a kept connection may be used again by then
+            before = peer.connections
+            for _ in range(3):
+                caller.begin()
+                assert await caller.whole() == (200, b"ok", True)
+                await asyncio.sleep(2 * servers.SETTLED)
+            assert peer.connections == before + 1
+
+    run(story())
