A way for answers to move that can't be opened at first is tried again

Cause: the drain's table says MOVE once, and the node opened the way to the process that follows at that moment only. A passing EMFILE, or EAGAIN where too many knock there, gave None: answers to slow readers stayed, and the kill cut them off. Change: from MOVE until the end, or until the other process goes, each look tries again; one log line says so for all tries in a row. The table stays as it was: it is still said once. Seen: with two failures at first, of either kind, the answer had not moved 10 s after SIGTERM (2 of 2 stories failed); now it moves at the third look. Stories of moves, upgrades and the ending's table pass. Ruled out: to repeat MOVE in the table, which would then have to know of descriptors.

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -139,6 +139,7 @@
         self._channels: list[Channel] = []
         self._succeeded = False  # by a process that came after the one which followed
         self._taking: list[socket.socket] = []  # the listener for streams, and those who give some
+        self._cant_give = False  # and one line has said so
         self._shut = False  # nobody can give streams any more; those who did by now are let in
         self.queued = False  # whether some of those may wait, as there was no descriptor for them
         self._tasks: set[asyncio.Task[None]] = set()
@@ -351,10 +352,14 @@
     def giver(self) -> Giver | None:
         """A way to give answers under way to the process that follows; None where there is none."""
         try:
-            return Giver(self._folder)
+            giver = Giver(self._folder)
         except OSError as error:
-            log.warning("streams can't move", extra=pairs(why=error))
+            if not self._cant_give:
+                log.warning("streams can't move", extra=pairs(why=error))
+            self._cant_give = True
             return None
+        self._cant_give = False
+        return giver
 
     def _accept(self, listener: socket.socket) -> None:
         try:
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -379,6 +379,7 @@
         self._stop_leading()
         part_until = math.inf
         giver: Giver | None = None
+        moves = False
         while not ending.over:
             handover, now = self._handover, self.now()
             for effect in ending.look(now, self._followed(), self._connected):
@@ -394,6 +395,7 @@
                         self._callers.serve()
                         self._callers.go_on()
                         part_until = math.inf
+                        moves = False
                         if giver is not None:
                             giver.close()
                             giver = None
@@ -403,13 +405,16 @@
                     case Do.PART:
                         self._callers.part()
                         part_until = now + PART_SPAN
-                    case Do.MOVE if handover is not None and giver is None:
-                        # Guards against answers to slow readers that the end of this process would cut off.
-                        giver = handover.giver()
-                        if giver is not None:
-                            self._callers.move_streams(giver)
+                    case Do.MOVE:
+                        moves = True
                     case Do.TURN_BACK:
                         self._callers.turn_back_uploads()
+            # Guards against answers to slow readers that the end of this process would cut off; where no
+            # descriptor is left, or the other process is busy, it is tried again at the next look.
+            if moves and giver is None and handover is not None and not ending.over:
+                giver = handover.giver()
+                if giver is not None:
+                    self._callers.move_streams(giver)
             if part_until < math.inf:
                 self._callers.close_idle(IDLE_LEAST if now < part_until else 0.0)
             if not ending.over:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import signal
@@ -837,6 +838,48 @@
     run(story())
 
 
+@pytest.mark.parametrize("missing", ["descriptor", "room"])
+def test_an_answer_moves_though_the_way_could_not_be_opened_at_first(
+    missing: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """No descriptor is left in that moment, or too many knock at the process that follows."""
+    failures = [errno.EMFILE if missing == "descriptor" else errno.EAGAIN] * 2
+    opens = handover.Giver.__init__
+
+    def fails_at_first(giver: handover.Giver, *told: Any) -> None:
+        if failures:
+            raise OSError(failures.pop(), "for now")
+        opens(giver, *told)
+
+    async def story() -> None:
+        go_on = asyncio.Event()
+
+        async def pauses(talk: Talk) -> None:
+            await talk.request()
+            await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * MB), BODY)
+            await go_on.wait()
+            await talk.send(BODY)
+
+        async with served(pauses, shared=tmp_path) as (old, address, _):
+            caller = await Caller().open(address)
+            caller.begin(left=3000)
+            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
+                while old._handover is None or not old._handover.followed:
+                    await asyncio.sleep(0.002)
+                monkeypatch.setattr(handover.Giver, "__init__", fails_at_first)
+                old.stop()
+                async with asyncio.timeout(10):
+                    while old._callers.connected:
+                        await asyncio.sleep(0.005)
+                assert old.counters.read()["streams_moved"] == 1 and not failures
+                go_on.set()
+                assert await caller.whole() == (200, BODY * 2, True)
+                assert new.counters.read()["streams_adopted"] == 1
+                caller.writer.close()
+
+    run(story())
+
+
 def test_a_body_that_is_not_whole_by_the_nodes_end_is_turned_back(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(ending, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
 
