An answer under way moves to a third process where the one that followed has gone

Cause: the way to the process that follows was opened once and kept. If that process ended while a third one had the place, within one look, the node stayed followed, nothing closed the way, and each send failed (EPIPE): those answers stayed and were cut off by the end. Change: a send that fails for good opens the way anew, once, and tries again; no descriptor, or a queue that is full, counts as busy. A way to the process's own socket isn't opened: between the follower's end and the look after it the place may be its own again. Ruled out: to close the way at the channel's end: the answer that moves in that moment would still stay.

--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import logging
 import os
@@ -136,6 +137,7 @@
         self._loop = asyncio.get_running_loop()
         self._listener: socket.socket | None = None
         self._file_is: tuple[int, int] | None = None
+        self._streams_are: tuple[int, int] | None = None
         self._channels: list[Channel] = []
         self._succeeded = False  # by a process that came after the one which followed
         self._taking: list[socket.socket] = []  # the listener for streams, and those who give some
@@ -258,6 +260,7 @@
             os.unlink(new)
         listener.bind(new)
         listener.listen(BACKLOG)
+        self._streams_are = _file(new)
         os.rename(new, f"{folder}/{STREAMS}")
         self._shut = False
         self._hear(listener, self._accept_giver)
@@ -352,7 +355,7 @@
     def giver(self) -> Giver | None:
         """A way to give answers under way to the process that follows; None where there is none."""
         try:
-            giver = Giver(self._folder)
+            giver = Giver(self._folder, self._is_own)
         except OSError as error:
             if not self._cant_give:
                 log.warning("streams can't move", extra=pairs(why=error))
@@ -361,6 +364,10 @@
         self._cant_give = False
         return giver
 
+    def _is_own(self, path: str) -> bool:
+        """Guards against giving to oneself, as where the place was taken again in this moment."""
+        return _file(path) == self._streams_are
+
     def _accept(self, listener: socket.socket) -> None:
         try:
             sock, _ = listener.accept()
@@ -455,6 +462,7 @@
             with suppress(OSError), _short(self._folder) as folder:
                 if _file(f"{folder}/{FILE}") == self._file_is:  # else it is the next process's
                     os.unlink(f"{folder}/{FILE}")
+        self._streams_are = None  # the file's number may be another's from now on
         while self._taking:
             sock = self._taking.pop()
             self._loop.remove_reader(sock.fileno())
@@ -470,30 +478,59 @@
 
 
 class Giver:
-    """Gives answers under way to the process that has the place now."""
+    """Gives answers under way to the process that has the place now, and once that has gone to the next.
 
-    def __init__(self, folder: str) -> None:
-        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    `own` says of a socket's path whether this process listens there. Raises OSError where nobody else does.
+    """
+
+    def __init__(self, folder: str, own: Callable[[str], bool] = lambda _: False) -> None:
+        self._folder = folder
+        self._own = own
+        self._sock = self._open()
+
+    def _open(self) -> socket.socket:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_MOST)
-            self._sock.setblocking(False)
-            with _short(folder) as name:
-                self._sock.connect(f"{name}/{STREAMS}")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_MOST)
+            sock.setblocking(False)
+            with _short(self._folder) as name:
+                if self._own(f"{name}/{STREAMS}"):
+                    raise ConnectionRefusedError(errno.ECONNREFUSED, "no other process")
+                sock.connect(f"{name}/{STREAMS}")
         except OSError:
-            self._sock.close()
+            sock.close()
             raise
+        return sock
 
     def __call__(self, state: Mapping[str, Any], *sockets: socket.socket) -> bool:
+        message = json.dumps(state).encode()
+        descriptors = [each.fileno() for each in sockets]
         try:
-            descriptors = [each.fileno() for each in sockets]
-            socket.send_fds(self._sock, [json.dumps(state).encode()], descriptors)
+            try:
+                socket.send_fds(self._sock, [message], descriptors)
+            except BlockingIOError:
+                raise  # for now: its queue is full
+            except OSError:
+                # Guards against answers that stay as a third process has the place by now, between two looks.
+                self._open_anew()
+                socket.send_fds(self._sock, [message], descriptors)
         except BlockingIOError:
-            raise  # for now: its queue is full
+            raise
         except OSError as error:
             log.warning("stream can't move", extra=pairs(why=error))
             return False
         return True
 
+    def _open_anew(self) -> None:
+        try:
+            sock = self._open()
+        except OSError as error:
+            if error.errno in SHORT:
+                raise BlockingIOError(error.errno, "no descriptor for now") from error
+            raise
+        self._sock.close()
+        self._sock = sock
+
     def close(self) -> None:
         self._sock.close()
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -880,6 +880,72 @@
     run(story())
 
 
+@pytest.mark.parametrize("missing", [None, errno.EMFILE, errno.EAGAIN])
+def test_an_answer_moves_to_the_process_after_the_one_that_followed_and_has_gone(
+    missing: int | None, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It ends between two looks; by then a third one has the place, maybe out of reach for a moment."""
+    monkeypatch.setattr(ending, "KILL_AFTER", 8.0)
+    connect, failures = socket.socket.connect, [missing]
+
+    def fails_once(sock: socket.socket, place: Any) -> None:
+        if str(place).endswith(handover.STREAMS) and (failure := failures.pop() if failures else None):
+            raise OSError(failure, "for now")
+        connect(sock, place)
+
+    async def story() -> None:
+        go_on, ends = asyncio.Event(), asyncio.Event()
+
+        async def late(talk: Talk) -> None:
+            await talk.request()
+            await go_on.wait()
+            await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * MB), BODY)
+            await ends.wait()
+            await talk.send(BODY)
+
+        async with served(late, shared=tmp_path) as (old, address, _), contextlib.AsyncExitStack() as middle:
+            caller = await Caller().open(address)
+            caller.begin(left=20_000)
+            again: dict[str, Any] = {"shared": tmp_path, "listen": address, "known": False}
+            follower, _ = await middle.enter_async_context(running(**again))
+            while old._handover is None or not old._handover.followed:
+                await asyncio.sleep(0.002)
+            old.stop()
+            while old._callers.mover is None:
+                await asyncio.sleep(0.002)
+            async with running(**again) as (last, _):
+                while follower._handover is None or not follower._handover.followed:
+                    await asyncio.sleep(0.002)
+                await middle.aclose()
+                while old._handover.others:
+                    await asyncio.sleep(0.002)
+                monkeypatch.setattr(socket.socket, "connect", fails_once)
+                go_on.set()
+                async with asyncio.timeout(10):
+                    while old._callers.connected:
+                        await asyncio.sleep(0.002)
+                    while not last.counters.read().get("streams_adopted"):
+                        await asyncio.sleep(0.002)
+                ends.set()
+                assert await caller.whole() == (200, BODY * 2, True)
+                assert not follower.counters.read().get("streams_adopted") and not failures
+                caller.writer.close()
+
+    run(story())
+
+
+def test_no_answer_moves_to_the_process_that_it_is_to_leave(tmp_path: Path) -> None:
+    """The place is its own: the one that followed has gone, or has found no descriptor to take it."""
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
+            while node._handover is None or node._handover._listener is None:
+                await asyncio.sleep(0.002)
+            assert node._handover.giver() is None and len(node._handover._taking) == 1
+
+    run(story())
+
+
 def test_a_body_that_is_not_whole_by_the_nodes_end_is_turned_back(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(ending, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
 
