Operators' connections that are given up for room meet an end, not a reset

Cause: where 16 calls are there, the oldest that isn't whole is given up for the next one, and where none is, the next one; both by a plain close, which is a reset where unread bytes have come. Change: the sending is ended first and what has come is read, as for callers; likewise wherever a call's connection ends. Seen before: ECONNRESET for half a call and for the one who finds no room (2 of 3 stories); after: an end. The stories of operators' calls pass. Ruled out: a call that has its answer. Its sending has ended before, and it reads the answer and the end without the change too; the story stays.

--- a/notchjunction/net/management.py
+++ b/notchjunction/net/management.py
@@ -29,6 +29,7 @@
 CALL_WITHIN = 3.0  # s from connecting until a call is whole; a call is one small piece
 ANSWERED_WITHIN = 0.9  # s for the node to do as it is asked; the answer is due after 1 s
 LINGER_WITHIN = 0.3  # s of reading on after the answer, so that a reset does not destroy it on its way
+THROWN_MOST = 1024 * 1024  # bytes thrown away as a connection is given up; more costs too much
 BACKLOG = 128  # connections that wait to be accepted; those who say nothing may come in a crowd
 DESCRIPTORS = CALLS_MOST + 2  # what this listener may use: its calls, itself, and one being turned away
 
@@ -115,20 +116,26 @@
             # Guards against callers that say nothing keeping out those who do: the oldest of them goes.
             oldest = next(iter(self._unread), None)
             if oldest is None:
+                _end(connection)
                 connection.close()
                 return
             self._counters.add("operator_calls_dropped")
-            oldest.close()
+            self._close(oldest)
             del self._unread[oldest]
         stream = IOStream(connection, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
         task = self._loop.create_task(self._serve(stream))
         self._calls[task] = stream
         task.add_done_callback(self._done)
 
+    def _close(self, stream: IOStream) -> None:
+        if not stream.closed():
+            _end(stream.socket)
+            stream.close()
+
     def _done(self, task: asyncio.Task[None]) -> None:
         stream = self._calls.pop(task)
         self._unread.pop(stream, None)
-        stream.close()
+        self._close(stream)
         if not task.cancelled() and (error := task.exception()) is not None:
             self._counters.add_failure("operator's call failed in the node", error)
 
@@ -182,3 +189,12 @@
         if isinstance(done, bytes):
             return Answer(200, {"content-type": "application/json"}, done, keep=False)
         return Answer(200 if done else call.refusal, keep=False)
+
+
+def _end(sock: socket.socket) -> None:
+    """Ends the sending, and reads what has come: a close over it is a reset, as if nobody had been here."""
+    with suppress(OSError):
+        sock.shutdown(socket.SHUT_WR)
+        for _ in range(THROWN_MOST // PIECE):
+            if not sock.recv(PIECE, socket.MSG_DONTWAIT):
+                return
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
+from typing import Any
 
 import pytest
 
@@ -11,6 +13,7 @@
 from notchjunction.net import management
 from notchjunction.net.descriptors import OWN
 from notchjunction.net.discovery import read_list
+from notchjunction.net.management import Management
 from notchjunction.net.node import Node
 from notchjunction.net.servers import Servers
 from notchjunction.net.service_state import TABLE, Effect, Input, ServiceState, State
@@ -24,6 +27,19 @@
     return (await client.answer()).status
 
 
+OUT = b"PUT /control/out-of-service HTTP/1.1\r\nHost: n\r\n\r\n"
+
+
+async def heard(sock: socket.socket) -> bytes:
+    """All that an operator is told; a reset is an error."""
+    sock.setblocking(False)
+    found = b""
+    async with asyncio.timeout(5):
+        while piece := await asyncio.get_running_loop().sock_recv(sock, 4096):
+            found += piece
+    return found
+
+
 async def until_silent(client: Client) -> None:
     assert await client.closed()
 
@@ -80,6 +96,53 @@
     run(story())
 
 
+@pytest.mark.parametrize("call_is", ["half", "answered", "under way"])
+def test_who_is_given_up_for_another_operators_call_meets_no_reset(
+    call_is: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """More of what it sends comes in that moment; while a call is under way, the new one is given up."""
+    monkeypatch.setattr(management, "CALLS_MOST", 1)
+    monkeypatch.setattr(management, "LINGER_WITHIN", 60.0)
+    monkeypatch.setattr(management, "ANSWERED_WITHIN", 60.0)
+    accept = Management._accept
+    crossing: list[socket.socket] = []
+
+    def crossed(self: Management, listener: socket.socket) -> Any:
+        for sock in crossing:
+            sock.sendall(b"more")
+        return accept(self, listener)
+
+    monkeypatch.setattr(Management, "_accept", crossed)
+
+    async def story() -> None:
+        mgmt = free_address()
+        async with Peer() as peer, running(peer, mgmt=mgmt) as (node, _):
+            begun, go_on = asyncio.Event(), asyncio.Event()
+
+            async def out_of_service() -> bool:
+                begun.set()
+                if call_is == "under way":
+                    await go_on.wait()
+                return True
+
+            monkeypatch.setattr(node, "out_of_service", out_of_service)
+            with socket.create_connection(mgmt) as first, socket.socket() as second:
+                first.sendall(OUT[:-2] if call_is == "half" else OUT)
+                if call_is != "half":
+                    await begun.wait()
+                while call_is != "under way" and not node._management._unread:
+                    await asyncio.sleep(0.001)
+                second.connect(mgmt)
+                crossing.append(second if call_is == "under way" else first)
+                while not node.counters.read().get("operator_calls_dropped") and call_is != "under way":
+                    await asyncio.sleep(0.001)
+                found = await heard(crossing[0])
+                assert found.startswith(b"HTTP/1.1 200") if call_is == "answered" else not found
+                go_on.set()
+
+    run(story())
+
+
 def test_a_call_that_never_ends_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(management, "CALL_WITHIN", 0.05)
 
