A queue inherited before the first list is answered as the process ends, if its giver has gone

Cause: the listeners that came from the process before are let in from as soon as there is a list. On SIGTERM before one the queue closed without them, and their end came with the process: if the giver was dead, everybody who waited met a reset. Change: where the queue closes and the giver has gone, it is taken over first: who waits is let in and answered like anybody at an end. Seen before: ECONNRESET for a caller that waited; after: 503. Ruled out: a giver that goes later. With no list there is no caller, and the process ends in the look that closes the queue.

--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -92,6 +92,7 @@
         self._management = Management(self, counters)
         self._service = ServiceState()
         self._handover: Handover | None = None
+        self._inherited: list[socket.socket] = []  # of which nobody is let in yet: there is no list
         self._leading: asyncio.Task[None] | None = None
         self._addresses: dict[str, Address] = {}
         self._listed: dict[str, Listed] = {}
@@ -219,14 +220,22 @@
             log.warning("nothing learned from the other process", extra=pairs(why=repr(error)))
         if state.get("out"):
             self._led(Input.OUT)
+        self._inherited = inherited.listeners
         self._start(self._adopt(inherited.listeners))
         log.info("takes over", extra=pairs(servers=len(self._listed), barred=len(self._decider.barred)))
 
     async def _adopt(self, listeners: list[socket.socket]) -> None:
         # Guards against letting in callers for whom there is no list yet; the other process has them.
         await self._ready_now.wait()
+        self._inherited = []
         self._callers.adopt(listeners)
 
+    def _adopt_last(self) -> None:
+        """Guards against resets for who waits where the end comes before a list, and the other has gone."""
+        if self._inherited and self._handover is not None and not self._handover.others:
+            listeners, self._inherited = self._inherited, []
+            self._callers.adopt(listeners)
+
     async def _offer(self) -> None:
         """The next process is sent to this one as soon as it can serve."""
         await self._ready_now.wait()
@@ -401,6 +410,7 @@
                             giver = None
                             self._callers.keep_streams()
                     case Do.CLOSE:
+                        self._adopt_last()
                         self._callers.stop()
                     case Do.PART:
                         self._callers.part()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -431,6 +431,49 @@
     run(story())
 
 
+@pytest.mark.parametrize("giver", ["has gone", "serves"])
+def test_a_queue_inherited_by_a_process_that_ends_before_its_list_is_answered_or_left_to_its_giver(
+    giver: str, tmp_path: Path
+) -> None:
+    async def story() -> None:
+        address = free_address()
+        identity = {"node": "n", "listen": text_of(address), "version": str(handover.VERSION)}
+        goes = asyncio.Event()
+        (queue,) = bind_sockets(address[1], address[0])
+
+        async def give(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            raw = writer.get_extra_info("socket")
+            socket.send_fds(raw._sock, [json.dumps(identity).encode()], [queue.fileno()])
+            await reader.readline()
+            writer.write(b'{"state": {}}\n')
+            await goes.wait()
+            writer.close()
+
+        server = await asyncio.start_unix_server(give, str(tmp_path / handover.FILE))
+        async with running(known=False, shared=tmp_path, listen=address) as (node, _):
+            assert node._handover is not None and node._handover.others == 1
+            caller = connect(address)
+            caller.sendall(wire_of(1))
+            if giver == "has gone":
+                queue.close()
+                goes.set()
+                while node._handover.others:
+                    await asyncio.sleep(0.001)
+            node.stop()
+            if giver == "has gone":
+                assert (await heard(caller)).startswith(b"HTTP/1.1 503")
+        if giver == "serves":
+            waits, _ = queue.accept()
+            assert waits.recv(4096) == wire_of(1) and node.counters.read().get("callers_opened", 0) == 0
+            waits.close()
+            caller.close()
+            queue.close()
+            goes.set()
+        server.close()
+
+    run(story())
+
+
 def test_one_caller_that_is_gone_before_it_is_let_in_keeps_out_no_other(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
