--- a/notchjunction/net/handover.py
+++ b/notchjunction/net/handover.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import logging
 import os
@@ -100,6 +101,8 @@
 
     async def tell(self, word: str, value: Any) -> bool:
         """Says it and waits until it is done there; one that has gone has nothing left to do."""
+        if self._writer.is_closing():
+            return True  # since it was listed among those to be told
         self._said += 1
         done: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._awaited[self._said] = done
@@ -136,9 +139,12 @@
         self._loop = asyncio.get_running_loop()
         self._listener: socket.socket | None = None
         self._file_is: tuple[int, int] | None = None
+        self._streams_are: tuple[int, int] | None = None
+        self._again: asyncio.TimerHandle | None = None  # when it is tried again to have the place
         self._channels: list[Channel] = []
         self._succeeded = False  # by a process that came after the one which followed
         self._taking: list[socket.socket] = []  # the listener for streams, and those who give some
+        self._cant_give = False  # and one line has said so
         self._shut = False  # nobody can give streams any more; those who did by now are let in
         self.queued = False  # whether some of those may wait, as there was no descriptor for them
         self._tasks: set[asyncio.Task[None]] = set()
@@ -212,7 +218,14 @@
     # The process that serves.
 
     def offer(self) -> None:
-        """From now on the next process finds this one; whatever lay in its place is replaced at one go."""
+        """From now on the next process finds this one; whatever lay in its place is replaced at one go.
+
+        Where there is no descriptor for it now, it is tried again a little later.
+        """
+        self._offer(self.offer)
+
+    def _offer(self, again: Callable[[], None]) -> None:
+        tried = self._again is not None
         self._withdraw()
         try:
             self._listener = socket.socket(socket.AF_UNIX)
@@ -229,24 +242,39 @@
                 self._take_streams(folder)
             self._hear(self._listener, self._accept)
         except OSError as error:
-            log.warning("handover cannot be offered", extra=pairs(why=error))
+            if not tried:
+                log.warning("handover cannot be offered", extra=pairs(why=error))
             if self._listener is not None:
                 self._listener.close()
                 self._listener = None
+            if error.errno in SHORT:
+                # Guards against a next process that finds nobody, for the one moment in which this failed.
+                self._again = self._loop.call_later(SHORT_PAUSE, again)
         for channel in self._channels:
             channel.say(ready=True)
 
     def _take_place_again(self) -> None:
         """The process that followed has gone; unless yet another serves, the next one finds this one."""
+        if self.followed:
+            return
         try:
-            with _short(self._folder) as folder:
-                ours = _file(f"{folder}/{FILE}") == self._file_is
-            if not ours:
-                Giver(self._folder).close()
+            if not self._has_place():
+                Giver(self._folder, self._is_own).close()
                 self._succeeded = True
-        except OSError:
-            # Guards against a next process that finds a dead one's socket, and no bans.
-            self.offer()
+            return
+        except OSError as error:
+            if error.errno in (*SHORT, errno.EAGAIN):
+                # Guards against putting a live process out of its place: whether one is there isn't known.
+                self._again = self._loop.call_later(SHORT_PAUSE, self._take_place_again)
+                return
+        # Guards against a next process that finds a dead one's socket, and no bans.
+        self._offer(self._take_place_again)
+
+    def _has_place(self) -> bool:
+        if self._listener is None:
+            return False
+        with _short(self._folder) as folder:
+            return _file(f"{folder}/{FILE}") == self._file_is
 
     def _take_streams(self, folder: str) -> None:
         listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
@@ -257,6 +285,7 @@
             os.unlink(new)
         listener.bind(new)
         listener.listen(BACKLOG)
+        self._streams_are = _file(new)
         os.rename(new, f"{folder}/{STREAMS}")
         self._shut = False
         self._hear(listener, self._accept_giver)
@@ -351,10 +380,18 @@
     def giver(self) -> Giver | None:
         """A way to give answers under way to the process that follows; None where there is none."""
         try:
-            return Giver(self._folder)
+            giver = Giver(self._folder, self._is_own)
         except OSError as error:
-            log.warning("streams can't move", extra=pairs(why=error))
+            if not self._cant_give:
+                log.warning("streams can't move", extra=pairs(why=error))
+            self._cant_give = True
             return None
+        self._cant_give = False
+        return giver
+
+    def _is_own(self, path: str) -> bool:
+        """Guards against giving to oneself, as where the place was taken again in this moment."""
+        return _file(path) == self._streams_are
 
     def _accept(self, listener: socket.socket) -> None:
         try:
@@ -443,6 +480,9 @@
 
     def _withdraw(self) -> None:
         """Nobody finds this process from now on."""
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
         if self._listener is not None:
             self._loop.remove_reader(self._listener.fileno())
             self._listener.close()
@@ -450,6 +490,7 @@
             with suppress(OSError), _short(self._folder) as folder:
                 if _file(f"{folder}/{FILE}") == self._file_is:  # else it is the next process's
                     os.unlink(f"{folder}/{FILE}")
+        self._streams_are = None  # the file's number may be another's from now on
         while self._taking:
             sock = self._taking.pop()
             self._loop.remove_reader(sock.fileno())
@@ -465,30 +506,59 @@
 
 
 class Giver:
-    """Gives answers under way to the process that has the place now."""
+    """Gives answers under way to the process that has the place now, and once that has gone to the next.
 
-    def __init__(self, folder: str) -> None:
-        self._sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    `own` says of a socket's path whether this process listens there. Raises OSError where nobody else does.
+    """
+
+    def __init__(self, folder: str, own: Callable[[str], bool] = lambda _: False) -> None:
+        self._folder = folder
+        self._own = own
+        self._sock = self._open()
+
+    def _open(self) -> socket.socket:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_MOST)
-            self._sock.setblocking(False)
-            with _short(folder) as name:
-                self._sock.connect(f"{name}/{STREAMS}")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_MOST)
+            sock.setblocking(False)
+            with _short(self._folder) as name:
+                if self._own(f"{name}/{STREAMS}"):
+                    raise ConnectionRefusedError(errno.ECONNREFUSED, "no other process")
+                sock.connect(f"{name}/{STREAMS}")
         except OSError:
-            self._sock.close()
+            sock.close()
             raise
+        return sock
 
     def __call__(self, state: Mapping[str, Any], *sockets: socket.socket) -> bool:
+        message = json.dumps(state).encode()
+        descriptors = [each.fileno() for each in sockets]
         try:
-            descriptors = [each.fileno() for each in sockets]
-            socket.send_fds(self._sock, [json.dumps(state).encode()], descriptors)
+            try:
+                socket.send_fds(self._sock, [message], descriptors)
+            except BlockingIOError:
+                raise  # for now: its queue is full
+            except OSError:
+                # Guards against answers that stay as a third process has the place by now, between two looks.
+                self._open_anew()
+                socket.send_fds(self._sock, [message], descriptors)
         except BlockingIOError:
-            raise  # for now: its queue is full
+            raise
         except OSError as error:
             log.warning("stream can't move", extra=pairs(why=error))
             return False
         return True
 
+    def _open_anew(self) -> None:
+        try:
+            sock = self._open()
+        except OSError as error:
+            if error.errno in SHORT:
+                raise BlockingIOError(error.errno, "no descriptor for now") from error
+            raise
+        self._sock.close()
+        self._sock = sock
+
     def close(self) -> None:
         self._sock.close()
 
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -20,7 +20,7 @@
 from notchjunction.http1.messages import Request
 from notchjunction.interface import News, Presence
 from notchjunction.net import management, node_input, talk, words
-from notchjunction.net.callers import Callers
+from notchjunction.net.callers import LINGER_LAST, Callers
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import OWN, Descriptors
@@ -92,6 +92,7 @@
         self._management = Management(self, counters)
         self._service = ServiceState()
         self._handover: Handover | None = None
+        self._inherited: list[socket.socket] = []  # of which nobody is let in yet: there is no list
         self._leading: asyncio.Task[None] | None = None
         self._addresses: dict[str, Address] = {}
         self._listed: dict[str, Listed] = {}
@@ -219,14 +220,22 @@
             log.warning("nothing learned from the other process", extra=pairs(why=repr(error)))
         if state.get("out"):
             self._led(Input.OUT)
+        self._inherited = inherited.listeners
         self._start(self._adopt(inherited.listeners))
         log.info("takes over", extra=pairs(servers=len(self._listed), barred=len(self._decider.barred)))
 
     async def _adopt(self, listeners: list[socket.socket]) -> None:
         # Guards against letting in callers for whom there is no list yet; the other process has them.
         await self._ready_now.wait()
+        self._inherited = []
         self._callers.adopt(listeners)
 
+    def _adopt_last(self) -> None:
+        """Guards against resets for who waits where the end comes before a list, and the other has gone."""
+        if self._inherited and self._handover is not None and not self._handover.others:
+            listeners, self._inherited = self._inherited, []
+            self._callers.adopt(listeners)
+
     async def _offer(self) -> None:
         """The next process is sent to this one as soon as it can serve."""
         await self._ready_now.wait()
@@ -379,6 +388,7 @@
         self._stop_leading()
         part_until = math.inf
         giver: Giver | None = None
+        moves = False
         while not ending.over:
             handover, now = self._handover, self.now()
             for effect in ending.look(now, self._followed(), self._connected):
@@ -394,36 +404,42 @@
                         self._callers.serve()
                         self._callers.go_on()
                         part_until = math.inf
+                        moves = False
                         if giver is not None:
                             giver.close()
                             giver = None
                             self._callers.keep_streams()
                     case Do.CLOSE:
+                        self._adopt_last()
                         self._callers.stop()
                     case Do.PART:
                         self._callers.part()
                         part_until = now + PART_SPAN
-                    case Do.MOVE if handover is not None and giver is None:
-                        # Guards against answers to slow readers that the end of this process would cut off.
-                        giver = handover.giver()
-                        if giver is not None:
-                            self._callers.move_streams(giver)
+                    case Do.MOVE:
+                        moves = True
                     case Do.TURN_BACK:
                         self._callers.turn_back_uploads()
+            # Guards against answers to slow readers that the end of this process would cut off; where no
+            # descriptor is left, or the other process is busy, it is tried again at the next look.
+            if moves and giver is None and handover is not None and not ending.over:
+                giver = handover.giver()
+                if giver is not None:
+                    self._callers.move_streams(giver)
             if part_until < math.inf:
                 self._callers.close_idle(IDLE_LEAST if now < part_until else 0.0)
             if not ending.over:
                 await asyncio.sleep(LOOK_SPAN)
         if giver is not None:
             giver.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # While what operators ask about is there yet, but no longer than callers are read from at the end.
+        await self._management.close(min(LINGER_LAST, max(0.0, self._end_at + LINGER_LAST - self.now())))
         if self._talk is not None:
             self._talk.close()
         if self._fleet is not None:
             self._fleet.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._management.close()
         if self._handover is not None:
             self._handover.close()
         self._callers.close_listeners()
