--- a/notchjunction/clearing.py
+++ b/notchjunction/clearing.py
@@ -81,7 +81,8 @@
 
     def __init__(self, now: float) -> None:
         self._at = now
-        self._passed = self._rate = 0.0  # s that passed with a server warm; parts of jobs a second
+        self._passed = 0.0  # s that passed with a server warm
+        self._rate: float | None = 0.0  # parts of jobs a second; None: not added up since time has passed
         self._done: deque[tuple[float, float]] = deque()  # after how much of that, and the part
 
     def note(self, warm: int, ready: int) -> None:
@@ -96,9 +97,11 @@
         self._at = now
         while self._done and self._done[0][0] < self._passed - TAKE_SPAN:
             self._done.popleft()
-        # Guards against new processes that each take their first jobs for a rate, and add up.
-        span = min(max(self._passed, TAKE_LEAST * TAKE_SPAN), TAKE_SPAN)
-        self._rate = sum(part for _, part in self._done) / span
+        self._rate = None
 
     def rate(self) -> float:
+        if self._rate is None:
+            # Guards against new processes that each take their first jobs for a rate, and add up.
+            span = min(max(self._passed, TAKE_LEAST * TAKE_SPAN), TAKE_SPAN)
+            self._rate = sum(part for _, part in self._done) / span
         return self._rate
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -560,8 +560,7 @@
             scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
             best = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
             return min(self._random.sample(best, 2))[2]
-        found = list(ready)
-        two = self._random.sample(found, min(2, len(found)))
+        two = self._random.sample(found := list(ready), min(2, len(found)))
         return min(two, key=lambda server: len(server.flights), default=None)
 
     def _familiar(self, now: float) -> list[Server]:
