Pauses after failed list calls spread evenly up to 3 s, so that crowds at discovery come apart

A call that waits for over 2 s is refused there at its full cost, so that a clump is refused whole; nodes that were refused together came again together, by pauses of 1 to 2 s. Ruled out: silent calls (none), watches that go on (none refused), a lack of capacity (some 42 calls a second serve 220 nodes in 5.3 s). At fault: listed, delay = LEAST * (1 + random) * failures. Change: 0.25 s and up to 0.9 s for each of three failures, evenly from none.

--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -74,8 +74,9 @@
 NEAR_WORTH = 20.0  # times the far server's score, for a crossing price of 1, that a near one may be worse
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
-RENEW_LEAST = 0.25  # s before the list is asked for again, then as much again at random and for each failure
-RENEW_STEPS = 4  # failures that count for it: tries 2 s apart at most, a third of what a change may be late
+RENEW_LEAST = 0.25  # s before the list is asked for again after a failed call
+RENEW_MORE = 0.9  # s more for each failure, evenly at random from none, so that crowds come apart
+RENEW_STEPS = 3  # failures that count for it: tries 3 s apart at most, half of what a change may be late
 KEY_SERVERS = 2  # that a key goes to first; more would share what one remembers, one alone may be hot
 KEY_SLACK = 2.5  # times the pool's choice that one of them may score; a met key takes far less work
 TOLD_MOST = 12  # last outcomes of its own that a node tells with each; each is told to about so many peers
@@ -117,8 +118,7 @@
         self._unprobed = self._failures = self._owns = self._token = self._warm = self._able = 0
         self._odd_probe = self._turn_due = False
         self._timers: dict[int, Callable[[], None]] = {}
-        self._usual_until = -math.inf
-        self._usual_now = Usual(1.0, 1.0, 0.001)
+        self._usual_until, self._usual_now = -math.inf, Usual(1.0, 1.0, 0.001)
         self._passed_over: list[Server] = []
         if terms.must_follow:
             host.follow()
@@ -274,8 +274,8 @@
         if news is News.FAILED:
             self._failures += 1
             # Guards against all nodes asking a troubled list service again at the same moment.
-            delay = RENEW_LEAST * (1 + self._random.random()) * min(self._failures, RENEW_STEPS)
-            self._after(min(delay, self._terms.ask_within / 4 or math.inf), self._host.follow)
+            more = min(RENEW_MORE * min(self._failures, RENEW_STEPS), self._terms.ask_within / 4 or math.inf)
+            self._after(RENEW_LEAST + more * self._random.random(), self._host.follow)
             return
         self._failures = 0
         if news is not News.CHANGES:
