--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -41,7 +41,7 @@
     "hang": (Fault(Kind.HANG, 3.0, 8.0, (0,)),),
     "slow": (Fault(Kind.SLOW, 3.0, 8.0, (0, 1), 6.0),),
     "release": tuple(Fault(Kind.DRAIN, 2.0 + n, 5.0 + n, (n,)) for n in range(4)),
-    "list silent": (Fault(Kind.LIST_SILENT, 2.0, 2.1), Fault(Kind.DRAIN, 3.0, 11.0, (0,))),
+    "list silent": (Fault(Kind.LIST_SILENT, 2.0, 2.1), Fault(Kind.DRAIN, 3.0, 11.0, (0, 1, 2))),
     "list down": (Fault(Kind.LIST_DOWN, 1.0, 8.0), Fault(Kind.DRAIN, 3.0, 11.0, (0,))),
 }
 
@@ -54,7 +54,9 @@
 @pytest.mark.parametrize("nodes", [1, 3, 40])
 @pytest.mark.parametrize("name", FAULTS)
 def test_the_rules_hold_through_faults_at_each_size(name: str, nodes: int) -> None:
-    story = World(replace(CALM, name=name, nodes=nodes, faults=FAULTS[name])).play()
+    # Forty nodes hear within 6 s only from a discovery that can answer as many.
+    rate = 10.0 if name == "list silent" else CALM.list_rate
+    story = World(replace(CALM, name=name, nodes=nodes, list_rate=rate, faults=FAULTS[name])).play()
     assert breaches(story) == []
     assert share(story, Final.HONOURED) > 0.8
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -89,13 +89,13 @@
     tier_of = {node.number: node.tier for node in [*world.nodes, *world.below.values()]}
     second, third = (sum(tier_of[row.node] == depth for row in taken) for depth in (1, 2))
     assert 0.9 * len(first) < second <= len(first) and 1.1 * second < third < 1.5 * second
-    # What a server calls on for has no more time than its own caller gives it.
-    left = {row.node: row.abandon_at - row.at for row in first}
-    assert all(row.abandon_at - row.at <= max(left.values()) for row in taken)
+    # What a server calls on for has no more time than callers of its profile ever give.
+    left = [max(row.abandon_at - row.at for row in first if row.profile == profile) for profile in (0, 1)]
+    assert all(row.abandon_at - row.at <= left[row.profile] for row in taken)
 
 
 def test_a_server_that_goes_takes_its_node_and_the_calls_under_way_with_it() -> None:
-    streams = (Stream(0, 20.0, work=0.4),)
+    streams = (Stream(0, 30.0, work=0.4),)  # enough that calls are under way at each seed
     world = World(replace(DEEP, streams=streams, faults=(Fault(Kind.CRASH, 4.0, 6.0, (0, 1), tier=0),)))
     before = world.below[0]
     story = world.play()
