A repeat is decided on only while its connection can come up within the window

Ruled out for whole requests: a reset that passes for no connection (their writing is over before anything is read). For bodies in pieces that was so, where the reset came between the writing of the last piece and the look at it: mended, too. Change: the window is read less the connect time-out; the last piece's writing is kept to tell. Both stories fail without.

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -65,6 +65,10 @@
 
     ended: bool  # whether its last byte has come here
 
+    @property
+    def given(self) -> bool:
+        """Whether its last byte has been given out, too."""
+
     async def get(self) -> bytes: ...
 
 
@@ -89,6 +93,7 @@
         self._reading: asyncio.Future[bytes] | None = None
         self.idle_since = 0.0
         self.kept = False  # whether it has served before
+        self._last: asyncio.Future[None] | None = None  # the writing of a body's last byte
         self._strayed: Callable[[], None] | None = None  # to be told, while it stands idle
         self._closed_here = False
         self.lived: float | None = None  # s that it stood idle until the other side ended it
@@ -183,6 +188,9 @@
                     return replace(early, keep=False)
                 reading = self.start_reading()
         except Cut as error:
+            if self._last is not None and self._last.done() and self._last.exception() is None:
+                # Guards against word that it never ran, where the end crosses the look at the last writing.
+                raise
             raise NotSent(str(error)) from error
         finally:
             if step is not None:
@@ -196,9 +204,13 @@
         if out and rest.ended and not wanted():
             # Guards against a request that becomes whole at a server after its caller has gone.
             raise Withheld("no longer wanted")
+        # Nothing of the request comes after it: no look at what the server says stands in between.
+        last = rest.given and (not piece or request.length is not None)
         if out:
-            await self._taken(self._stream.write(out), rest, wanted)
-        return bool(piece)
+            writing = self._stream.write(out)
+            self._last = writing if last else None
+            await self._taken(writing, rest, wanted)
+        return not last
 
     async def _taken(
         self, writing: asyncio.Future[None], rest: Body | None, wanted: Callable[[], bool]
--- a/notchjunction/net/node_input.py
+++ b/notchjunction/net/node_input.py
@@ -19,7 +19,6 @@
 
 LOOP_TICK = 0.01  # s by which timers of a loop on a shared core come late; 12 ms was the most seen
 SOCKETS = 1024  # descriptors where no limit is told
-CONNECT_WITHIN = 250.0  # ms where no connect time-out is told
 PUSHED = "automatic"  # the mode in which lists are pushed
 VARIABLES = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "mgmt": "GW_MGMT"}
 NOWHERE: Address = ("", 0)
@@ -142,7 +141,7 @@
         ),
         known=None,
         sockets=SOCKETS,
-        connect_within=terms.number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
+        connect_within=terms.number(paths, "limits.connect_timeout", terms.CONNECT_WITHIN) / 1000,
         idle_most=terms.number(paths, "limits.conn_idle", IDLE) / 1000,
         key_header=str(told.get("key_header", "")).lower(),
         fleet=told.get("fleet"),
--- a/notchjunction/net/relay.py
+++ b/notchjunction/net/relay.py
@@ -44,6 +44,11 @@
         """Whether there is room for a further piece; a server that does not read leaves none."""
         return not self.ended and self._held < self._streams.piece()
 
+    @property
+    def given(self) -> bool:
+        """Whether its last byte has been given out."""
+        return self.ended and not self._pieces and not self._lost
+
     async def room(self) -> None:
         while not self.wants_more():
             self._taken.clear()
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -14,6 +14,7 @@
 
 EFFECTS = {"repeatable": Effect.REISSUABLE, "by_key": Effect.NUMBERED, "once": Effect.AT_MOST_ONCE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+CONNECT_WITHIN = 250.0  # ms where no connect time-out is told
 BESIDE_CLIENTS = "mesh"  # the kind of deployment in which each client process has a node of its own
 # What a load report's figures are called in the settings and, on sockets, in the report itself.
 LOAD_WORDS = {
@@ -74,6 +75,7 @@
 
 def _profile(paths: Paths, stem: str) -> Profile:
     abandon = number(paths, stem + "abandon_time", 1000.0) / 1000
+    connect = number(paths, "limits.connect_timeout", CONNECT_WITHIN)
     return Profile(
         contract_time=number(paths, stem + "contract_time", abandon * 1000) / 1000,
         abandon_time=abandon,
@@ -81,7 +83,8 @@
         late_share=number(paths, stem + "tardy_revenue", 0.0),
         effect=EFFECTS.get(paths.get(stem + "effect", ""), Effect.AT_MOST_ONCE),
         group=GROUPS.get(paths.get(stem + "dedup_scope", ""), Group.CELL),
-        window=number(paths, stem + "window", 0.0) / 1000,
+        # Guards against a repeat that is decided on in time, and written when its server has forgotten.
+        window=max(0.0, number(paths, stem + "window", 0.0) - connect) / 1000,
     )
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,6 +13,7 @@
 import sys
 import time
 from collections.abc import Coroutine, Mapping
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -31,6 +32,7 @@
 from notchjunction.net.discovery import Discovery, Unusable, read_list
 from notchjunction.net.jobs import ask_of
 from notchjunction.net.logs import KeyValueFormatter, pairs
+from notchjunction.net.relay import Streams, Upload
 from notchjunction.net.servers import SETTLED, Exchanged, Servers
 from notchjunction.rules import RENEW_LEAST
 from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, configuration, news, rows, running
@@ -1334,3 +1336,31 @@
     except ValueError:
         record.exc_info = sys.exc_info()
     assert "\n" not in KeyValueFormatter().format(record)
+
+
+def test_a_reset_after_a_bodys_last_byte_is_no_word_that_it_never_ran(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end comes in before the writing of the last piece has been looked at."""
+    write_piece = Connection._write_piece
+
+    async def crossed(connection: Connection, request: Request, rest: Any, *wanted: Any) -> bool:
+        more = await write_piece(connection, request, rest, *wanted)
+        while rest.given and not connection.has_read():
+            await asyncio.sleep(0.001)
+        return more
+
+    async def story() -> None:
+        for length in (10, None):
+            async with Peer((b"", "reset")) as peer:
+                sent, upload = Dispatches(peer), Upload(Streams())
+                monkeypatch.setattr(Connection, "_write_piece", crossed if length else write_piece)
+                upload.put(b"12345", False)
+                upload.put(b"67890", True)
+                begun = replace(JOB, body=b"", more=True, length=length)
+                exchanged = await sent.servers.dispatch("s0", begun, 2.0, upload)
+                assert [request.body for request in peer.requests] == [b"1234567890"]
+                assert exchanged.ended.result is Result.RESET
+                sent.servers.close()
+
+    run(story())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,6 +9,7 @@
 from notchjunction.emulator.world import GRACE
 from notchjunction.following import TOLD_AFTER
 from notchjunction.interface import Effect, Group, Load, News, Outcome, Presence, Result, ServerEntry
+from notchjunction.terms import terms
 from tests.helpers import PLAIN, FakeHost, profile
 
 ONCE = Effect.AT_MOST_ONCE
@@ -649,3 +650,21 @@
         host.answer(server, held=0.0 if server == 2 else 5.0)
     host.serve(50)
     assert 2 not in {server for _, server in host.sent_at}
+
+
+@pytest.mark.parametrize(("at", "sent"), [(0.3, 2), (0.36, 1), (0.59, 1)])
+def test_a_repeat_is_decided_on_only_while_its_connection_can_come_up_within_the_window(
+    at: float, sent: int
+) -> None:
+    """Servers drop repeats for 0.6 s, and a connection may take 0.25 s of that."""
+    told = {
+        **{"profiles.count": "1", "profiles.0.effect": "by_key", "profiles.0.dedup_scope": "all"},
+        **{"profiles.0.window": "600", "profiles.0.contract_time": "2000", "profiles.0.abandon_time": "4000"},
+        "limits.connect_timeout": "250",
+    }
+    host = FakeHost(profiles=terms(1, told).profiles, second_copies=False)
+    host.serve(20)
+    job = host.take(time_left=4.0)
+    host.advance(at)
+    host.end(job, Result.RESET)
+    assert len(host.sent(job)) == sent
