Reread: what a kept connection knows of a body's last byte ends with its exchange

Found on reading the change: the writing of the last piece was remembered past its exchange. A later body cut off before its first piece went out passed for one that may have run (reset), and was not sent elsewhere; safe, but a retry lost. It is forgotten as the next exchange begins; the story fails without that.

--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -130,7 +130,7 @@
         `heard` is called with each piece of the answer that comes. Withheld where `wanted` says no once the
         body's last byte has come and is not yet written; it is asked again and again while there is no room.
         """
-        self._strayed = None
+        self._strayed = self._last = None
         try:
             writing = self._stream.write(encode_request(request))
             try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1364,3 +1364,29 @@
                 sent.servers.close()
 
     run(story())
+
+
+def test_a_body_cut_off_on_a_kept_connection_never_ran_though_one_before_it_did() -> None:
+    asked = asyncio.Event()
+
+    class Waits(Upload):
+        async def get(self) -> bytes:
+            asked.set()
+            return await super().get()
+
+    async def story() -> None:
+        async with Peer() as peer:
+            sent = Dispatches(peer)
+            begun = replace(JOB, body=b"", more=True, length=10)
+            whole, part = Upload(Streams()), Waits(Streams())
+            whole.put(b"1234567890", True)
+            first = await sent.servers.dispatch("s0", begun, 2.0, whole)
+            sent.clock += 2 * SETTLED
+            second = asyncio.create_task(sent.servers.dispatch("s0", begun, 2.0, part))
+            await asked.wait()  # its head is out, and none of its body has come yet
+            peer.end_all()
+            results = first.ended.result, (await second).ended.result
+            assert results == (Result.HONOURED, Result.NO_CONNECTION) and peer.connections == 1
+            sent.servers.close()
+
+    run(story())
