--- /dev/null
+++ b/notchjunction/soak/shim.py
@@ -0,0 +1,137 @@
+"""Starts the node's program with system calls, clocks and the loop that misbehave as documented.
+
+What goes wrong comes as JSON in SOAK_SHIM, with a seed; the program itself is unchanged. The faults are those
+that Linux documents for each call: an accept that finds its client gone, no descriptors for a moment, short
+writes, connections that come up late, a wall clock that is stepped, a process that is held up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import atexit
+import errno
+import json
+import os
+import runpy
+import signal
+import socket
+import sys
+import time
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+
+VARIABLE = "SOAK_SHIM"
+HOLD_EVERY = 0.3  # s between two moments in which the process may be held up
+STEP_EVERY = 1.0  # s between two steps of the wall clock
+
+
+def install(told: Mapping[str, Any]) -> None:
+    """Takes the faults named in `told`; shares are of calls, from 0 to 1."""
+    random = Random(str(told.get("seed", 0)))
+    if share := float(told.get("late_connects", 0)):
+        _late_connects(random, share, float(told.get("late_seconds", 0.5)))
+    if share := float(told.get("failing_connects", 0)):
+        _failing_connects(random, share)
+    if share := float(told.get("failing_accepts", 0)):
+        _failing_accepts(random, share)
+    if share := float(told.get("short_writes", 0)):
+        _short_writes(random, share)
+    if seconds := float(told.get("clock_steps", 0)):
+        _clock_steps(random, seconds)
+    if seconds := float(told.get("hold_seconds", 0)):
+        _holds(random, seconds)
+
+
+def _late_connects(random: Random, share: float, seconds: float) -> None:
+    """A share of connections to servers comes up later by up to so many seconds."""
+    from tornado.iostream import IOStream
+
+    connect = IOStream.connect
+
+    def late(self: Any, address: Any, *more: Any, **named: Any) -> Any:
+        async def open_late() -> Any:
+            if random.random() < share:
+                await asyncio.sleep(seconds * random.random())
+            return await connect(self, address, *more, **named)
+
+        return asyncio.ensure_future(open_late())
+
+    IOStream.connect = late  # type: ignore[method-assign]
+
+
+def _failing_connects(random: Random, share: float) -> None:
+    """A share of connects fails at once as connect(2) documents it."""
+    connect = socket.socket.connect
+    errors = (errno.ENETUNREACH, errno.EADDRNOTAVAIL, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ECONNREFUSED)
+
+    def failing(self: socket.socket, address: Any) -> None:
+        if random.random() < share:
+            number = random.choice(errors)
+            raise OSError(number, os.strerror(number))
+        connect(self, address)
+
+    socket.socket.connect = failing  # type: ignore[method-assign,assignment]
+
+
+def _failing_accepts(random: Random, share: float) -> None:
+    """A share of accepts fails: the client has gone, or there is no descriptor in that moment."""
+    accept = socket.socket.accept
+    errors = (errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EPROTO)
+
+    def failing(self: socket.socket) -> Any:
+        if random.random() < share:
+            number = random.choice(errors)
+            raise OSError(number, os.strerror(number))
+        return accept(self)
+
+    socket.socket.accept = failing  # type: ignore[method-assign]
+
+
+def _short_writes(random: Random, share: float) -> None:
+    """A share of writes takes only a part of what it is given."""
+    from tornado.iostream import IOStream
+
+    write = IOStream.write_to_fd
+
+    def short(self: Any, data: memoryview) -> int:
+        if len(data) > 1 and random.random() < share:
+            data = data[: random.randrange(1, len(data))]
+        return write(self, data)
+
+    IOStream.write_to_fd = short  # type: ignore[method-assign]
+
+
+def _clock_steps(random: Random, seconds: float) -> None:
+    """The wall clock is stepped now and then, by up to so many seconds either way."""
+    wall = time.time
+    steps: dict[int, float] = {}
+
+    def stepped() -> float:
+        now = wall()
+        step = steps.setdefault(int(time.monotonic() / STEP_EVERY), random.uniform(-seconds, seconds))
+        return now + step
+
+    time.time = stepped
+
+
+def _holds(random: Random, seconds: float) -> None:
+    """The process is held up for up to so many seconds now and then, wherever it is."""
+
+    def hold(_: int, __: Any) -> None:
+        time.sleep(seconds * random.random())
+        signal.setitimer(signal.ITIMER_REAL, HOLD_EVERY * (0.5 + random.random()))
+
+    signal.signal(signal.SIGALRM, hold)
+    atexit.register(signal.setitimer, signal.ITIMER_REAL, 0)
+    signal.setitimer(signal.ITIMER_REAL, HOLD_EVERY)
+
+
+def main() -> None:
+    install(json.loads(os.environ.get(VARIABLE, "{}")))
+    sys.argv = ["notchjunction", *sys.argv[1:]]
+    runpy.run_module("notchjunction", run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 from notchjunction.net import callers, ending, handover
 from notchjunction.net import node as node_module
 
+pytest_plugins = ("tests.known_red",)
+
 SPANS = {
     "LOOK_SPAN": 0.005,
     "LEAD_SPAN": 0.05,
--- /dev/null
+++ b/tests/test_incident.py
@@ -0,0 +1,116 @@
+"""Incident 1 on real processes over loopback: what was seen to break, each as a story of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from notchjunction.http1.parser import RequestReader
+from notchjunction.net import words
+from notchjunction.soak.discovery import LEAVING
+from notchjunction.soak.plan import Plan
+from notchjunction.soak.run import SoakRun
+from tests.helpers import Client, Program, configuration
+
+DEADLINE_SLACK = 0.15  # s by which the time told to a server may exceed what the client has left
+CROWDED_FOR = 0.5  # s until the crowded server lets connections in
+
+
+class CrowdedListener:
+    """A server whose queue of connections is full: what knocks comes up only once it has let some in."""
+
+    def __init__(self) -> None:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.at = "{}:{}".format(*self._listener.getsockname())
+        self._filling = [self._knock() for _ in range(2)]
+
+    def _knock(self) -> socket.socket:
+        knocking = socket.socket()
+        knocking.setblocking(False)
+        knocking.connect_ex(self._listener.getsockname())
+        return knocking
+
+    async def first_request(self) -> tuple[float, float]:
+        """When the first request was there, and the time left (s) that it tells."""
+        loop = asyncio.get_running_loop()
+        self._listener.setblocking(False)
+        while True:
+            opened, _ = await loop.sock_accept(self._listener)
+            if opened.getpeername() in [knocking.getsockname() for knocking in self._filling]:
+                opened.close()
+                continue
+            opened.setblocking(False)
+            requests = RequestReader()
+            while (request := requests.next()) is None:
+                piece = await loop.sock_recv(opened, 65536)
+                if not piece:
+                    break
+                requests.feed(piece)
+            if request is not None and request.path.startswith(words.JOBS):
+                return time.monotonic(), int(request.headers[words.TIME_LEFT]) / 1000
+
+    def close(self) -> None:
+        for each in (self._listener, *self._filling):
+            each.close()
+
+
+def test_a_server_is_told_the_time_that_is_left_once_its_connection_is_up(tmp_path: Path) -> None:
+    async def story() -> None:
+        server = CrowdedListener()
+        told = configuration()
+        told["settings"]["limits"]["connect_timeout"] = 2000.0
+        row = {"name": "s0", "address": server.at, "zone": "a", "group": 0, "status": "active", "since_ms": 0}
+        told["known"] = {"index": 1, "snapshot": True, "endpoints": [row]}
+        async with Program(tmp_path, told) as program:
+            await program.says("ready")
+            client = await Client().open(program.listen)
+            deadline = time.monotonic() + 2.0
+            client.ask(left="2000")
+            await asyncio.sleep(CROWDED_FOR)
+            async with asyncio.timeout(3):
+                came_at, told_left = await server.first_request()
+        server.close()
+        assert came_at > deadline - 2.0 + CROWDED_FOR  # else its connection was not late
+        assert told_left <= deadline - came_at + DEADLINE_SLACK
+
+    asyncio.run(story())
+
+
+NODES = 16
+OUTAGE = 4.0  # s
+IDEAL = 5.0  # s in which discovery can answer all nodes once, if none comes twice
+
+
+@pytest.mark.timeout(120)
+def test_nodes_that_crowd_at_discovery_as_it_comes_back_all_hear_of_a_drain(tmp_path: Path) -> None:
+    """A call that is refused for having waited costs discovery as much as one that it answers."""
+
+    async def story() -> None:
+        plan = Plan(1, NODES, 10, 1, 1, 0.0, 1.0, 1024, {}, ())
+        run = SoakRun(plan, tmp_path)
+        loop = asyncio.get_running_loop()
+        try:
+            await run.open()
+            await asyncio.sleep(3.0)
+            manner = run.discovery.manner
+            manner.lines_per_second = manner.call_lines * NODES / IDEAL
+            run.discovery.go_down()
+            await asyncio.sleep(OUTAGE)
+            run.discovery.come_back()
+            back = loop.time()
+            run.publish((run.backends[0], LEAVING))
+            heard: set[str] = set()
+            while len(heard) < NODES and loop.time() < back + 3 * IDEAL:
+                await asyncio.sleep(0.1)
+                heard = {row.node for row in run.journal.notified if row.at > back and not row.active}
+        finally:
+            await run.close()
+        assert len(heard) == NODES
+
+    asyncio.run(story())
