--- a/notchjunction/__main__.py
+++ b/notchjunction/__main__.py
@@ -28,6 +28,7 @@
 from notchjunction import checks
 from notchjunction.net import logs, node_input
 from notchjunction.net.node import Node
+from notchjunction.net.observed_loop import ObservedLoop
 
 log = logging.getLogger("notchjunction")
 LATE = {signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM, signal.SIGINT}
@@ -73,7 +74,8 @@
         log.error("no usable input", extra=logs.pairs(why=repr(error)))
         return 2
     try:
-        asyncio.run(serve(told))
+        with asyncio.Runner(loop_factory=ObservedLoop) as runner:
+            runner.run(serve(told))
     except OSError as error:
         log.error("cannot listen", extra=logs.pairs(why=error))
         return 1
--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -33,6 +33,7 @@
 )
 from notchjunction.notes import Notes, Word, tag_of
 from notchjunction.rules import Balancer
+from notchjunction.starts import Starts
 
 GONE_KEPT = 1024  # names that left the list and that operators may still speak of; a release of a large fleet
 UNKNOWN = -1  # the number of no profile
@@ -98,7 +99,7 @@
 class Send:
     dispatch: int
     server: str
-    within: float
+    until: float  # s on the decider's clock: the end of the time that it is given
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,12 +183,22 @@
 
 
 class Decider:
-    """The facade. `clock` gives Unix time that never jumps, `wake` asks for a `tick` after a delay."""
+    """The facade. `clock` gives Unix time that never jumps, `wake` asks for a `tick` after a delay.
+
+    `wall` gives Unix time as the machine has it now, by which the list tells when servers started.
+    """
 
     def __init__(
-        self, terms: Terms, names: Names, clock: Callable[[], float], wake: Callable[[float], None]
+        self,
+        terms: Terms,
+        names: Names,
+        clock: Callable[[], float],
+        wake: Callable[[float], None],
+        wall: Callable[[], float] | None = None,
     ) -> None:
         self._clock = clock
+        self._wall = wall or clock
+        self._starts = Starts()
         self._wake = wake
         self._kinds: dict[str, Kind] = {}
         self._kinds_made = 0
@@ -261,6 +272,14 @@
         """Whether a dispatch that was ordered is still wanted; orders against it may wait to be picked."""
         return not ticket.answered and dispatch not in ticket.stopped
 
+    def repeat_until(self, ticket: Ticket, dispatch: int) -> float:
+        """Until when (s) a dispatch can't make an effect happen twice; inf: always, -inf: it may already."""
+        return self._core.repeat_until(ticket.number, dispatch)
+
+    def now(self) -> float:
+        """Unix time (s) that never jumps."""
+        return self._clock()
+
     def begun(self, ticket: Ticket, dispatch: int) -> bool:
         """A large answer has begun to come; false where the job has its answer, or recalled this one."""
         if ticket.begun or not self.stands(ticket, dispatch):
@@ -302,6 +321,8 @@
         self._core.listed(news, [self._entry(server) for server in listed])
         if news is News.FAILED:
             return
+        if news is not News.REMEMBERED:
+            self._starts.heard(self._clock())
         # Guards against growing with every server that ever was. Numbers are never given out again.
         gone = {server.name for server in listed if server.presence is Presence.GONE}
         if news is not News.CHANGES:
@@ -401,7 +422,7 @@
         dispatch = len(ticket.servers)
         ticket.servers.append(server)
         ticket.out.add(dispatch)
-        self._order(job, Send(dispatch, self._names[server], within))
+        self._order(job, Send(dispatch, self._names[server], self._clock() + within))
 
     def _tell(self, peer: int, newest: int, told: Sequence[Told]) -> None:
         # Numbers are never given out again: a server that has left the list is told of without a tag.
@@ -465,7 +486,8 @@
         zone = self._zones.setdefault(listed.zone, len(self._zones)) if listed.zone else -1 - number
         cell = -1 - number if listed.cell is None else listed.cell
         tag = tag_of(listed.name)
-        return ServerEntry(number, listed.presence, listed.started_at, zone, cell, tag=tag)
+        started_at = self._starts.at(listed.name, listed.started_at, self._clock(), self._wall())
+        return ServerEntry(number, listed.presence, started_at, zone, cell, tag=tag)
 
 
 class _Desk:
--- a/notchjunction/following.py
+++ b/notchjunction/following.py
@@ -4,7 +4,12 @@
 was to bring it. A watch may be dead without a sign, so none waits longer than leaves time to find out and to
 ask again. A call that stays silent is broken, not refused: it is made again at once, on a new connection, and
 may not wait. A refused one, or one whose connection broke, is made again after a pause, so that nodes do not
-keep one another out. Pure.
+keep one another out.
+
+A call that discovery refuses because it has waited costs it as much as one that it answers. Nodes that come
+again too soon are then refused for ever, all of them, long after what caused the crowd is over. So who was
+refused for having waited comes again after a span that doubles, and who has met such a crowd, or is one of
+many nodes, spreads its next tries further, also where discovery is merely down. Pure.
 """
 
 from __future__ import annotations
@@ -22,6 +27,17 @@
 WAIT_MOST = TOLD_AFTER - SILENT_AFTER - BUSY_MOST  # s that a call waits: a silent one is made again in time
 WAIT_SHARE = 0.75  # of the time within which the list must be asked for, where that is shorter
 WAIT_SPREAD = 0.3  # of a wait, at random, that it is shorter, so that nodes' watches do not end together
+SILENT_MOST = 6.0  # s in which it is answered however many stayed silent before it; each has twice the time
+RENEW_LEAST = 0.25  # s before the list is asked for again after a failed call
+RENEW_MORE = 0.9  # s more for each failure, evenly at random from none, so that crowds come apart
+RENEW_STEPS = 3  # failures that count for it: tries 3 s apart at most, half of what a change may be late
+RENEW_SPREAD = 4.75  # s more, likewise, where a crowd was met: tries 5 s apart, and a second to answer
+CROWD_NODES = 16  # nodes of a tier from which on they may be a crowd: fewer are answered in a moment
+CROWDED_AFTER = 0.25  # s after which a call that is refused has waited; one at a place that is down has not
+CROWDED_WITHIN = 2.5  # s; what was refused later had come through the queue, and was held as a watch
+CROWD_PAUSE = 2.0  # s before a call that waited in vain is made again, and twice that after each further one
+CROWD_SPREAD = 3.0  # s more, evenly at random from none, and twice that likewise
+CROWD_MOST = 12.0  # s of either; over the time in which discovery can answer any fleet once
 AGENT_PAUSE = 0.1  # s, and as much again at random, before an agent that pushes lists is asked again
 FIRST_WITHIN = (
     3.0  # s that a new process waits for the agent's word; then the remembered list is all there is
@@ -40,6 +56,7 @@
     ANSWERED = auto()
     SILENCE = auto()
     REFUSAL = auto()
+    CROWD = auto()  # refused because it has waited too long
     BREAK = auto()
     MOVED = auto()  # the configuration names another place
 
@@ -63,41 +80,60 @@
     Row(S.NEW, E.ANSWERED, S.WATCHING, Do.GO_ON),
     Row(S.NEW, E.SILENCE, S.SILENT, Do.AGAIN),
     Row(S.NEW, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.NEW, E.CROWD, S.REFUSED, Do.PAUSE),
     Row(S.NEW, E.BREAK, S.DOWN, Do.PAUSE),
     Row(S.NEW, E.MOVED, S.NEW, Do.GO_ON),
     Row(S.WATCHING, E.ANSWERED, S.WATCHING, Do.GO_ON),
     # Guards against news that is missed while a silent call's successor waits its turn.
     Row(S.WATCHING, E.SILENCE, S.SILENT, Do.AGAIN),
     Row(S.WATCHING, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.WATCHING, E.CROWD, S.REFUSED, Do.PAUSE),
     Row(S.WATCHING, E.BREAK, S.DOWN, Do.PAUSE),
     Row(S.WATCHING, E.MOVED, S.WATCHING, Do.GO_ON),
     Row(S.SILENT, E.ANSWERED, S.WATCHING, Do.BACK),
     Row(S.SILENT, E.SILENCE, S.SILENT, Do.AGAIN),
     Row(S.SILENT, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.SILENT, E.CROWD, S.REFUSED, Do.PAUSE),
     Row(S.SILENT, E.BREAK, S.DOWN, Do.PAUSE),
     Row(S.SILENT, E.MOVED, S.SILENT, Do.AGAIN),
     Row(S.REFUSED, E.ANSWERED, S.WATCHING, Do.BACK),
     Row(S.REFUSED, E.SILENCE, S.SILENT, Do.AGAIN),
     Row(S.REFUSED, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.REFUSED, E.CROWD, S.REFUSED, Do.PAUSE),
     Row(S.REFUSED, E.BREAK, S.DOWN, Do.PAUSE),
     Row(S.REFUSED, E.MOVED, S.WATCHING, Do.GO_ON),
     Row(S.DOWN, E.ANSWERED, S.WATCHING, Do.BACK),
     Row(S.DOWN, E.SILENCE, S.SILENT, Do.AGAIN),
     Row(S.DOWN, E.REFUSAL, S.REFUSED, Do.PAUSE),
+    Row(S.DOWN, E.CROWD, S.REFUSED, Do.PAUSE),
     Row(S.DOWN, E.BREAK, S.DOWN, Do.PAUSE),
     Row(S.DOWN, E.MOVED, S.WATCHING, Do.GO_ON),
 )
 ROWS = {(row.state, row.input): row for row in TABLE}
 
 
+def renewal_pause(failures: int, random: Random, most: float = math.inf) -> float:
+    """s before the list is asked for again after so many failed calls; spread over at most so many s."""
+    more = min(RENEW_MORE * min(failures, RENEW_STEPS), most)
+    return RENEW_LEAST + more * random.random()
+
+
 class Following:
-    """One node's calls for the list; `ask_within` in s, 0: none stated; `pushed`: an agent has the list."""
+    """One node's calls for the list, of so many nodes of its tier.
+
+    `ask_within` in s, 0: none stated; `pushed`: an agent has the list.
+    """
 
-    def __init__(self, ask_within: float, pushed: bool = False, seed: int = 0) -> None:
+    def __init__(self, ask_within: float, pushed: bool = False, seed: int = 0, nodes: int = 1) -> None:
         self._pushed = pushed
         self._random = Random(f"list {seed}")
         self._wait_most = min(WAIT_MOST, ask_within * WAIT_SHARE) if ask_within > 0 else WAIT_MOST
+        self._ask_within = ask_within
         self._began = -math.inf
+        self._failures = 0  # calls in a row that were refused or broke
+        self._crowds = 0  # of those, the last ones that had waited
+        self._silences = 0  # calls in a row that ended without a word
+        self._may_be_crowd = nodes >= CROWD_NODES
         self._moved = False
         self._missed_since = math.inf
         self.state = State.NEW
@@ -116,12 +152,22 @@
         self._began = now
         if wait > 0:
             return wait + SILENT_AFTER
-        return BUSY_MOST * (1 - BUSY_SPREAD * self._random.random())
+        # Guards against a busy discovery that works through calls which were given up a moment before.
+        patience: float = BUSY_MOST * 2 ** max(0, self._silences - 1)
+        return min(patience, SILENT_MOST) * (1 - BUSY_SPREAD * self._random.random())
+
+    def refusal(self, now: float) -> Input:
+        """What a refusal of the call that is out means: a place that is down, or too many callers."""
+        waited = now - self._began
+        # A watch that goes on is in no queue: it ends as discovery goes down.
+        in_queue = self.state is not State.WATCHING and CROWDED_AFTER <= waited <= CROWDED_WITHIN
+        return Input.CROWD if in_queue else Input.REFUSAL
 
     def tell(self, event: Input, now: float) -> Effect:
         """How the last call ended."""
         # Guards against a new place that is silent: what it has counts soon after the move.
         self._moved = event is Input.MOVED or (self._moved and event is not Input.ANSWERED)
+        self._count(event)
         if event is Input.ANSWERED:
             self._missed_since = math.inf
         elif event is not Input.MOVED:
@@ -132,10 +178,29 @@
         self.state = row.then
         return row.effect
 
-    def pause(self) -> float | None:
-        """s before an agent is asked again; None where the module says it, as calls cost discovery work."""
-        # Guards against a pause that grows without bound while what the agent has counts already.
-        return AGENT_PAUSE * (1 + self._random.random()) if self._pushed else None
+    def _count(self, event: Input) -> None:
+        if event is Input.ANSWERED:
+            self._failures = self._crowds = self._silences = 0
+        elif event is Input.SILENCE:
+            self._silences += 1
+        elif event is not Input.MOVED:
+            self._failures += 1
+            self._silences = 0
+            self._crowds = self._crowds + 1 if event is Input.CROWD else 0
+            self._may_be_crowd = self._may_be_crowd or event is Input.CROWD
+
+    def pause(self) -> float:
+        """s before the list is asked for again after a call that was refused or broke."""
+        chance = self._random.random()
+        if self._pushed:
+            # Guards against a pause that grows without bound while what the agent has counts already.
+            return AGENT_PAUSE * (1 + chance)
+        if self._crowds:
+            times: float = 2 ** (self._crowds - 1)
+            return min(CROWD_PAUSE * times, CROWD_MOST) + min(CROWD_SPREAD * times, CROWD_MOST) * chance
+        if self._may_be_crowd:
+            return RENEW_LEAST + RENEW_SPREAD * chance
+        return renewal_pause(self._failures, self._random, self._ask_within / 4 or math.inf)
 
     def waits_first(self) -> float:
         """s that a new process waits for its first answer before it serves by the list that it remembers."""
--- a/notchjunction/interface.py
+++ b/notchjunction/interface.py
@@ -94,6 +94,7 @@
     crossing_price: float = 0.0
     connection_price: float = 0.0
     connection_idle: float = 0.0
+    connect_within: float = 0.0  # s that a connection may take to come up
     connection_jobs: int = 1
     cold_share: float = 1.0
     cold_time: float = 0.0
@@ -193,6 +194,8 @@
 
     def whole(self, job: int, most: float = ...) -> None: ...
 
+    def repeat_until(self, job: int, dispatch: int) -> float: ...
+
     def streaming(self, job: int, dispatch: int) -> None: ...
 
     def withdrawn(self, job: int) -> None: ...
--- a/notchjunction/lab/baselines.py
+++ b/notchjunction/lab/baselines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any
@@ -108,6 +109,9 @@
     def whole(self, job: int, most: float = 0.0) -> None:
         pass
 
+    def repeat_until(self, job: int, dispatch: int) -> float:
+        return math.inf
+
     def streaming(self, job: int, dispatch: int) -> None:
         pass
 
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import struct
+import time
 from base64 import b64decode, b64encode
 from collections.abc import Awaitable, Callable, Collection, Coroutine, Mapping
 from contextlib import suppress
@@ -27,9 +28,12 @@
 from notchjunction.net.connections import BUFFER_MOST, LOOK_EVERY, PIECE, Address, Cut, read_piece
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import SHORT, SHORT_PAUSE, Descriptors
+from notchjunction.net.flight_recorder import Occurrence
 from notchjunction.net.jobs import Job, Rights, ask_of, own_failure, passed_on
 from notchjunction.net.logs import pairs
+from notchjunction.net.observed_loop import waited_most
 from notchjunction.net.relay import Download, Streams, Upload
+from notchjunction.permits import ConnectionFacts, Refusal, StartFacts, may_close, may_start
 
 log = logging.getLogger(__name__)
 
@@ -66,13 +70,21 @@
 THROWN_MOST = 1024 * 1024  # bytes past those that are thrown away; whoever sends more ahead only costs
 
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what tells of an end behind unread bytes
+REFUSALS = (429, 503)  # what tells a caller that nothing was done
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class CallerStream(IOStream):
-    """Knows how much of what was written the operating system has taken."""
+    """Knows how much of what was written the operating system has taken, and when what was read came."""
 
     taken = 0
+    came_at = 0.0  # s, monotonic; the earliest moment at which the bytes that were read last can have come
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        count = super().read_from_fd(buf)
+        if count:
+            self.came_at = time.monotonic() - waited_most()
+        return count
 
     def write_to_fd(self, data: memoryview) -> int:
         count = super().write_to_fd(data)
@@ -433,6 +445,7 @@
             job, answer = await self._take(request)
         if answer is None:
             return False
+        self._note_answer(request, job, answer)
         # Guards against closing over a request that came with this one, drain or not.
         more = self._requests.begun or self._has_read()
         parts = self._callers.parting and (self._requests.going or not more)
@@ -444,10 +457,20 @@
         await self._write(encode_answer(replace(answer, keep=keep)))
         return keep
 
+    def _note_answer(self, request: Request, job: Job | None, answer: Answer | Download) -> None:
+        status = answer.beginning.status if isinstance(answer, Download) else answer.status
+        recorder = self._callers.counters.recorder
+        recorder.note(Occurrence.REQUEST_ANSWERED, request.headers.get(words.JOB_ID, ""), status=status)
+        if job is not None:
+            refused = status in REFUSALS
+            job.check(job.ledger.final_answer(self._callers.clock(), refused), status=status)
+
     def close(self) -> None:
         """The one place where a caller's descriptor is given back."""
         if self._open:
             self._open = False
+            if self._job is not None:
+                self._job.check(self._job.ledger.connection_closed())
             self._stream.close()
             self._stir()
             self._callers.descriptors.give_back_caller()
@@ -460,7 +483,7 @@
 
     def turn_away_in_head(self) -> None:
         """Answers 408 and ends the sending, unless more of the head has just come."""
-        if self._quiet():
+        if may_close(replace(self._facts(), begun=False)) is None:
             self._stream.write(encode_answer(self._bad(408)))
             self._part_from_outside()
 
@@ -474,19 +497,23 @@
         return True
 
     def _rests(self) -> bool:
-        return not (self._busy or self._requests.begun) and self._quiet()
+        """Whether it may be closed now though its caller has not asked for that."""
+        return may_close(self._facts()) is None
 
-    def _quiet(self) -> bool:
-        """Guards against closing over a request that has come and is not yet read."""
-        if self._has_read() or self._parted or self._stream.closed():
-            return False
+    def _facts(self) -> ConnectionFacts:
+        ending = self._parted or self._stream.closed()
+        unread = ending or self._has_read() or self._is_unread()
+        return ConnectionFacts(self._busy, self._requests.begun, unread, ending)
+
+    def _is_unread(self) -> bool:
+        """Whether bytes, or an end, have come that wait in the operating system."""
         try:
             self._stream.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return False
         except OSError:
             pass
-        return False
+        return True
 
     def _part(self) -> None:
         """Ends the sending. Guards against a request that crosses this: from here on none is sent on."""
@@ -589,10 +616,17 @@
         if ask is None:
             return None, self._bad(400)
         job_id = request.headers[words.JOB_ID]
-        if job_id in self._callers.ids:
+        refusal = may_start(StartFacts(self._parted, held=job_id in self._callers.ids))
+        if refusal is Refusal.CONNECTION_ENDING:
+            # Guards against a request that crosses the end of its connection: no answer could be given.
+            return None, None
+        if refusal is not None:
             # Guards against one job's answer and end being mistaken for another's, here and at servers.
             return None, self._bad(409)
         self._callers.counters.add("taken")
+        self._callers.counters.recorder.note(
+            Occurrence.REQUEST_TAKEN, job_id, left=round(ask.time_left, 3), waited=round(waited, 4)
+        )
         if self._full:
             self._callers.counters.add("answered_turned_back")
             return None, Answer(503)
@@ -648,7 +682,7 @@
                     room.cancel()
                     # Guards against a caller that goes unheard while its server takes nothing.
                     if full and not work.done() and not self._there():
-                        job.withdraw()
+                        self._left(job)
                         break
             else:
                 # However much was sent ahead: the end stands behind it.
@@ -664,7 +698,7 @@
                     if self._thrown > THROWN_MOST:
                         error = self._bad(413)
                 except StreamClosedError:
-                    job.withdraw()
+                    self._left(job)
                     break
                 except Malformed as malformed:
                     error = self._bad(malformed.status)
@@ -679,6 +713,12 @@
             answer.close()
         return answer if error is None else error
 
+    def _left(self, job: Job) -> None:
+        """The caller has gone: nothing is owed, and nothing more is sent for it."""
+        job.ledger.caller_left = True
+        self._callers.counters.recorder.note(Occurrence.CALLER_LEFT, job.name)
+        job.withdraw()
+
     async def _pass_on(self, request: Request, job: Job, download: Download, keep: bool) -> bool:
         """A large answer, piece by piece as it comes and as the caller reads."""
         beginning = passed_on(download.beginning)
@@ -900,7 +940,8 @@
         now = self._callers.clock()
         # A request's time counts from its last byte; of one that came ahead only the first is known for sure.
         if not self._busy or not self._requests.begun:
-            self._came_at = now
+            # Guards against a late loop's delay passing for time that the caller still has.
+            self._came_at = now - max(0.0, time.monotonic() - self._stream.came_at)
         if not self._requests.begun:
             if self in self._callers.idle:
                 self._due = now + HEAD_WITHIN
--- a/notchjunction/net/counters.py
+++ b/notchjunction/net/counters.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import Counter
 from collections.abc import Callable
 
 from notchjunction.interface import Result
+from notchjunction.net.flight_recorder import FlightRecorder
 
 log = logging.getLogger(__name__)
 
 
 class Counters:
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self.recorder = FlightRecorder(clock)
         self._counts: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
 
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -25,10 +25,12 @@
     connection_to,
     text_of,
 )
+from notchjunction.net.flight_recorder import FlightRecorder, Occurrence
 from notchjunction.net.logs import pairs
 
 log = logging.getLogger(__name__)
 
+PORT_MOST = 65535
 LIST_MOST = 8 * 1024 * 1024  # bytes of a list; tens of thousands of servers, and far under the memory limit
 
 
@@ -48,35 +50,56 @@
     addresses: Mapping[str, Address]
     older: bool = False  # than the last one heard: counted anew, or from a place that lags
 
+    def closings(self) -> ServerList:
+        """What it says of servers that may get nothing new; as changes, whatever else it says."""
+        closed = tuple(server for server in self.servers if server.presence is not Presence.READY)
+        return replace(self, whole=False, servers=closed, addresses={})
+
 
 def read_list(value: Any) -> ServerList:
     try:
         # Guards against two words on one server in one list: the last one holds, for all who read it.
         rows = list({str(row["name"]): row for row in value["endpoints"]}.values())
+        addresses = {str(row["name"]): _address(row["address"]) for row in rows if row.get("address")}
+        unreachable = {name for name, address in addresses.items() if address is None}
         return ServerList(
             version=int(value["index"]),
             whole=bool(value["snapshot"]),
-            servers=tuple(_listed(row) for row in rows),
-            addresses={str(row["name"]): address_of(row["address"]) for row in rows if row.get("address")},
+            servers=tuple(_listed(row, str(row["name"]) not in unreachable) for row in rows),
+            addresses={name: address for name, address in addresses.items() if address is not None},
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise Unusable(f"malformed list: {error!r}") from error
 
 
-def _listed(row: Mapping[str, Any]) -> Listed:
+def _address(text: Any) -> Address | None:
+    """None where there can be nobody: a row that was spoilt must not keep out the news of all others."""
+    try:
+        address = address_of(text)
+    except (ValueError, AttributeError):
+        return None
+    return address if address[0] and 0 < address[1] <= PORT_MOST else None
+
+
+def _listed(row: Mapping[str, Any], reachable: bool = True) -> Listed:
     since = float(row.get("since_ms") or 0)
     if not math.isfinite(since):
         raise ValueError("since_ms is no time")
     return Listed(
         name=str(row["name"]),
-        # Guards against sending to a server in a state this node does not know.
-        presence=words.PRESENCES.get(row["status"], Presence.DRAINING),
+        # Guards against sending to a server in a state this node does not know, or at no address.
+        presence=_presence(row["status"], reachable),
         started_at=since / 1000,
         zone=str(row.get("zone") or ""),
         cell=None if row.get("group") is None else int(row["group"]),
     )
 
 
+def _presence(status: Any, reachable: bool) -> Presence:
+    found = words.PRESENCES.get(status, Presence.DRAINING)
+    return found if reachable or found is not Presence.READY else Presence.DRAINING
+
+
 class Discovery:
     def __init__(
         self,
@@ -84,14 +107,19 @@
         following: Following,
         clock: Callable[[], float],
         spare_one: Callable[[], bool] = lambda: False,
+        recorder: FlightRecorder | None = None,
     ) -> None:
         self._address = address
+        self._recorder = recorder or FlightRecorder(clock)
         self._spare_one = spare_one
         self.following = following
         self._clock = clock
         self._connection: Connection | None = None
         self.version: int | None = None
+        self.version_before: int | None = None  # as the last news came
         self._moved = False  # since the last call began
+        self._began = 0.0  # when the last call did
+        self._wait = 0.0  # s that it may wait
         self.silences = 0  # calls that ended without a word
 
     def remember(self, version: int) -> None:
@@ -115,8 +143,13 @@
                 event = Input.ANSWERED
             except Unusable as error:
                 event, failed = error.event, error
+            self._note_end(event)
             if self._moved:
-                # Guards against a late answer from the old place, which no longer speaks for the list.
+                # Guards against a late answer from the old place, which no longer speaks for the list; but
+                # what it says of servers that close has been told.
+                if event is Input.ANSWERED and found.closings().servers:
+                    self.version_before = self.version
+                    return found.closings()
                 continue
             match self.following.tell(event, self._clock()):
                 case Effect.PAUSE:
@@ -127,12 +160,23 @@
                     continue
             if self.version is not None and found.version < self.version and not found.whole:
                 # Guards against a list that is counted anew: its changes would miss all that went before.
-                self.version = None
+                self.version = self.version_before = None
+                if found.closings().servers:
+                    return found.closings()
                 continue
             older = self.version is not None and found.version < self.version
-            self.version = found.version
+            self.version_before, self.version = self.version, found.version
             return replace(found, older=older)
 
+    def _note_end(self, event: Input) -> None:
+        self._recorder.note(
+            Occurrence.LIST_CALL_ENDED,
+            how=event.name.lower(),
+            after=round(self._clock() - self._began, 3),
+            waits=round(self._wait, 3),
+            state=self.following.state.name.lower(),
+        )
+
     def told_in(self) -> float:
         """s until what may have been missed counts as told; under 0 where it does already."""
         return self.following.told_by() - self._clock()
@@ -142,6 +186,7 @@
         wait = self.following.next_wait(known=self.version is not None)
         if self.version is not None:
             target += f"?after={self.version}&wait_ms={int(wait * 1000)}"
+        self._began, self._wait = self._clock(), wait
         loop = asyncio.get_running_loop()
         silent_at = loop.time() + self.following.begins(self._clock(), wait)
 
@@ -153,14 +198,17 @@
             async with asyncio.timeout_at(silent_at) as limit:
                 answer = await self._call(target, heard)
             if answer.status != 200:
-                raise Unusable(f"status {answer.status}", Input.REFUSAL)
+                raise Unusable(f"status {answer.status}", self.following.refusal(self._clock()))
             return read_list(_parsed(answer.body))
         except TimeoutError as error:
             self.close()
             raise Unusable("silent", Input.SILENCE) from error
         except (NotSent, Cut, Malformed) as error:
             self.close()
-            raise Unusable(str(error) or type(error).__name__) from error
+            # A place with too many callers may also end a call by its connection.
+            event = self.following.refusal(self._clock()) if isinstance(error, Cut) else Input.BREAK
+            event = Input.BREAK if event is Input.REFUSAL else event
+            raise Unusable(str(error) or type(error).__name__, event) from error
         except BaseException:
             self.close()
             raise
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import re
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 from functools import partial
 from typing import Protocol
@@ -24,16 +24,21 @@
 )
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.interface import Result
+from notchjunction.invariants import RequestLedger, Violation
 from notchjunction.net import words
 from notchjunction.net.connections import Cut
 from notchjunction.net.counters import Counters
+from notchjunction.net.flight_recorder import Occurrence
 from notchjunction.net.relay import Download, Upload
-from notchjunction.net.servers import Exchanged, Servers
+from notchjunction.net.servers import Attempt, Exchanged, Servers
+from notchjunction.permits import HELD_UP
 
 WORD = re.compile(r"[!-~]{1,128}")  # an id or a number: what is longer or not printable is none
 DIGITS_MOST = 6  # digits of milliseconds: over a quarter of an hour is no time that a caller waits
 HINT_MOST = 8  # digits of microseconds: over a minute and a half is no work of one job
-LOST_AFTER = 0.03  # s past the abandon time; a job unanswered by then was lost by a failure of the node's own
+# s past the abandon time; a job unanswered by then was lost by a failure of the node's own. Over the time
+# that a process may be held up: its last order may be due in the same late turn of the loop.
+LOST_AFTER = HELD_UP + 0.05
 UNANSWERED = (Result.TIMED_OUT, Result.RECALLED, Result.UNKNOWN)
 WRITTEN_OFF = Answer(502)
 OWN_FAILURE = Answer(500)
@@ -92,9 +97,14 @@
         self._after: asyncio.Task[None] | None = None
         self._limit: asyncio.Timeout | None = None
         self._tasks: dict[int, asyncio.Task[Exchanged]] = {}
+        self._orders: dict[int, Send] = {}
         self._answers: dict[int, Answer] = {}
         self._broken = False
         self._answer_within = max(0.0, ask.time_left) + LOST_AFTER
+        self.name = request.headers.get(words.JOB_ID, "")
+        deadline = decider.now() + ask.time_left if ask.whole else math.inf
+        self._whole_until = math.inf  # s; the end of its time, once the last byte of a large body has come
+        self.ledger = RequestLedger(ask.effect, deadline)
         self._ticket = decider.take(ask)
 
     async def answer(self, there: Callable[[], bool] = lambda: True) -> Answer | Download | None:
@@ -118,6 +128,8 @@
 
     def whole(self) -> None:
         """Its last byte has come: its time counts from now."""
+        self._whole_until = self._decider.now() + self._answer_within - LOST_AFTER
+        self.ledger.deadline_at = self._whole_until
         if self._limit is not None:
             self._limit.reschedule(asyncio.get_running_loop().time() + self._answer_within)
         try:
@@ -168,31 +180,56 @@
         except Exception as error:
             self._counters.add_failure("job failed in the node", error)
 
-    def _wanted(self, dispatch: int) -> bool:
-        """Asked at the very writing: orders may wait to be picked, and the caller's end to be read."""
-        if not self._decider.stands(self._ticket, dispatch):
-            return False
+    def _caller_there(self) -> bool:
+        """Asked at the very writing: the caller's end may have come and not be read yet."""
         there = self._there()
         if not there:
+            self.ledger.caller_left = True
             self.withdraw()
         return there
 
     def _send(self, order: Send) -> None:
         self._counters.add("dispatches_first" if order.dispatch == 0 else "dispatches_again")
-        rights = self._rights
-        work = self._servers.dispatch(
+        rights, dispatch = self._rights, order.dispatch
+        self._counters.recorder.note(
+            Occurrence.ATTEMPT_ORDERED,
+            self.name,
+            server=order.server,
+            attempt=dispatch,
+            within=round(order.until - self._decider.now(), 3),
+        )
+        attempt = Attempt(
             order.server,
-            self._request,
-            order.within,
+            order.until,
             self._upload,
-            partial(self._begun, order.dispatch),
-            partial(rights.write, order.dispatch) if rights is not None else None,
-            partial(self._wanted, order.dispatch),
+            lambda: self._whole_until,
+            partial(self._begun, dispatch),
+            partial(rights.write, dispatch) if rights is not None else None,
+            partial(self._decider.stands, self._ticket, dispatch),
+            self._caller_there,
+            partial(self._decider.repeat_until, self._ticket, dispatch),
+            partial(self._written, dispatch),
         )
+        work = self._servers.attempt(attempt, self._request)
         task = asyncio.create_task(work)
-        self._tasks[order.dispatch] = task
+        self._tasks[dispatch] = task
+        self._orders[dispatch] = order
         # Told here and not inside the task: one that is stopped before its first step runs no code.
-        task.add_done_callback(lambda _: self._ended(order.dispatch, task))
+        task.add_done_callback(lambda _: self._ended(dispatch, task))
+
+    def _written(self, dispatch: int, told: float) -> None:
+        listed = self._servers.is_listed(self._ticket_server(dispatch))
+        now = self._decider.now()
+        self.check(self.ledger.attempt_written(dispatch, now, told, listed), attempt=dispatch)
+
+    def _ticket_server(self, dispatch: int) -> str:
+        return self._orders[dispatch].server
+
+    def check(self, violations: Iterable[Violation], **facts: float | str | None) -> None:
+        """Counts and logs what has been broken."""
+        for violation in violations:
+            self._counters.add(f"invariant_{violation.value}")
+            self._counters.recorder.report(violation.value, self.name, **facts)
 
     def _begun(self, dispatch: int, download: Download) -> None:
         self._downloads[dispatch] = download
@@ -215,6 +252,7 @@
             ended = exchanged.ended
             if exchanged.answer is not None:
                 self._answers[dispatch] = exchanged.answer
+        self.ledger.attempt_ended(dispatch, ended.result)
         if self._rights is not None:
             self._rights.landed(dispatch, ended.result not in UNANSWERED)
         self._counters.add_result("dispatches", ended.result)
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -27,6 +27,7 @@
 from notchjunction.net.discovery import Discovery, ServerList, Unusable, read_list
 from notchjunction.net.ending import Effect as Do
 from notchjunction.net.ending import Ending
+from notchjunction.net.flight_recorder import Occurrence
 from notchjunction.net.handover import Giver, Handover, Inherited
 from notchjunction.net.jobs import Job, Rights
 from notchjunction.net.logs import pairs
@@ -59,14 +60,18 @@
         self._told = told
         self._offset = time.time() - time.monotonic()
         self._loop = asyncio.get_running_loop()
-        self.counters = counters = Counters()
+        self.counters = counters = Counters(self.now)
         kept_back = management.DESCRIPTORS if told.mgmt else 0
         kept_back += talk.DESCRIPTORS if told.talk else 0
         kept_back += talk.DESCRIPTORS if told.fleet is not None else 0
         self._descriptors = descriptors = Descriptors(told.sockets, kept_back)
         streams = Streams()
-        self._following = Following(told.terms.ask_within, told.pushed, told.terms.seed)
-        self._discovery = Discovery(told.discovery, self._following, self.now, self._spare_one)
+        self._following = Following(
+            told.terms.ask_within, told.pushed, told.terms.seed, told.terms.nodes
+        )
+        self._discovery = Discovery(
+            told.discovery, self._following, self.now, self._spare_one, counters.recorder
+        )
         self._servers = Servers(
             self.now,
             told.connect_within,
@@ -106,7 +111,7 @@
         self._end_at = math.inf
         self._wake_call: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._decider = Decider(told.terms, told.names, self.now, self._wake)
+        self._decider = Decider(told.terms, told.names, self.now, self._wake, time.time)
         self._talk = talk.Talk(*told.talk, self._decider.hear, counters) if told.talk else None
         if self._talk is not None:
             counters.gauge("notes_passed_over", lambda: self._decider.notes_passed_over)
@@ -518,13 +523,12 @@
             await self._list_due.wait()
             try:
                 while True:
-                    known = self._discovery.version
                     news = await self._discovery.news()
                     try:
                         self._hear(news, News.WHOLE if news.whole else News.CHANGES)
                     except Exception:
                         # Guards against changes lost for good where the node's own code fails at them.
-                        self._discovery.version = known
+                        self._discovery.version = self._discovery.version_before
                         raise
                     self.counters.add("list_calls")
                     if self._list_fails:
@@ -535,10 +539,7 @@
                 self._list_due.clear()
                 self._list_failed(error)
                 pause = self._following.pause()
-                if pause is None:
-                    self._decider.report_list(News.FAILED)
-                else:
-                    self._loop.call_later(pause, self._list_due.set)
+                self._loop.call_later(pause, self._list_due.set)
 
     def _list_failed(self, error: Exception) -> None:
         self.counters.add("list_calls_failed")
@@ -552,22 +553,49 @@
     def _hear(self, news: ServerList, kind: News) -> None:
         if news.older:
             news = replace(news, servers=tuple(self._still_drained(server) for server in news.servers))
-        if kind is not News.CHANGES:
-            self._addresses.clear()
-            self._listed.clear()
+        if kind is not News.CHANGES and self._listed:
+            # Guards against a whole list of thousands that holds up the node: most of it is known.
+            news, kind = self._differences(news), News.CHANGES
         self._addresses.update(news.addresses)
         self._listed.update({server.name: server for server in news.servers})
         for server in news.servers:
             if server.presence is Presence.GONE:
                 self._addresses.pop(server.name, None)
-                del self._listed[server.name]
+                self._listed.pop(server.name, None)
         ready = self._point()
         self._decider.report_list(kind, news.servers)
+        self.counters.recorder.note(
+            Occurrence.LIST_APPLIED, version=news.version, changes=len(news.servers), ready=ready
+        )
         if not self._ready:
             self._ready = True
             self._ready_now.set()
             log.info("ready", extra=pairs(servers=ready, version=news.version))
 
+    def _differences(self, whole: ServerList) -> ServerList:
+        """A whole list as changes to the one that is known: what it doesn't name is gone."""
+        named = {server.name for server in whole.servers}
+        changed = [
+            server
+            for server in whole.servers
+            if self._listed.get(server.name) != server
+            or self._addresses.get(server.name) != whole.addresses.get(server.name)
+        ]
+        gone = [
+            replace(server, presence=Presence.GONE)
+            for name, server in self._listed.items()
+            if name not in named
+        ]
+        addresses = {
+            server.name: whole.addresses[server.name]
+            for server in changed
+            if server.name in whole.addresses
+        }
+        for server in changed:
+            if server.name not in whole.addresses:
+                self._addresses.pop(server.name, None)
+        return replace(whole, servers=(*changed, *gone), addresses=addresses)
+
     def _point(self) -> int:
         """Shows the connections' owner who may get anything new: by the list, and by operators."""
         ready = {
@@ -581,9 +609,12 @@
         return len(ready)
 
     def _still_drained(self, server: Listed) -> Listed:
-        """Guards against taking a server's drain back on older word; only a later start does."""
+        """Guards against taking a server's drain back on older word; only another start does.
+
+        Another, and not a later one: the wall clock that tells of starts may have been stepped back.
+        """
         known = self._listed.get(server.name)
-        if known is None or known.presence is not Presence.DRAINING or server.started_at > known.started_at:
+        if known is None or known.presence is not Presence.DRAINING or server.started_at != known.started_at:
             return server
         return replace(server, presence=Presence.DRAINING) if server.presence is Presence.READY else server
 
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from statistics import median_high
-from typing import Any
+from typing import Any, NoReturn
 
 from notchjunction.decider import Ended
 from notchjunction.http1.messages import BODY_MOST, LARGE_MOST, Answer, Malformed, Request
@@ -29,7 +29,9 @@
 )
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import Descriptors
+from notchjunction.net.flight_recorder import Occurrence
 from notchjunction.net.relay import Download, Streams, Upload
+from notchjunction.permits import AttemptFacts, Refusal, may_write, time_to_tell
 from notchjunction.terms import load
 
 IDLE_SHARE = (
@@ -54,6 +56,26 @@
     answer: Answer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What an attempt of a job asks of the connections' owner; a probe has none of it."""
+
+    server: str
+    expires_at: float  # s; the end of the time that it was given
+    rest: Upload | None = None  # what follows the request's beginning
+    whole_until: Callable[[], float] = lambda: math.inf  # s; its end, once the last byte of `rest` has come
+    begun: Callable[[Download], None] | None = None  # told of a large answer
+    may_spend: Callable[[float], bool] | None = None  # whether limits let it, told to end within so many s
+    stands: Callable[[], bool] = lambda: True  # its job has no answer, and it was not recalled
+    caller_there: Callable[[], bool] = lambda: True
+    repeat_until: Callable[[], float] = lambda: math.inf  # s; until when it may be a repeat
+    written: Callable[[float], None] = lambda told: None  # told as it is written, with the time told (s)
+
+    def wanted(self) -> bool:
+        """Whether it still concerns anybody; asked again and again while its server takes no more."""
+        return self.stands() and self.caller_there()
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class Dial:
     """A connection that is to come up."""
@@ -97,6 +119,7 @@
         self._spare_one = spare_one
         self._descriptors = descriptors
         self._counters = counters
+        self._recorder = counters.recorder
         self._addresses: dict[str, Address] = {}
         self._idle: dict[str, deque[Connection]] = {}
         self._late: dict[str, set[Dial]] = {}
@@ -117,21 +140,13 @@
         self._lives = {server: lives for server, lives in self._lives.items() if server in ready}
         self._retire(lambda server, connection: not self._current(server, connection))
 
-    async def dispatch(
-        self,
-        server: str,
-        request: Request,
-        within: float,
-        rest: Upload | None = None,
-        begun: Callable[[Download], None] | None = None,
-        may_write: Callable[[float], bool] | None = None,
-        wanted: Callable[[], bool] = lambda: True,
-    ) -> Exchanged:
-        """One dispatch; `rest` is what follows the request's beginning, `begun` is told of a large answer.
-
-        At the very writing `wanted` is asked whether it is still to be sent, and again ahead of the last of
-        `rest`; `may_write` whether limits let it, with the time that the server is told (s).
-        """
+    async def dispatch(self, server: str, request: Request, within: float) -> Exchanged:
+        """One attempt that ends within so many s from now, of a request that is there whole."""
+        return await self.attempt(Attempt(server, self._clock() + within), request)
+
+    async def attempt(self, attempt: Attempt, request: Request) -> Exchanged:
+        """One attempt of a job; whether it may be written is decided as it is written."""
+        rest = attempt.rest
         if rest is not None and rest.spent:
             # Guards against a body without its middle: what was sent on before is not kept.
             return Exchanged(Ended(Result.NEVER_SENT, 0.0, spent=True))
@@ -139,14 +154,13 @@
         headers = {
             name: value for name, value in request.headers.items() if name in words.ONWARD and value.isascii()
         }
-        headers[words.TIME_LEFT] = str(max(1, int(within * 1000)))
-        onward = replace(request, headers=headers)
-        exchanged = await self._exchange(server, onward, within, rest, begun, may_write, wanted)
+        exchanged = await self._exchange(attempt, replace(request, headers=headers))
         return replace(exchanged, ended=replace(exchanged.ended, spent=rest is not None and rest.spent))
 
     async def probe(self, server: str) -> Ended:
         request = Request("GET", self._load_path, {"host": "probe"})
-        exchanged = await self._exchange(server, request, PROBE_WITHIN)
+        probe = Attempt(server, self._clock() + PROBE_WITHIN)
+        exchanged = await self._exchange(probe, request)
         answer = exchanged.answer
         if exchanged.ended.result is Result.HONOURED and answer is not None and self._load_path == words.LOAD:
             return Ended(Result.HONOURED, exchanged.ended.seconds, read_load(answer.body))
@@ -169,17 +183,11 @@
         for dial in [dial for late in self._late.values() for dial in late]:
             dial.up.cancel()
 
-    async def _exchange(
-        self,
-        server: str,
-        request: Request,
-        within: float,
-        rest: Upload | None = None,
-        begun: Callable[[Download], None] | None = None,
-        may_write: Callable[[float], bool] | None = None,
-        wanted: Callable[[], bool] = lambda: True,
-    ) -> Exchanged:
+    async def _exchange(self, attempt: Attempt, request: Request) -> Exchanged:
+        server, rest, begun = attempt.server, attempt.rest, attempt.begun
         began = self._clock()
+        # A body under way is bounded by its caller's pace; the wait for the answer counts from its end.
+        within = attempt.expires_at - began
         connection: Connection | None = None
         writing = written = keep = False
         answer: Answer | None = None
@@ -195,18 +203,14 @@
                 limit.reschedule(loop.time() + within)
 
         try:
-            # A body under way is bounded by its caller's pace; the wait for the answer counts from its end.
             async with asyncio.timeout(None if rest is not None else within) as limit:
                 connection = await self._connected(server, kept=self._may_be_kept(request))
-                # From here to the first byte nothing else runs, so this is the one place that looks again.
-                # Guards against a request to a server that the list has dropped while the connection came up,
-                # and for a caller that has gone or has its answer meanwhile.
-                if not self._current(server, connection):
-                    raise NotSent("no longer in the list")
-                if not wanted() or (may_write is not None and not may_write(within)):
-                    raise Withheld("not to be written")
+                # From here to the first byte nothing else runs.
+                request = self._permitted(attempt, request, connection, within)
                 writing = True
-                answer = await connection.exchange(request, answers, rest, all_written, wanted=wanted)
+                answer = await connection.exchange(
+                    request, answers, rest, all_written, wanted=attempt.wanted
+                )
             if answers.unread and not answer.more:
                 self._strayed()
             result = read_result(answer)
@@ -237,11 +241,67 @@
             if connection is not None:
                 self._give_back(server, connection, keep)
         report = answer.headers.get(words.SERVER_LOAD) if answer is not None else None
+        self._recorder.note(
+            Occurrence.ATTEMPT_ENDED,
+            request.headers.get(words.JOB_ID, ""),
+            server=server,
+            result=result.value,
+            after=round(self._clock() - began, 4),
+            kept=str(keep),
+        )
         # A large answer's time is that of its first bytes.
         seconds = self._clock() - began if first_after is None else first_after
         ended = Ended(result, seconds, read_load(report) if report else None)
         return Exchanged(ended, answer)
 
+    def _permitted(
+        self, attempt: Attempt, request: Request, connection: Connection, within: float
+    ) -> Request:
+        """The request as it may be written at this moment; NotSent or Withheld where it may not.
+
+        Guards against what has changed while its connection came up: the list, the caller, the time left, and
+        what became of earlier attempts.
+        """
+        now = self._clock()
+        is_probe = words.JOB_ID not in request.headers
+        facts = AttemptFacts(
+            now=now,
+            # The time of a request whose body still comes counts from its last byte.
+            expires_at=attempt.expires_at if attempt.rest is None else attempt.whole_until(),
+            stands=attempt.stands(),
+            caller_there=attempt.caller_there(),
+            listed=self._current(attempt.server, connection),
+            repeat_until=attempt.repeat_until(),
+        )
+        refusal = may_write(facts)
+        told = min(within, time_to_tell(now, facts.expires_at))
+        if refusal is None and attempt.may_spend is not None and not attempt.may_spend(told):
+            refusal = Refusal.NO_RIGHTS
+        if refusal is not None:
+            self._withhold(attempt, request, refusal)
+        if is_probe:
+            return request
+        attempt.written(told)
+        job_id = request.headers[words.JOB_ID]
+        self._recorder.note(
+            Occurrence.ATTEMPT_WRITTEN,
+            job_id,
+            server=attempt.server,
+            told=round(told, 3),
+            kept=str(connection.kept),
+        )
+        told_ms = str(max(1, int(told * 1000)))
+        return replace(request, headers={**request.headers, words.TIME_LEFT: told_ms})
+
+    def _withhold(self, attempt: Attempt, request: Request, refusal: Refusal) -> NoReturn:
+        """What may not be written is not, and it is counted why."""
+        self._counters.add(f"withheld_{refusal.name.lower()}")
+        job_id = request.headers.get(words.JOB_ID, "")
+        self._recorder.note(Occurrence.ATTEMPT_WITHHELD, job_id, server=attempt.server, why=refusal.value)
+        if refusal is Refusal.NOT_LISTED:
+            raise NotSent(refusal.value)
+        raise Withheld(refusal.value)
+
     def adopt(self, state: Mapping[str, Any], opened: socket.socket) -> Download:
         """The rest of an answer that another process of this node asked for; its connection ends with it."""
         answers = AnswerReader()
@@ -355,6 +415,10 @@
             if not kept:
                 del self._idle[server]
 
+    def is_listed(self, server: str) -> bool:
+        """Whether the list has the server ready, and no operator has it out."""
+        return server in self._addresses
+
     def _current(self, server: str, connection: Connection) -> bool:
         """Whether the list still has the server ready, and at that address."""
         return self._addresses.get(server) == connection.address
--- /dev/null
+++ b/notchjunction/permits.py
@@ -0,0 +1,99 @@
+"""The one place that decides whether something may be sent, repeated, closed or started at this moment.
+
+A decision rests on facts: the list of servers, the time left, whether the caller is there, what earlier
+attempts may have done. Between the decision and its act a connection comes up, a peer takes its bytes, or the
+process is held up, and the facts change. So whoever acts gathers the facts anew in the moment of the act, and
+asks here. Nothing may run between the answer and the act. Pure: no I/O and no clock.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+HELD_UP = 0.15  # s that a process may be held up between its clock and its act; the operators'
+TOLD_LEAST = 0.001  # s that a server can be told at least; the protocol counts whole milliseconds
+
+
+class Refusal(Enum):
+    """Why something may not be done now."""
+
+    JOB_ENDED = "job ended"  # it has its final answer, or the attempt was recalled
+    CALLER_LEFT = "caller left"
+    NOT_LISTED = "not listed"  # the server drains, has left, is barred, or has moved
+    NO_TIME_LEFT = "no time left"
+    MAY_HAVE_RUN = "an earlier attempt may have run"
+    ALREADY_HELD = "already held"  # another request of that id is under way here
+    NO_RIGHTS = "no rights"  # under a limit of the whole fleet
+    CONNECTION_ENDING = "connection ending"  # its sending has ended: no answer could be given
+    REQUEST_OPEN = "request open"  # one has been read, or has begun to come, and is not answered
+    BYTES_UNREAD = "bytes unread"  # a close over them is a reset, and they may be a request
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFacts:
+    """What decides whether an attempt may be written, as it is in the moment of the writing."""
+
+    now: float  # s
+    expires_at: float  # s; the end of the time that the attempt was given
+    stands: bool  # its job has no answer, and the attempt was not recalled
+    caller_there: bool
+    listed: bool  # the list has the server ready, and at the address of this connection
+    repeat_until: float = math.inf  # s; until when it cannot make an effect happen twice; -inf: never
+
+
+def may_write(facts: AttemptFacts) -> Refusal | None:
+    """Whether an attempt, first or further, may be written now."""
+    if not facts.stands:
+        return Refusal.JOB_ENDED
+    if not facts.caller_there:
+        return Refusal.CALLER_LEFT
+    if not facts.listed:
+        return Refusal.NOT_LISTED
+    if facts.now >= facts.expires_at:
+        return Refusal.NO_TIME_LEFT
+    if facts.now + HELD_UP >= facts.repeat_until:
+        return Refusal.MAY_HAVE_RUN
+    return None
+
+
+def time_to_tell(now: float, expires_at: float) -> float:
+    """s that a server is told it has: what is left in the moment of the writing, and never more."""
+    return max(TOLD_LEAST, expires_at - now)
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionFacts:
+    """What decides whether a caller's connection may be closed, as it is in that moment."""
+
+    answering: bool  # a request on it has been taken and has no whole answer yet
+    begun: bool  # part of a further request has been read
+    unread: bool  # bytes or an end have come that nobody has read
+    ending: bool = False  # its sending has ended
+
+
+def may_close(facts: ConnectionFacts) -> Refusal | None:
+    """Whether a caller's connection may be closed now though its caller has not asked for it."""
+    if facts.ending:
+        return Refusal.CONNECTION_ENDING
+    if facts.answering or facts.begun:
+        return Refusal.REQUEST_OPEN
+    if facts.unread:
+        return Refusal.BYTES_UNREAD
+    return None
+
+
+@dataclass(frozen=True, slots=True)
+class StartFacts:
+    """What decides whether a request that has been read becomes a job."""
+
+    ending: bool  # the connection's sending has ended
+    held: bool  # one of the same id is under way
+
+
+def may_start(facts: StartFacts) -> Refusal | None:
+    """Whether a request that has just been read may become a job."""
+    if facts.ending:
+        return Refusal.CONNECTION_ENDING
+    return Refusal.ALREADY_HELD if facts.held else None
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -12,13 +12,14 @@
 import math
 from bisect import insort
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from hashlib import blake2b
 from random import Random
 from typing import Any, NamedTuple
 
 from notchjunction.clearing import Clearing, Take
+from notchjunction.following import renewal_pause
 from notchjunction.interface import (
     Effect,
     Group,
@@ -45,6 +46,7 @@
 USUAL_SPAN = 0.1  # s for which the fleet's usual figures stand; short against any trouble
 FRESH_SPAN = 10.0  # s an answer counts; the weight of an old one is small long before
 POOL_MOST = 48  # newest answers that are looked at; bounds the work of a pick, however large the fleet
+LOOKS_MOST = 32  # random looks for two servers that fit, before all are gone through
 POOL_SHARE = 0.34  # of the fresh answers, the best, that make up the pool; random enough against herds
 WAIT_NOISE = 2.0  # times the usual seconds that a probe may take by chance, as on a new connection
 WAIT_TIMES = 4.0  # times the usual past which its server counts as slow; past chance and unequal machines
@@ -74,9 +76,6 @@
 NEAR_WORTH = 20.0  # times the far server's score, for a crossing price of 1, that a near one may be worse
 NEAR_SPARE = 0.5  # of an even share of own jobs out that does not count against a near server; it is chance
 GUARD_TICKS = 2  # host ticks before the abandon time at which the last answer is given
-RENEW_LEAST = 0.25  # s before the list is asked for again after a failed call
-RENEW_MORE = 0.9  # s more for each failure, evenly at random from none, so that crowds come apart
-RENEW_STEPS = 3  # failures that count for it: tries 3 s apart at most, half of what a change may be late
 KEY_SERVERS = 2  # that a key goes to first; more would share what one remembers, one alone may be hot
 KEY_SLACK = 2.5  # times the pool's choice that one of them may score; a met key takes far less work
 TOLD_MOST = 12  # last outcomes of its own that a node tells with each; each is told to about so many peers
@@ -99,6 +98,11 @@
         self._servers: dict[int, Server] = {}
         self._barred: dict[int, float] = {}
         self._ready: list[Server] = []
+        # Of the ready ones, those that a look at all of them would find: a large fleet has few such.
+        self._cold: list[Server] = []  # may still be cold
+        self._linked_lately: dict[Server, None] = {}  # may have an open connection of this node
+        self._resting: dict[Server, None] = {}  # may be set aside
+        self._waited: deque[tuple[float, Server]] = deque()  # probed within the span that such a wait counts
         self._owed: list[Server] = []
         self._pool: deque[Server] = deque(maxlen=POOL_MOST)
         self._ends: deque[End] = deque(maxlen=LAST_ALL)
@@ -164,6 +168,7 @@
         self._contract = min((profile.contract_time for profile in profiles.values()), default=1.0)
         # Guards against a contract time that ends before several usual ones.
         self._patience_most = OVERDUE_SHARE * self._contract if terms.beside_clients else math.inf
+        self._find_cold()
         self._near_slack = 1.0 + NEAR_WORTH * terms.crossing_price
         self._guard = GUARD_TICKS * terms.tick
         # What was learned of a profile goes with it; a job that is held still knows its own.
@@ -262,6 +267,7 @@
         # Guards against taking a probe that failed at once for a quick one.
         if waited > known.wait or (waited >= 0 and result is Result.HONOURED):
             known.wait, known.waited_at = waited, now
+            self._waited.append((now, known))
         if result is Result.HONOURED:
             self._answered(known, load or Load(), now)
         else:
@@ -274,8 +280,8 @@
         if news is News.FAILED:
             self._failures += 1
             # Guards against all nodes asking a troubled list service again at the same moment.
-            more = min(RENEW_MORE * min(self._failures, RENEW_STEPS), self._terms.ask_within / 4 or math.inf)
-            self._after(RENEW_LEAST + more * self._random.random(), self._host.follow)
+            most = self._terms.ask_within / 4 or math.inf
+            self._after(renewal_pause(self._failures, self._random, most), self._host.follow)
             return
         self._failures = 0
         if news is not News.CHANGES:
@@ -312,6 +318,8 @@
         self._clearing.learn(lessons["clearing"], now)
         for index, known in lessons["servers"].items():
             self._servers[index].learn(known, now)
+            self._resting[self._servers[index]] = None
+            self._waited.append((now, self._servers[index]))
         for index, times in lessons["spent"].items():
             self._spent[index].extend(float(seconds) for seconds in times)
 
@@ -320,10 +328,17 @@
         # Kept between news: going through a large fleet for each job costs more than all its decisions.
         self._ready = [server for server in self._servers.values() if self._is_open(server)]
         self._owed = [server for server in self._ready if server.owed]
+        self._find_cold()
+        # Guards against growing with every server that ever was.
+        self._linked_lately = {server: None for server in self._linked_lately if self._is_known(server)}
         known = (server for server in self._pool if self._servers.get(server.entry.server) is server)
         self._pool = deque(known, maxlen=POOL_MOST)
         self._turn()
 
+    def _find_cold(self) -> None:
+        now = self._host.now()
+        self._cold = [server for server in self._ready if self._is_cold(server, now)]
+
     # The loop and what it reads.
 
     def _step(self, held: Held, event: Input) -> None:
@@ -481,6 +496,7 @@
         dispatch.at = now
         self._recent.append(dispatch)
         dispatch.server.flights.append(dispatch)
+        self._linked_lately[dispatch.server] = None
 
     def _landed(self, dispatch: Dispatch) -> None:
         if dispatch in dispatch.server.flights:
@@ -520,6 +536,9 @@
                 and (not held.sent or self._may_run_on(held, server, now))
             )
 
+        def is_near(server: Server) -> bool:
+            return server.entry.zone == self._terms.zone
+
         # Guards against a server given back that is never met: nothing is known of it.
         owed = next((server for server in self._owed if server.owed and fits(server)), None)
         if owed is not None:
@@ -527,7 +546,7 @@
         known = [server for server in self._familiar(now) if fits(server)]
         pool = known or [server for server in self._pool if fits(server)]
         ready = known or self._ready
-        choice = self._better(pool, (server for server in ready if fits(server)), now)
+        choice = self._better(pool, ready, fits, now)
         if choice is not None and held.key:
             most = KEY_SLACK * self._score(choice, now)
             likely = (server for server in self._likely_met(held.key) if fits(server))
@@ -535,9 +554,8 @@
             choice = met if self._score(met, now) <= most else choice
         elif choice is not None and self._near_slack > 1.0 and choice.entry.zone != self._terms.zone:
             # Acts only where crossing zones is priced: a near server wins unless clearly worse.
-            pool = [server for server in pool if server.entry.zone == self._terms.zone]
-            found = (server for server in ready if server.entry.zone == self._terms.zone and fits(server))
-            near = self._better(pool, found, now)
+            pool = [server for server in pool if is_near(server)]
+            near = self._better(pool, ready, lambda server: is_near(server) and fits(server), now)
             spare = math.floor(NEAR_SPARE * len(self._flying) / len(self._ready))
             most = self._near_slack * self._score(choice, now)
             if near is not None and self._score(near, now, spare) <= most:
@@ -553,16 +571,31 @@
 
         return sorted(self._ready, key=rank)[:KEY_SERVERS]
 
-    def _better(self, pool: list[Server], ready: Iterable[Server], now: float) -> Server | None:
+    def _better(
+        self, pool: list[Server], ready: Sequence[Server], fits: Callable[[Server], bool], now: float
+    ) -> Server | None:
         """The better of two random entries of the pool; under two fresh, of two ready ones by own jobs."""
         fresh = [server for server in pool if now - server.answered_at <= FRESH_SPAN]
         if len(fresh) >= 2:
             scored = sorted((self._score(server, now), self._random.random(), server) for server in fresh)
             best = scored[: max(2, math.ceil(len(scored) * POOL_SHARE))]
             return min(self._random.sample(best, 2))[2]
-        two = self._random.sample(found := list(ready), min(2, len(found)))
+        two = self._two_of(ready, fits)
         return min(two, key=lambda server: len(server.flights), default=None)
 
+    def _two_of(self, ready: Sequence[Server], fits: Callable[[Server], bool]) -> list[Server]:
+        """Two random servers that fit, or as many as there are."""
+        found: dict[Server, None] = {}
+        # Guards against going through a large fleet for each job: mostly the first few looks are enough.
+        for _ in range(LOOKS_MOST if len(ready) > LOOKS_MOST else 0):
+            server = self._random.choice(ready)
+            if fits(server):
+                found[server] = None
+            if len(found) == 2:
+                return list(found)
+        fitting = [server for server in ready if fits(server)]
+        return self._random.sample(fitting, min(2, len(fitting)))
+
     def _familiar(self, now: float) -> list[Server]:
         """Servers with an open connection, where connections are priced or new ones fail; none elsewhere."""
         # Guards against more connections than servers accept, and new ones failing while open ones serve on.
@@ -570,9 +603,24 @@
         fail = sum(1 for _, made in self._links if not made) > LAST_FEW / 2
         if not fail and self._terms.connection_price <= 0:
             return []
-        linked = [server for server in self._ready if self._linked(server, now)]
+        linked = [server for server in list(self._linked_lately) if self._has_link(server, now)]
         return linked if fail or len(linked) >= FAMILIAR else []
 
+    def _has_link(self, server: Server, now: float) -> bool:
+        """Whether it is ready and linked; where it has no link at all, it is not looked at again."""
+        linked = self._linked(server, now)
+        if not (linked or server.flights):
+            del self._linked_lately[server]
+        return linked and self._is_in_use(server)
+
+    def _is_known(self, server: Server) -> bool:
+        """Whether it is in the list, and not the record of a server that left or restarted."""
+        return self._servers.get(server.entry.server) is server
+
+    def _is_in_use(self, server: Server) -> bool:
+        """Whether it is one of the ready ones."""
+        return self._is_known(server) and self._is_open(server)
+
     def _linked(self, server: Server, now: float) -> bool:
         shared = self._terms.connection_jobs > 1 and len(server.flights) > 0
         return shared or (len(server.idle) > 0 and server.idle[-1] > now - self._terms.connection_idle)
@@ -584,6 +632,7 @@
             dispatch.server.idle.clear()
         elif result not in (Result.NEVER_SENT, Result.SPOILT):
             dispatch.server.idle.append(now)
+            self._linked_lately[dispatch.server] = None
 
     def _score(self, server: Server, now: float, spare: float = 0.0) -> float:
         """The answer's load, less as it ages, plus own sends still out, less those spared, by its pace."""
@@ -600,7 +649,12 @@
     def _silent(self, now: float) -> list[Server]:
         """Servers from which nothing was heard since an overdue dispatch; none if that is most of them."""
         due = now - min(PATIENCE * self._usual().seconds, self._patience_most)
-        holding = [server for server in self._ready if server.flights and server.flights[0].at < due]
+        flying = dict.fromkeys(dispatch.server for dispatch in self._flying.values())
+        holding = [
+            server
+            for server in flying
+            if server.flights and server.flights[0].at < due and self._is_in_use(server)
+        ]
         silent = [server for server in holding if server.heard_at < server.flights[0].at]
         return silent if len(silent) <= SILENT_MOST * len(self._ready) else []
 
@@ -609,10 +663,18 @@
         # Guards against jobs at overdriven servers: a probe tells of those seconds before a job does.
         usual = self._usual_now
         least, silent = max(WAIT_TIMES * usual.wait, WAIT_PART * usual.seconds), self._silent(now)
-        awake = (server for server in self._ready if server not in silent)
-        found = silent + [each for each in awake if each.wait > least and now - each.waited_at < WAIT_SPAN]
+        self._prune(self._waited, now - WAIT_SPAN)
+        waited = dict.fromkeys(server for _, server in self._waited)
+        slow = [server for server in waited if server.wait > least and now - server.waited_at < WAIT_SPAN]
+        found = silent + [server for server in slow if server not in silent and self._is_in_use(server)]
         return found if len(found) <= SILENT_MOST * len(self._ready) else []
 
+    def _set_aside(self, now: float) -> list[Server]:
+        """The ready servers that are set aside."""
+        for server in [server for server in self._resting if server.back_at <= now]:
+            del self._resting[server]
+        return [server for server in self._resting if self._is_in_use(server)]
+
     def _takes_more(self, server: Server, now: float) -> bool:
         return server.back_at <= now and server not in self._passed_over
 
@@ -630,22 +692,37 @@
             self._usual_now = Usual(*(max(figure, 0.001) for figure in figures))
             self._passed_over = self._find_passed_over(now)
             # Kept with them: going through a large fleet for each job costs more than all its decisions.
-            warm = [server for server in self._ready if not self._is_cold(server, now)]
-            self._warm = len(warm)
-            self._able = sum(1 for server in warm if self._takes_more(server, now))
+            self._cold = [server for server in self._cold if self._is_cold(server, now)]
+            self._warm = len(self._ready) - len(self._cold)
+            kept_out = dict.fromkeys([*self._set_aside(now), *self._passed_over])
+            self._able = self._warm - sum(1 for server in kept_out if not self._is_cold(server, now))
         return self._usual_now
 
     # The four rules.
 
     def _may_run_on(self, held: Held, server: Server, now: float) -> bool:
         """Whether a further dispatch there cannot make an effect happen twice."""
+        # Guards against a repeat that is decided on in time, and comes up when its server has forgotten.
+        return now < self._repeat_until(held, held.sent, server) - self._terms.connect_within
+
+    def _repeat_until(self, held: Held, earlier: Sequence[Dispatch], server: Server) -> float:
+        """Until when a dispatch there cannot make an effect happen twice; -inf where it may at once."""
         profile = held.profile
-        ran = [dispatch for dispatch in held.sent if dispatch.may_have_run]
+        ran = [dispatch for dispatch in earlier if dispatch.may_have_run]
         if not ran or profile.effect is Effect.REISSUABLE:
-            return True
-        if profile.effect is Effect.AT_MOST_ONCE or now >= ran[0].at + profile.window - self._guard:
-            return False
-        return all(self._drops_repeats(profile, dispatch.server, server) for dispatch in ran)
+            return math.inf
+        if profile.effect is Effect.AT_MOST_ONCE:
+            return -math.inf
+        if not all(self._drops_repeats(profile, dispatch.server, server) for dispatch in ran):
+            return -math.inf
+        return ran[0].at + profile.window - self._guard
+
+    def repeat_until(self, job: int, dispatch: int) -> float:
+        """The same for a dispatch that was ordered, by what is known now of those before it."""
+        held = self._held.get(job)
+        if held is None:
+            return -math.inf
+        return self._repeat_until(held, held.sent[:dispatch], held.sent[dispatch].server)
 
     def _drops_repeats(self, profile: Profile, first: Server, second: Server) -> bool:
         near = first.entry.zone == second.entry.zone
@@ -708,7 +785,7 @@
         good = outcome.result is Result.HONOURED
         if outcome.result is Result.FULL:
             # Guards against a second refusal there: a full server has room when a job of the usual time ends.
-            server.back_at = max(server.back_at, now + self._usual().seconds)
+            self._rest(server, max(server.back_at, now + self._usual().seconds))
         if not good and outcome.result not in FAULTS:
             return
         seconds = outcome.seconds if good or outcome.result is Result.TIMED_OUT else 0.0
@@ -726,12 +803,16 @@
             return
         others = [end.good for end in self._ends if end.server is not server]
         usual = sum(others) / len(others) if others else 1.0
-        aside = sum(1 for other in self._ready if other.back_at > now)
+        aside = len(self._set_aside(now))
         # Guards against setting the fleet aside in a trouble common to all.
         if sum(server.last) / len(server.last) < usual - HEALTH_GAP and aside < ASIDE_MOST * len(self._ready):
-            server.back_at = now + ASIDE_SPAN + self._random.uniform(0, ASIDE_RANDOM)
+            self._rest(server, now + ASIDE_SPAN + self._random.uniform(0, ASIDE_RANDOM))
             self._host.set_aside(server.entry.server, server.back_at - now)
 
+    def _rest(self, server: Server, until: float) -> None:
+        server.back_at = until
+        self._resting[server] = None
+
     def _answered(self, server: Server, load: Load, now: float) -> None:
         server.answer, server.answered_at = load, now
         if server in self._pool:
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -23,12 +23,12 @@
 
 KEY_WINDOW = 3.0  # s for which a zone remembers a key
 COLD_TIME = 4.0  # s until a backend that has started is warm
-COLD_SHARE = 0.4  # of its capacity that it has as it starts
-FALL_MULTIPLE = 3.0
+COLD_SHARE = 0.15  # of its capacity that it has as it starts
+FALL_MULTIPLE = 2.0
 FALL_SPAN = 2.0  # s
 CONNECT_WITHIN = 0.5  # s after which a node gives up a connection that does not come up
 CONNECTION_IDLE = 5.0  # s after which a backend closes an idle connection, as the settings tell it
-CAPACITY = 20.0  # calls a second of a warm backend, by which its cold budget is judged
+CAPACITY_TIMES = 1.5  # times an even part of the traffic that a warm backend takes in a second
 LONGEST_DEADLINE = 2.5  # s
 LOOK_EVERY = 0.01  # s between looks at how late this harness's own loop is
 STALL_LEAST = 0.005  # s of lateness that is noted
@@ -274,7 +274,8 @@
                     self.journal.node_errors.append(f"{node.name}: {line[:400]}")
 
     def _result(self) -> Result:
-        limits = Limits(KEY_WINDOW, COLD_TIME, COLD_SHARE, FALL_MULTIPLE, FALL_SPAN, CAPACITY)
+        capacity = CAPACITY_TIMES * self.plan.rate / self.plan.backends
+        limits = Limits(KEY_WINDOW, COLD_TIME, COLD_SHARE, FALL_MULTIPLE, FALL_SPAN, capacity)
         counters: dict[str, float] = {}
         for node in self.nodes:
             for name, figure in node.counters().items():
--- a/notchjunction/terms.py
+++ b/notchjunction/terms.py
@@ -75,7 +75,6 @@
 
 def _profile(paths: Paths, stem: str) -> Profile:
     abandon = number(paths, stem + "abandon_time", 1000.0) / 1000
-    connect = number(paths, "limits.connect_timeout", CONNECT_WITHIN)
     return Profile(
         contract_time=number(paths, stem + "contract_time", abandon * 1000) / 1000,
         abandon_time=abandon,
@@ -83,8 +82,7 @@
         late_share=number(paths, stem + "tardy_revenue", 0.0),
         effect=EFFECTS.get(paths.get(stem + "effect", ""), Effect.AT_MOST_ONCE),
         group=GROUPS.get(paths.get(stem + "dedup_scope", ""), Group.CELL),
-        # Guards against a repeat that is decided on in time, and written when its server has forgotten.
-        window=max(0.0, number(paths, stem + "window", 0.0) - connect) / 1000,
+        window=number(paths, stem + "window", 0.0) / 1000,
     )
 
 
@@ -112,6 +110,7 @@
         crossing_price=number(paths, "prices.cross_zone", 0.0),
         connection_price=number(paths, "prices.connection", 0.0) + number(paths, "prices.handshake", 0.0),
         connection_idle=number(paths, "limits.conn_idle", 0.0) / 1000,
+        connect_within=number(paths, "limits.connect_timeout", CONNECT_WITHIN) / 1000,
         connection_jobs=int(number(paths, "limits.max_streams", 1)),
         cold_share=number(paths, "invariants.start_capacity", 1.0),
         cold_time=number(paths, "invariants.cold", 0.0) / 1000,
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 
 import pytest
 
 from notchjunction.following import (
     AGENT_PAUSE,
+    CROWD_MOST,
+    CROWD_PAUSE,
+    CROWD_SPREAD,
     FIRST_WITHIN,
+    RENEW_LEAST,
+    RENEW_MORE,
+    RENEW_SPREAD,
     ROWS,
     SILENT_AFTER,
     Effect,
@@ -29,6 +36,7 @@
     Input.SILENCE: Effect.AGAIN,
     Input.REFUSAL: Effect.PAUSE,
     Input.BREAK: Effect.PAUSE,
+    Input.CROWD: Effect.PAUSE,
     Input.MOVED: Effect.GO_ON,
 }
 
@@ -105,7 +113,8 @@
     assert max(waits) - min(waits) > 1.0 and max(waits) <= 4.0
     assert Following(0.0).next_wait(known=True) <= 4.0
     agent, asked = Following(0.0, pushed=True), Following(10.0)
-    assert AGENT_PAUSE <= (agent.pause() or 0.0) <= 2 * AGENT_PAUSE and asked.pause() is None
+    assert AGENT_PAUSE <= agent.pause() <= 2 * AGENT_PAUSE
+    assert RENEW_LEAST <= asked.pause() <= RENEW_LEAST + RENEW_MORE
     assert (agent.waits_first(), asked.waits_first()) == (FIRST_WITHIN, 0.0)
 
 
@@ -125,3 +134,126 @@
     assert following.next_wait(known=True) == 0.0  # it has not said a word yet
     following.tell(Input.ANSWERED, 104.0)
     assert following.next_wait(known=True) > 0.0
+
+
+@pytest.mark.parametrize(
+    ("state", "waited", "event"),
+    [
+        (State.NEW, 0.01, Input.REFUSAL),  # nobody is there to wait for
+        (State.NEW, 1.0, Input.CROWD),
+        (State.SILENT, 1.0, Input.CROWD),
+        (State.REFUSED, 1.0, Input.CROWD),
+        (State.DOWN, 1.0, Input.CROWD),
+        (State.DOWN, 3.5, Input.REFUSAL),  # it had come through, and was held
+        (State.WATCHING, 1.0, Input.REFUSAL),  # a watch that goes on is in no queue
+    ],
+)
+def test_a_refusal_after_a_wait_in_the_queue_is_told_from_one_of_a_place_that_is_down(
+    state: State, waited: float, event: Input
+) -> None:
+    following = follow(10.0, WAY[state])
+    following.begins(200.0, 0.0)
+    assert following.refusal(200.0 + waited) is event
+
+
+def test_who_waited_in_vain_comes_again_after_twice_the_span_each_time_up_to_a_bound() -> None:
+    for seed in range(50):
+        following = Following(10.0, seed=seed)
+        for times in (1, 2, 4, 8, 16):
+            following.tell(Input.CROWD, 100.0)
+            least, spread = (min(times * span, CROWD_MOST) for span in (CROWD_PAUSE, CROWD_SPREAD))
+            assert least <= following.pause() <= least + spread
+        following.tell(Input.ANSWERED, 200.0)
+        following.tell(Input.CROWD, 201.0)
+        assert following.pause() <= CROWD_PAUSE + CROWD_SPREAD
+
+
+def test_tries_at_a_place_that_is_down_are_3_s_apart_and_5_s_where_a_crowd_was_met() -> None:
+    for seed in range(50):
+        following = Following(0.0, seed=seed)
+        for failures in range(1, 6):
+            following.tell(Input.REFUSAL, 100.0)
+            assert RENEW_LEAST <= following.pause() <= RENEW_LEAST + RENEW_MORE * min(failures, 3) < 3.0
+        following.tell(Input.CROWD, 101.0)
+        following.tell(Input.REFUSAL, 102.0)
+        # A change counts 6 s after discovery is back: a second is left for the call.
+        assert RENEW_LEAST <= following.pause() <= RENEW_LEAST + RENEW_SPREAD <= 5.0
+
+
+def test_a_call_after_one_that_stayed_silent_has_twice_the_time() -> None:
+    following = Following(10.0)
+    following.tell(Input.ANSWERED, 0.0)
+    for most in (1.5, 3.0, 6.0, 6.0):
+        following.tell(Input.SILENCE, 10.0)
+        assert 0.7 * most <= following.begins(10.0, following.next_wait(known=True)) <= most
+
+
+class Crowd:
+    """Nodes at a discovery that works through calls in turn, and refuses those that have waited for 1 s.
+
+    Each call costs it the same, whether or not it is answered or still waited for.
+    """
+
+    def __init__(self, nodes: int, rate: float, down: float, seed: int) -> None:
+        self._rate, self._down, self._free_at = rate, down, 0.0
+        self._followings = [
+            Following(10.0, seed=1000 * seed + number, nodes=nodes) for number in range(nodes)
+        ]
+        self._calls = [0] * nodes
+        self._due: list[tuple[float, int, int, Input | None]] = []  # None: the node asks
+        self.heard: dict[int, float] = {}  # s after discovery's return
+
+    def play(self, until: float) -> None:
+        for number, following in enumerate(self._followings):
+            following.tell(Input.ANSWERED, 0.0)
+            following.tell(Input.REFUSAL, 0.0)  # its watch ends as discovery goes down
+            self._after(0.0, number, following)
+        while self._due and self._due[0][0] < self._down + until:
+            now, number, call, event = heapq.heappop(self._due)
+            if event is None:
+                self._ask(now, number)
+            elif call == self._calls[number]:
+                self._calls[number] += 1
+                self._ended(now, number, event)
+
+    def _after(self, now: float, number: int, following: Following) -> None:
+        heapq.heappush(self._due, (now + following.pause(), number, 0, None))
+
+    def _ask(self, now: float, number: int) -> None:
+        following, call = self._followings[number], self._calls[number]
+        silent_after = following.begins(now, following.next_wait(known=True))
+        if now < self._down:
+            self._ended(now, number, Input.REFUSAL)
+            return
+        heapq.heappush(self._due, (now + silent_after, number, call, Input.SILENCE))
+        begins = max(now, self._free_at)
+        self._free_at = begins + 1 / self._rate
+        if begins - now > 1.0:
+            heapq.heappush(self._due, (now + 1.0, number, call, Input.REFUSAL))
+        else:
+            heapq.heappush(self._due, (self._free_at, number, call, Input.ANSWERED))
+
+    def _ended(self, now: float, number: int, event: Input) -> None:
+        following = self._followings[number]
+        event = following.refusal(now) if event is Input.REFUSAL else event
+        match following.tell(event, now):
+            case Effect.PAUSE:
+                self._after(now, number, following)
+            case Effect.AGAIN:
+                self._ask(now, number)
+            case _:
+                self.heard.setdefault(number, now - self._down)
+
+
+@pytest.mark.parametrize(
+    ("nodes", "rate", "all_within"), [(15, 5.0, 8.0), (24, 8.0, 6.0), (200, 60.0, 6.0), (200, 40.0, 10.0)]
+)
+def test_a_crowd_at_discovery_comes_apart_however_many_were_refused(
+    nodes: int, rate: float, all_within: float
+) -> None:
+    """It could answer each once in 3 to 5 s; those who come too soon cost as much as those it answers."""
+    for seed in range(10):
+        crowd = Crowd(nodes, rate, down=8.0, seed=seed)
+        crowd.play(until=60.0)
+        assert len(crowd.heard) == nodes
+        assert max(crowd.heard.values()) <= all_within
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -17,7 +17,7 @@
 from notchjunction.net.callers import Caller
 from notchjunction.net.connections import PIECE, Address, Connection
 from notchjunction.net.node import Node
-from notchjunction.net.servers import SETTLED, Servers
+from notchjunction.net.servers import SETTLED, Attempt, Servers
 from tests.helpers import FULL, OK, SILENT, Client, Peer, RawClient, running
 from tests.test_large import Talk, served
 from tests.test_net import JOB, Dispatches, hanging, run
@@ -171,7 +171,9 @@
             dispatches = Dispatches(peer)
             assert (await dispatches.send()).ended.result is Result.HONOURED
             dispatches.rested()
-            refused = await dispatches.servers.dispatch("s0", JOB, 2.0, may_write=lambda _: False)
+            refused = await dispatches.servers.attempt(
+                Attempt("s0", dispatches.clock + 2.0, may_spend=lambda _: False), JOB
+            )
             assert refused.ended.result is Result.NEVER_SENT
             assert (await dispatches.send()).ended.result is Result.HONOURED
             assert len(peer.requests) == 2 and peer.connections == 1
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -29,6 +29,7 @@
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
 from notchjunction.net.relay import Download, Streams
+from notchjunction.net.servers import Attempt
 from tests.helpers import Client, FakeHost, Peer, call, configuration, free_address, rows, running
 from tests.test_net import JOB, Dispatches, run
 from tests.test_upgrade import until_yes
@@ -1048,7 +1049,9 @@
         async with Scripted(never_ends) as peer:
             sent = Dispatches(peer)
             begun: asyncio.Future[Download] = asyncio.get_running_loop().create_future()
-            work = asyncio.create_task(sent.servers.dispatch("s0", JOB, 2.0, begun=begun.set_result))
+            work = asyncio.create_task(
+                sent.servers.attempt(Attempt("s0", sent.clock + 2.0, begun=begun.set_result), JOB)
+            )
             download = await begun
             work.cancel()
             await asyncio.wait({work})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -21,7 +21,7 @@
 
 from notchjunction import following
 from notchjunction.__main__ import main
-from notchjunction.following import Following
+from notchjunction.following import RENEW_LEAST, Following
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence, Result
@@ -33,8 +33,7 @@
 from notchjunction.net.jobs import ask_of
 from notchjunction.net.logs import KeyValueFormatter, pairs
 from notchjunction.net.relay import Streams, Upload
-from notchjunction.net.servers import SETTLED, Exchanged, Servers
-from notchjunction.rules import RENEW_LEAST
+from notchjunction.net.servers import SETTLED, Attempt, Exchanged, Servers
 from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, configuration, news, rows, running
 
 PROGRAM = [sys.executable, "-m", "notchjunction"]
@@ -1358,7 +1357,7 @@
                 upload.put(b"12345", False)
                 upload.put(b"67890", True)
                 begun = replace(JOB, body=b"", more=True, length=length)
-                exchanged = await sent.servers.dispatch("s0", begun, 2.0, upload)
+                exchanged = await sent.servers.attempt(Attempt("s0", sent.clock + 2.0, upload), begun)
                 assert [request.body for request in peer.requests] == [b"1234567890"]
                 assert exchanged.ended.result is Result.RESET
                 sent.servers.close()
@@ -1380,9 +1379,11 @@
             begun = replace(JOB, body=b"", more=True, length=10)
             whole, part = Upload(Streams()), Waits(Streams())
             whole.put(b"1234567890", True)
-            first = await sent.servers.dispatch("s0", begun, 2.0, whole)
+            first = await sent.servers.attempt(Attempt("s0", sent.clock + 2.0, whole), begun)
             sent.clock += 2 * SETTLED
-            second = asyncio.create_task(sent.servers.dispatch("s0", begun, 2.0, part))
+            second = asyncio.create_task(
+                sent.servers.attempt(Attempt("s0", sent.clock + 2.0, part), begun)
+            )
             await asked.wait()  # its head is out, and none of its body has come yet
             peer.end_all()
             results = first.ended.result, (await second).ended.result
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,140 @@
+"""What may be done in the moment of the act, and what is checked of it afterwards."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from notchjunction.interface import Effect, Result
+from notchjunction.invariants import LATE_ANSWER, TOLD_SLACK, RequestLedger, Violation
+from notchjunction.net.flight_recorder import ENTRIES_MOST, REPORTS_MOST, FlightRecorder, Occurrence
+from notchjunction.permits import (
+    HELD_UP,
+    TOLD_LEAST,
+    AttemptFacts,
+    ConnectionFacts,
+    Refusal,
+    StartFacts,
+    may_close,
+    may_start,
+    may_write,
+    time_to_tell,
+)
+
+SOUND = AttemptFacts(now=10.0, expires_at=11.0, stands=True, caller_there=True, listed=True)
+
+
+def test_an_attempt_whose_facts_all_hold_may_be_written() -> None:
+    assert may_write(SOUND) is None
+    assert may_write(replace(SOUND, repeat_until=10.0 + HELD_UP + 0.01)) is None
+
+
+@pytest.mark.parametrize(
+    ("changed", "refusal"),
+    [
+        ({"stands": False}, Refusal.JOB_ENDED),
+        ({"caller_there": False}, Refusal.CALLER_LEFT),
+        ({"listed": False}, Refusal.NOT_LISTED),
+        ({"now": 11.0}, Refusal.NO_TIME_LEFT),
+        ({"repeat_until": -math.inf}, Refusal.MAY_HAVE_RUN),
+        ({"repeat_until": 10.0}, Refusal.MAY_HAVE_RUN),
+        # It may be held up between its clock and the writing.
+        ({"repeat_until": 10.0 + HELD_UP}, Refusal.MAY_HAVE_RUN),
+    ],
+)
+def test_one_fact_that_does_not_hold_is_enough_to_withhold_it(
+    changed: dict[str, Any], refusal: Refusal
+) -> None:
+    assert may_write(replace(SOUND, **changed)) is refusal
+
+
+def test_a_server_is_never_told_more_than_what_is_left() -> None:
+    assert time_to_tell(10.0, 11.5) == 1.5
+    assert time_to_tell(10.0, 9.0) == TOLD_LEAST
+
+
+@pytest.mark.parametrize(
+    ("facts", "refusal"),
+    [
+        (ConnectionFacts(False, False, False), None),
+        (ConnectionFacts(True, False, False), Refusal.REQUEST_OPEN),
+        (ConnectionFacts(False, True, False), Refusal.REQUEST_OPEN),
+        (ConnectionFacts(False, False, True), Refusal.BYTES_UNREAD),
+        (ConnectionFacts(False, False, False, ending=True), Refusal.CONNECTION_ENDING),
+    ],
+)
+def test_a_connection_is_closed_only_where_nothing_is_owed_on_it(
+    facts: ConnectionFacts, refusal: Refusal | None
+) -> None:
+    assert may_close(facts) is refusal
+
+
+def test_a_request_starts_once_and_not_on_a_connection_that_ends() -> None:
+    assert may_start(StartFacts(ending=False, held=False)) is None
+    assert may_start(StartFacts(ending=True, held=False)) is Refusal.CONNECTION_ENDING
+    assert may_start(StartFacts(ending=False, held=True)) is Refusal.ALREADY_HELD
+
+
+def ledger(effect: Effect = Effect.AT_MOST_ONCE) -> RequestLedger:
+    return RequestLedger(effect, deadline_at=10.0)
+
+
+def test_what_was_done_soundly_breaks_nothing() -> None:
+    sound = ledger()
+    assert sound.attempt_written(0, 8.0, 2.0, listed=True) == []
+    sound.attempt_ended(0, Result.FULL)
+    assert sound.attempt_written(1, 9.0, 1.0, listed=True) == []
+    sound.attempt_ended(1, Result.HONOURED)
+    assert sound.final_answer(9.5, refused=False) == []
+    assert sound.connection_closed() == []
+
+
+@pytest.mark.parametrize("result", [Result.RESET, Result.TIMED_OUT, Result.ERROR, Result.UNKNOWN])
+def test_an_attempt_after_one_that_may_have_run_is_seen(result: Result) -> None:
+    again = ledger()
+    again.attempt_written(0, 8.0, 2.0, listed=True)
+    again.attempt_ended(0, result)
+    assert again.attempt_written(1, 8.5, 1.5, listed=True) == [Violation.MAY_RUN_TWICE]
+    harmless = ledger(Effect.REISSUABLE)
+    harmless.attempt_written(0, 8.0, 2.0, listed=True)
+    harmless.attempt_ended(0, result)
+    assert harmless.attempt_written(1, 8.5, 1.5, listed=True) == []
+
+
+def test_each_broken_rule_is_seen() -> None:
+    assert ledger().attempt_written(0, 8.0, 2.0, listed=False) == [Violation.SENT_TO_UNLISTED]
+    assert ledger().attempt_written(0, 8.0, 2.0 + 2 * TOLD_SLACK, listed=True) == [Violation.TOLD_TOO_LONG]
+    ended = ledger()
+    assert ended.final_answer(9.0, refused=True) == []
+    assert ended.attempt_written(0, 9.0, 0.5, listed=True) == [Violation.SENT_AFTER_END]
+    assert ended.final_answer(9.1, refused=True) == [Violation.ANSWERED_TWICE, Violation.REFUSED_AFTER_RUN]
+    assert ledger().final_answer(10.0 + 2 * LATE_ANSWER, refused=False) == [Violation.ANSWERED_LATE]
+    assert ledger().connection_closed() == [Violation.CLOSED_UNANSWERED]
+    left = ledger()
+    left.caller_left = True
+    assert left.connection_closed() == []
+    assert left.attempt_written(0, 8.0, 1.0, listed=True) == [Violation.SENT_AFTER_END]
+
+
+def test_the_recorder_keeps_the_newest_and_logs_a_requests_entries_where_it_went_wrong(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    clock = [0.0]
+    recorder = FlightRecorder(lambda: clock[0])
+    for number in range(ENTRIES_MOST + 5):
+        recorder.note(Occurrence.REQUEST_TAKEN, f"r{number}", left=1.0)
+    assert recorder.about("r0") == [] and len(recorder.about("r5")) == 1
+    recorder.note(Occurrence.ATTEMPT_WRITTEN, "r9", server="s1", told=0.5)
+    recorder.report("told_too_long", "r9", attempt=0)
+    said = [record.getMessage() for record in caplog.records]
+    assert said == ["anomaly", "request taken", "attempt written", "invariant broken"]
+    caplog.clear()
+    for _ in range(3 * REPORTS_MOST):
+        recorder.report("told_too_long")
+    assert len(caplog.records) == REPORTS_MOST - 1  # a storm of them says no more
+    clock[0] += 60.0
+    recorder.report("told_too_long")
+    assert len(caplog.records) == REPORTS_MOST
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -662,7 +662,8 @@
         **{"profiles.0.window": "600", "profiles.0.contract_time": "2000", "profiles.0.abandon_time": "4000"},
         "limits.connect_timeout": "250",
     }
-    host = FakeHost(profiles=terms(1, told).profiles, second_copies=False)
+    found = terms(1, told)
+    host = FakeHost(profiles=found.profiles, connect_within=found.connect_within, second_copies=False)
     host.serve(20)
     job = host.take(time_left=4.0)
     host.advance(at)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -255,7 +255,7 @@
 LOYAL = """
 from notchjunction.net.jobs import Job
 Job.withdraw = lambda self: None
-Job._wanted = lambda self, dispatch: True
+Job._caller_there = lambda self: True
 from notchjunction.__main__ import main
 main()
 """
--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,89 @@
+"""Starts of servers on the node's own clock, while the wall clock is stepped."""
+
+from __future__ import annotations
+
+import pytest
+
+from notchjunction.decider import Ask, Decider, Listed, Names, Send, TurnBack, WriteOff
+from notchjunction.interface import Effect, News, Presence, Profile, Terms
+from notchjunction.starts import KEPT_MOST, LISTED_LATE, Starts
+
+HOUR = 3600.0
+NOW = 1_000_000.0  # s on the node's clock, which was set by the wall clock as the node started
+
+
+@pytest.mark.parametrize("step", [-HOUR, -60.0, 0.0, 60.0, HOUR])
+def test_a_start_that_is_news_is_recent_however_the_wall_clock_was_stepped_before_it(step: float) -> None:
+    starts = Starts()
+    starts.heard(NOW)
+    wall = NOW + 2.0 + step
+    assert starts.at("s", wall - 1.0, NOW + 2.0, wall) == pytest.approx(NOW + 1.0)
+
+
+@pytest.mark.parametrize("step", [-HOUR, -60.0, 60.0, HOUR])
+def test_a_step_between_a_start_and_its_news_makes_it_just_started(step: float) -> None:
+    starts = Starts()
+    starts.heard(NOW)
+    assert starts.at("s", NOW + 1.0, NOW + 2.0, NOW + 2.0 + step) == NOW + 2.0
+
+
+def test_what_was_said_of_a_start_stays_whatever_the_clocks_say_later() -> None:
+    starts = Starts()
+    starts.heard(NOW)
+    first = starts.at("s", NOW + 1.0, NOW + 2.0, NOW + 2.0)
+    starts.heard(NOW + 2.0)
+    assert starts.at("s", NOW + 1.0, NOW + 50.0, NOW + 50.0 - HOUR) == first
+
+
+def test_a_first_list_is_believed_and_a_list_that_is_a_little_late_too() -> None:
+    starts = Starts()
+    assert starts.at("old", NOW - 500.0, NOW, NOW) == NOW - 500.0
+    assert starts.at("always", 0.0, NOW, NOW) == 0.0
+    starts.heard(NOW)
+    late = NOW + 1.0 - (1.0 + LISTED_LATE) + 0.1
+    assert starts.at("late", late, NOW + 1.0, NOW + 1.0) == pytest.approx(late)
+    assert starts.at("later", late - 0.2, NOW + 1.0, NOW + 1.0) == NOW + 1.0
+
+
+def test_names_are_not_kept_for_ever() -> None:
+    starts = Starts()
+    for number in range(KEPT_MOST + 10):
+        starts.at(f"s{number}", 0.0, NOW, NOW)
+    assert len(starts._starts) == KEPT_MOST
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_server_that_starts_after_a_step_is_cold_for_its_cold_time_alone(step: float) -> None:
+    clock = [NOW]
+    terms = Terms(
+        seed=1,
+        profiles=[Profile(1.0, 2.0, effect=Effect.REISSUABLE)],
+        depth=0,
+        depths=1,
+        probes=False,
+        cold_share=0.1,
+        cold_time=8.0,
+        tip_multiple=1.0,
+    )
+    decider = Decider(
+        terms, Names(["plain"]), lambda: clock[0], lambda delay: None, lambda: clock[0] + step
+    )
+    decider.report_list(News.WHOLE, [])
+    clock[0] += 1.0
+    new = Listed("new", Presence.READY, clock[0] + step - 0.5)
+    decider.report_list(News.CHANGES, [new])
+
+    def sent(jobs: int) -> int:
+        """How many of so many jobs, all at one moment, are sent on at once."""
+        found = 0
+        for _ in range(jobs):
+            ticket = decider.take(Ask("plain", 2.0, Effect.REISSUABLE))
+            while not ticket.orders.empty():
+                order = ticket.orders.get_nowait()
+                assert isinstance(order, Send | TurnBack | WriteOff)
+                found += isinstance(order, Send)
+        return found
+
+    assert sent(20) <= 1
+    clock[0] += 8.0
+    assert sent(20) > 1
