--- a/notchjunction/soak/plan.py
+++ b/notchjunction/soak/plan.py
@@ -73,7 +73,7 @@
     Kind.BACKENDS_TROUBLE: (0.05, 0.4),
     Kind.BACKENDS_SLOW: (2, 10),
     Kind.CONNECTIONS_RESET: (0.2, 1.0),
-    Kind.DISCOVERY_SLOW: (2, 20),
+    Kind.DISCOVERY_SLOW: (10, 100),
     Kind.CLIENTS_LEAVE: (0.2, 0.8),
     Kind.BURST: (1.5, 3),
 }
@@ -105,7 +105,7 @@
         "failing_accepts": random.choice((0, 0, 0.05)),
         "short_writes": random.choice((0, 0.1)),
         "clock_steps": random.choice((0, 0, 3600)),
-        "hold_seconds": random.choice((0, 0, 0.1)),
+        "hold_seconds": random.choice((0, 0, 0.15)),
     }
     count = random.randint(6, 14)
     kinds = [random.choice(OFTEN if random.random() < 0.4 else tuple(Kind)) for _ in range(count)]
@@ -118,7 +118,7 @@
         layers=random.choice((1, 1, 2)),
         seconds=seconds,
         rate=random.choice((60, 120, 200)),
-        descriptors=random.choice((120, 256, 1024)),
+        descriptors=random.choice((64, 120, 256, 1024)),
         shim=shim,
         faults=sorted(faults, key=lambda fault: fault.at),
     )
