--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -139,6 +139,8 @@
         self._waiting: socket.socket | None = None  # past the margin; those after it are in the queue
         self._waits_since: float | None = None
         self._look: asyncio.TimerHandle | None = None  # nobody is let in before it
+        self._queued_since = 0.0  # s; since when those in the queue may wait there
+        self._left_at = 0.0  # s; when it was left, last, with some in it maybe
         self.draining = False
         self.parting = False
         self.last = False  # by now all has to be answered
@@ -170,6 +172,7 @@
 
     def _listen(self) -> None:
         if not self._paused and self._look is None:
+            self._left_at = self.clock()
             for listener in self.listeners:
                 self._loop.add_reader(listener.fileno(), self._accept, listener)
 
@@ -217,6 +220,10 @@
 
     def _accept(self, listener: socket.socket) -> int:
         """How many came in at one go."""
+        came_after = self.clock() - waited_most()
+        if came_after > self._left_at:
+            # The loop has waited since: nobody was there then.
+            self._queued_since = came_after
         for count in range(ACCEPT_MOST):
             if self._look is not None:
                 return count
@@ -238,8 +245,10 @@
                 if short:
                     # Guards against a loop that does nothing but fail: the listener stays readable.
                     self._hold_off(SHORT_PAUSE)
+                self._left_at = self.clock()
                 return count
             self._let_in(connection)
+        self._left_at = self.clock()
         return ACCEPT_MOST
 
     def _let_in(self, connection: socket.socket) -> None:
@@ -259,6 +268,7 @@
         self._limited = full
         stream = CallerStream(connection, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
         caller = Caller(self, stream, full)
+        caller.waited_since(self._queued_since)
         self._callers[caller] = self._loop.create_task(self._serve(caller, caller.converse()))
 
     def _make_room(self) -> bool:
@@ -399,6 +409,7 @@
         self._busy = False
         # When the request's last byte was read; of one that came ahead of its turn, the first.
         self._came_at = callers.clock()
+        self._early_since: float | None = None  # s; since when what came before it was let in may wait
         self._waited = 0.0  # s so far for the body under way
         self._job: Job | None = None
         self._upload: Upload | None = None
@@ -412,6 +423,11 @@
         # The first request is due by the time of connecting: bytes that drip in do not renew it.
         self._due = self._came_at + (REFUSED_WITHIN if full else HEAD_WITHIN)
 
+    def waited_since(self, since: float) -> None:
+        """It may have been in the queue since then (s), and what has come by now as well."""
+        if self._is_unread():
+            self._early_since = since
+
     async def converse(self) -> None:
         self._stream.set_nodelay(True)
         keep = True
@@ -942,6 +958,8 @@
         if not self._busy or not self._requests.begun:
             # Guards against a late loop's delay passing for time that the caller still has.
             self._came_at = now - max(0.0, time.monotonic() - self._stream.came_at)
+        if self._early_since is not None:
+            self._came_at, self._early_since = min(self._came_at, self._early_since), None
         if not self._requests.begun:
             if self in self._callers.idle:
                 self._due = now + HEAD_WITHIN
--- a/notchjunction/net/discovery.py
+++ b/notchjunction/net/discovery.py
@@ -73,12 +73,9 @@
 
 
 def _address(text: Any) -> Address | None:
-    """None where there can be nobody: a row that was spoilt must not keep out the news of all others."""
-    try:
-        address = address_of(text)
-    except (ValueError, AttributeError):
-        return None
-    return address if address[0] and 0 < address[1] <= PORT_MOST else None
+    """None where there can be nobody: no connection can be tried there, and it must not fail in the node."""
+    address = address_of(text)
+    return address if 0 < address[1] <= PORT_MOST else None
 
 
 def _listed(row: Mapping[str, Any], reachable: bool = True) -> Listed:
--- a/notchjunction/permits.py
+++ b/notchjunction/permits.py
@@ -13,6 +13,8 @@
 from enum import Enum
 
 HELD_UP = 0.15  # s that a process may be held up between its clock and its act; the operators'
+WAY_MOST = 0.02  # s kept of what is left for the ways from the caller and to the server; nobody measures them
+WAY_SHARE = 0.1  # of what is left that is kept for them at most: a request with little time needs it
 TOLD_LEAST = 0.001  # s that a server can be told at least; the protocol counts whole milliseconds
 
 
@@ -59,8 +61,9 @@
 
 
 def time_to_tell(now: float, expires_at: float) -> float:
-    """s that a server is told it has: what is left in the moment of the writing, and never more."""
-    return max(TOLD_LEAST, expires_at - now)
+    """s that a server is told it has: what is left in the moment of the writing, less the way, never more."""
+    left = expires_at - now
+    return max(TOLD_LEAST, left - min(WAY_MOST, WAY_SHARE * left))
 
 
 @dataclass(frozen=True, slots=True)
--- a/notchjunction/soak/backend.py
+++ b/notchjunction/soak/backend.py
@@ -21,7 +21,10 @@
 ABORT = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 BACKLOG = 256
 STRAY_AFTER = 0.004  # s until a second answer follows the first; the protocol's spoilt answers
+IDLE_MOMENTS = (0.0, 0.01, 0.03, 0.05)  # s after an answer at which a connection is closed without a word
+SLOW_RESET_AFTER = 0.8  # s
 DRIP_PIECES = 5  # of an answer that comes slowly
+DRIP_PAUSE = 0.02  # s between them
 LARGE_BODY = 200 * 1024  # bytes of a large answer, which a node passes on in pieces
 
 
@@ -43,6 +46,22 @@
     LARGE = auto()
     CHUNKED = auto()
     CLOSING = auto()  # says Connection: close, and closes
+    CLOSES_IDLE = auto()  # closes without a word a moment after its answer, as it is used again
+    HALF_LINE = auto()  # the beginning of a further answer follows, and never goes on
+    INTERIM = auto()  # interim answers come ahead
+    LONG_RESET = auto()  # a large answer with no length, in pieces, reset on the way
+    SLOW_RESET = auto()  # reset long after the request was read
+
+
+# After which the client can't have a whole answer.
+NOT_WHOLE = (
+    Trouble.RESET_MIDWAY,
+    Trouble.GARBAGE,
+    Trouble.TRUNCATED,
+    Trouble.UNTIL_RESET,
+    Trouble.LONG_RESET,
+    Trouble.SLOW_RESET,
+)
 
 
 @dataclass(slots=True)
@@ -209,7 +228,7 @@
         if trouble is Trouble.LARGE:
             body += b"." * LARGE_BODY
         wire = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-        whole = trouble not in (Trouble.RESET_MIDWAY, Trouble.GARBAGE, Trouble.TRUNCATED, Trouble.UNTIL_RESET)
+        whole = trouble not in NOT_WHOLE
         if whole:
             self._backend.journal.answers_made.setdefault(name, set()).add(body)
         if whole and trouble is not Trouble.DRIP:
@@ -244,6 +263,20 @@
             case Trouble.CHUNKED:
                 head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 self._write(head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body))
+            case Trouble.CLOSES_IDLE:
+                self._write(wire)
+                moment = self._backend.random.choice(IDLE_MOMENTS)
+                asyncio.get_running_loop().call_later(moment, self._close)
+            case Trouble.HALF_LINE:
+                self._write(wire)
+                asyncio.get_running_loop().call_later(STRAY_AFTER, self._write, b"HTTP/1.1 2")
+            case Trouble.INTERIM:
+                self._write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + wire)
+            case Trouble.LONG_RESET:
+                self._drip(b"HTTP/1.1 200 OK\r\n\r\n" + body + b"." * LARGE_BODY)
+                asyncio.get_running_loop().call_later(DRIP_PAUSE * DRIP_PIECES, self.abort)
+            case Trouble.SLOW_RESET:
+                asyncio.get_running_loop().call_later(SLOW_RESET_AFTER, self.abort)
             case Trouble.CLOSING:
                 self._write(wire.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
                 self._close()
@@ -255,7 +288,7 @@
         step = len(wire) // DRIP_PIECES + 1
         for index in range(DRIP_PIECES):
             piece = wire[index * step : (index + 1) * step]
-            asyncio.get_running_loop().call_later(0.02 * index, self._write, piece)
+            asyncio.get_running_loop().call_later(DRIP_PAUSE * index, self._write, piece)
 
     def _rest(self) -> None:
         if self._idle_timer is not None:
--- a/notchjunction/soak/client.py
+++ b/notchjunction/soak/client.py
@@ -36,6 +36,8 @@
     LARGE = auto()  # a body of many pieces
     STOPS = auto()  # writes half a request and stays
     PIPELINES = auto()  # the next request right behind the first
+    CHUNKED = auto()  # a body of unknown length
+    EXPECTS = auto()  # holds its body back until it is told to go on
     NONSENSE = auto()
 
 
@@ -44,7 +46,7 @@
     """What clients send; shares from 0 to 1."""
 
     rate: float = 100.0  # requests a second over all nodes
-    deadlines: tuple[float, ...] = (0.3, 0.8, 1.5, 2.5)  # s
+    deadlines: tuple[float, ...] = (0.02, 0.1, 0.3, 0.8, 1.5, 2.5)  # s
     odd_share: float = 0.15  # of requests that are not PLAIN
     manners: tuple[Manner, ...] = (Manner.LEAVES, Manner.SLOW)
     effects: tuple[Effect, ...] = (Effect.SAFE, Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
@@ -267,6 +269,13 @@
             each.malformed = True
             link.writer.write(b"\x16\x03\x01 what?\r\n\r\n")
             return
+        if manner is Manner.EXPECTS:
+            head, _, body = wire.partition(b"\r\n\r\n")
+            link.writer.write(head + b"\r\nExpect: 100-continue\r\n\r\n")
+            await asyncio.sleep(0.05 * self._random.random())
+            each.sent_at = loop.time()
+            link.writer.write(body)
+            return
         if manner in (Manner.SLOW, Manner.LARGE):
             pieces = 4
             step = len(wire) // pieces + 1
@@ -294,7 +303,10 @@
         ]
         if each.effect is Effect.KEYED:
             lines.append(f"Idempotency-Key: {key}")
-        if body:
+        if body and manner is Manner.CHUNKED:
+            lines.append("Transfer-Encoding: chunked")
+            body = b"%x;x=1\r\n%b\r\n0\r\nTrailer: 1\r\n\r\n" % (len(body), body)
+        elif body:
             lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join([*lines, "", ""]).encode() + body
 
