No connection ends over a request that has come and is not yet read

Found in the audit of all paths that end something. A node that parts with its callers, or gives up one that has rested too long, looked at what it had read and not at what the operating system held: the request was read after the end was told, and dropped (lost). Ruled out for the paths that go through may_close: those look. Change: both look, too. Both stories fail without: no second answer within 5 s.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -462,9 +462,7 @@
         if answer is None:
             return False
         self._note_answer(request, job, answer)
-        # Guards against closing over a request that came with this one, drain or not.
-        more = self._requests.begun or self._has_read()
-        parts = self._callers.parting and (self._requests.going or not more)
+        parts = self._callers.parting and (self._requests.going or not self._has_more())
         keep = request.keep and not self._full and not parts
         if isinstance(answer, Download):
             assert job is not None
@@ -473,6 +471,10 @@
         await self._write(encode_answer(replace(answer, keep=keep)))
         return keep
 
+    def _has_more(self) -> bool:
+        """Guards against closing over a request that came with this one, read or not, drain or not."""
+        return self._requests.begun or self._has_read() or self._is_unread()
+
     def _note_answer(self, request: Request, job: Job | None, answer: Answer | Download) -> None:
         status = answer.beginning.status if isinstance(answer, Download) else answer.status
         recorder = self._callers.counters.recorder
@@ -599,6 +601,10 @@
                 return None
             if reading.done():
                 self._feed()
+                late = late and self._callers.clock() >= self._due
+            elif late and not self._requests.begun:
+                # Guards against ending a connection over a request that came as its time was over.
+                late = may_close(self._facts()) is None
         return request
 
     async def _wait(self, *waiting: asyncio.Future[Any]) -> bool:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -30,6 +30,7 @@
 from tests.helpers import (
     Client,
     Peer,
+    RawClient,
     Reply,
     configuration,
     free_address,
@@ -806,3 +807,58 @@
             assert node.now() >= node._ending.end_at
 
     run(story())
+
+
+def test_a_request_that_waits_unread_as_an_answer_is_ready_is_answered_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The node parts with its callers; the next request has come, and nobody has read it yet."""
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            caller = RawClient(address)
+            note = Caller._note_answer
+
+            def crossed(self: Caller, *facts: Any) -> None:
+                node._callers.part()
+                if len(peer.requests) == 1:
+                    caller.ask()
+                note(self, *facts)
+
+            monkeypatch.setattr(Caller, "_note_answer", crossed)
+            caller.ask()
+            async with asyncio.timeout(5):
+                while len(peer.requests) < 2:
+                    await asyncio.sleep(0.01)
+                caller.socket.setblocking(False)
+                text = b""
+                while piece := await asyncio.get_running_loop().sock_recv(caller.socket, 65536):
+                    text += piece
+            assert text.count(b" 200 ") == 2 and text.lower().count(b"connection: close") == 1
+
+    asyncio.run(story())
+
+
+def test_a_request_that_comes_as_its_connection_has_rested_for_too_long_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(callers, "IDLE_MOST", 0.1)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (_, address):
+            caller = RawClient(address)
+            wait = Caller._wait
+
+            async def crossed(self: Caller, *waiting: asyncio.Future[Any]) -> bool:
+                late = await wait(self, *waiting)
+                if late and len(peer.requests) == 1 and not self._has_read():
+                    caller.ask()
+                return late
+
+            monkeypatch.setattr(Caller, "_wait", crossed)
+            caller.ask()
+            async with asyncio.timeout(5):
+                while len(peer.requests) < 2:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(story())
