--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -104,7 +104,7 @@
         self.name = request.headers.get(words.JOB_ID, "")
         deadline = decider.now() + ask.time_left if ask.whole else math.inf
         self._whole_until = math.inf  # s; the end of its time, once the last byte of a large body has come
-        self.ledger = RequestLedger(ask.effect, deadline)
+        self.ledger = RequestLedger(ask.effect, deadline, decider.now())
         self._ticket = decider.take(ask)
 
     async def answer(self, there: Callable[[], bool] = lambda: True) -> Answer | Download | None:
--- a/notchjunction/soak/client.py
+++ b/notchjunction/soak/client.py
@@ -6,8 +6,8 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Coroutine
-from contextlib import suppress
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from enum import Enum, auto
 from random import Random
@@ -21,6 +21,7 @@
 ANSWER_MOST = 0.8  # s past its deadline that a client waits; past the slack that the oracle allows
 RESEND_MOST = 1  # times that a request which crossed a close is sent again
 NEW_CONNECTIONS_SPAN = 0.3  # s after SIGTERM in which clients still open connections
+HALF_CLOSED_FOR = 0.2  # s for which a client that has ended its sending keeps the connection
 PIPELINED = 3  # requests at once on one connection
 LARGE_REQUEST = 150 * 1024  # bytes of a body that a node passes on in pieces
 
@@ -41,6 +42,9 @@
     NONSENSE = auto()
 
 
+LEAVING_MANNERS = (Manner.LEAVES, Manner.RESETS, Manner.HALF_CLOSES)
+
+
 @dataclass(slots=True)
 class Traffic:
     """What clients send; shares from 0 to 1."""
@@ -72,6 +76,21 @@
         self.writer.transport.abort()
 
 
+@contextmanager
+def noting_end(each: Exchange) -> Iterator[None]:
+    """Notes how an exchange ended that got no whole answer."""
+    loop = asyncio.get_running_loop()
+    try:
+        yield
+    except TimeoutError:
+        each.ended_at = loop.time()
+    except asyncio.CancelledError:
+        each.client_left_at = loop.time()
+        raise
+    except (OSError, Malformed):
+        each.closed_at = loop.time()
+
+
 class Clients:
     """All clients of a run; connections are kept to each node and used until they close."""
 
@@ -179,22 +198,19 @@
         if link is None:
             return
         loop = asyncio.get_running_loop()
+        # One reader: several answers may come at once.
+        answers = AnswerReader(body_most=1 << 26)
         waiting = [self._new_exchange(link, effect, deadline) for _ in range(PIPELINED)]
         for each in waiting:
             link.writer.write(self._wire(each, Manner.PLAIN, f"k{each.request}"))
         try:
             for each in waiting:
                 each.sent_at = loop.time()
-                async with asyncio.timeout(deadline + ANSWER_MOST):
-                    if not await self._answer(link, each):
-                        break
-        except TimeoutError:
-            each.ended_at = loop.time()
-        except asyncio.CancelledError:
-            each.client_left_at = loop.time()
-            raise
-        except (OSError, Malformed):
-            each.closed_at = loop.time()
+                with noting_end(each):
+                    async with asyncio.timeout(deadline + ANSWER_MOST):
+                        await self._answer(link, each, answers)
+                if each.status is None or each.closing:
+                    break
         finally:
             # Those behind one that ended the connection were never owed an answer on it.
             link.writer.close()
@@ -227,37 +243,36 @@
         return Link(node, reader, writer)
 
     async def _exchange(self, link: Link, each: Exchange, manner: Manner, key: str) -> None:
-        loop = asyncio.get_running_loop()
         kept = False
         try:
-            await self._write(link, each, manner, key)
-            patience: float | None = each.deadline_seconds + ANSWER_MOST
-            if manner in (Manner.LEAVES, Manner.RESETS, Manner.HALF_CLOSES):
-                patience = self._random.random() * each.deadline_seconds
-            async with asyncio.timeout(patience):
-                kept = await self._answer(link, each)
-        except TimeoutError:
-            if manner in (Manner.LEAVES, Manner.RESETS, Manner.HALF_CLOSES):
-                each.client_left_at = loop.time()
-                if manner is Manner.RESETS:
-                    link.abort()
-                elif manner is Manner.HALF_CLOSES:
-                    with suppress(OSError):
-                        link.writer.write_eof()
-                    await asyncio.sleep(0.2)
-            else:
-                each.ended_at = loop.time()
-        except asyncio.CancelledError:
-            each.client_left_at = loop.time()
-            raise
-        except (OSError, Malformed):
-            each.closed_at = loop.time()
+            with noting_end(each):
+                await self._write(link, each, manner, key)
+                if manner in LEAVING_MANNERS:
+                    kept = await self._answer_or_leave(link, each, manner)
+                else:
+                    async with asyncio.timeout(each.deadline_seconds + ANSWER_MOST):
+                        kept = await self._answer(link, each)
         finally:
             if kept and link.is_open():
                 self._kept[link.node.name].append(link)
             else:
                 link.writer.close()
 
+    async def _answer_or_leave(self, link: Link, each: Exchange, manner: Manner) -> bool:
+        """Waits for a part of its time, and goes where no answer came."""
+        try:
+            async with asyncio.timeout(self._random.random() * each.deadline_seconds):
+                return await self._answer(link, each)
+        except TimeoutError:
+            each.client_left_at = asyncio.get_running_loop().time()
+        if manner is Manner.RESETS:
+            link.abort()
+        elif manner is Manner.HALF_CLOSES:
+            with suppress(OSError):
+                link.writer.write_eof()
+            await asyncio.sleep(HALF_CLOSED_FOR)
+        return False
+
     async def _write(self, link: Link, each: Exchange, manner: Manner, key: str) -> None:
         wire = self._wire(each, manner, key)
         loop = asyncio.get_running_loop()
@@ -310,9 +325,9 @@
             lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join([*lines, "", ""]).encode() + body
 
-    async def _answer(self, link: Link, each: Exchange) -> bool:
+    async def _answer(self, link: Link, each: Exchange, answers: AnswerReader | None = None) -> bool:
         """Reads the answer; whether the connection can be used again. OSError where it ends first."""
-        answers = AnswerReader(body_most=1 << 26)
+        answers = answers or AnswerReader(body_most=1 << 26)
         while (answer := answers.next()) is None:
             piece = await link.reader.read(65536)
             if not piece:
@@ -321,4 +336,5 @@
             answers.feed(piece)
         each.ended_at = asyncio.get_running_loop().time()
         each.status, each.body = answer.status, answer.body
+        each.closing = "close" in answer.headers.get("connection", "").lower()
         return answer.keep
--- a/notchjunction/soak/events.py
+++ b/notchjunction/soak/events.py
@@ -53,6 +53,7 @@
     client_left_at: float | None = None
     closed_at: float | None = None  # the node ended the connection without a whole answer
     answer_begun: bool = False  # part of an answer came
+    closing: bool = False  # the answer says that the connection closes after it
     malformed: bool = False  # not a request that the protocol allows
 
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -120,6 +120,9 @@
     assert ended.attempt_written(0, 9.0, 0.5, listed=True) == [Violation.SENT_AFTER_END]
     assert ended.final_answer(9.1, refused=True) == [Violation.ANSWERED_TWICE, Violation.REFUSED_AFTER_RUN]
     assert ledger().final_answer(10.0 + 2 * LATE_ANSWER, refused=False) == [Violation.ANSWERED_LATE]
+    read_late = RequestLedger(Effect.AT_MOST_ONCE, deadline_at=10.0, taken_at=11.0)
+    assert read_late.final_answer(11.1, refused=True) == []
+    assert replace(read_late, answered=False).final_answer(11.6, refused=True) == [Violation.ANSWERED_LATE]
     assert ledger().connection_closed() == [Violation.CLOSED_UNANSWERED]
     left = ledger()
     left.caller_left = True
