Many nodes that are told of a new place of discovery go there one after another

The same class as the crowd at discovery's return: a decision that is right for one node and taken by all in one moment. 200 nodes that move at a SIGHUP all call at once; a discovery that works through 40 calls a second and refuses those that wait for 1 s answers 80 of them, by its own terms. Change: nodes of a tier of 16 and more, and those that have met a crowd, go on at the old place for up to 2.5 s; of several new places in a row the last one is asked. What a new place has counts 4 s after the signal, so a second is left for the call.

--- a/notchjunction/following.py
+++ b/notchjunction/following.py
@@ -38,6 +38,7 @@
 CROWD_PAUSE = 2.0  # s before a call that waited in vain is made again, and twice that after each further one
 CROWD_SPREAD = 3.0  # s more, evenly at random from none, and twice that likewise
 CROWD_MOST = 12.0  # s of either; over the time in which discovery can answer any fleet once
+MOVE_SPREAD = 2.5  # s over which many nodes go to a new place; what it has counts 4 s after the signal
 AGENT_PAUSE = 0.1  # s, and as much again at random, before an agent that pushes lists is asked again
 FIRST_WITHIN = (
     3.0  # s that a new process waits for the agent's word; then the remembered list is all there is
@@ -202,6 +203,11 @@
             return RENEW_LEAST + RENEW_SPREAD * chance
         return renewal_pause(self._failures, self._random, self._ask_within / 4 or math.inf)
 
+    def move_pause(self) -> float:
+        """s for which a node that is told of a new place goes on at the old one."""
+        # Guards against all nodes at the new place in one moment: most would be refused there.
+        return MOVE_SPREAD * self._random.random() if self._may_be_crowd and not self._pushed else 0.0
+
     def waits_first(self) -> float:
         """s that a new process waits for its first answer before it serves by the list that it remembers."""
         # Guards against sends by a remembered list, where what the agent has counts from the first moment.
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -110,6 +110,7 @@
         self._ending: Ending | None = None
         self._end_at = math.inf
         self._wake_call: asyncio.TimerHandle | None = None
+        self._move_call: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._decider = Decider(told.terms, told.names, self.now, self._wake, time.time)
         self._talk = talk.Talk(*told.talk, self._decider.hear, counters) if told.talk else None
@@ -383,8 +384,22 @@
             ),
         )
         if told.discovery != before.discovery:
-            self._discovery.move(told.discovery)
-            self._list_due.set()  # at once, also in a failed call's pause: a new place has not failed
+            self._move_soon(told.discovery)
+
+    def _move_soon(self, discovery: Address) -> None:
+        """The list is asked for there from soon on; a later word takes the place of an earlier one."""
+        if self._move_call is not None:
+            self._move_call.cancel()
+        pause = self._following.move_pause()
+        if pause > 0:
+            self._move_call = self._loop.call_later(pause, self._move, discovery)
+        else:
+            self._move(discovery)
+
+    def _move(self, discovery: Address) -> None:
+        self._move_call = None
+        self._discovery.move(discovery)
+        self._list_due.set()  # at once, also in a failed call's pause: a new place has not failed
 
     async def _drain(self) -> None:
         log.info("drain", extra=pairs(held=self._decider.held, callers=self._callers.connected))
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -13,6 +13,7 @@
     CROWD_PAUSE,
     CROWD_SPREAD,
     FIRST_WITHIN,
+    MOVE_SPREAD,
     RENEW_LEAST,
     RENEW_MORE,
     RENEW_SPREAD,
@@ -257,3 +258,13 @@
         crowd.play(until=60.0)
         assert len(crowd.heard) == nodes
         assert max(crowd.heard.values()) <= all_within
+
+
+def test_many_nodes_that_are_told_of_a_new_place_do_not_go_there_in_one_moment() -> None:
+    pauses = [Following(10.0, seed=seed, nodes=200).move_pause() for seed in range(200)]
+    assert max(pauses) <= MOVE_SPREAD < 4.0 - 1.0  # a second is left for the call
+    for at in range(5):
+        within = [pause for pause in pauses if at * 0.5 <= pause < (at + 1) * 0.5]
+        assert 25 <= len(within) <= 55
+    assert Following(10.0, nodes=5).move_pause() == 0.0
+    assert Following(10.0, pushed=True, nodes=200).move_pause() == 0.0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1391,3 +1391,26 @@
             sent.servers.close()
 
     run(story())
+
+
+def test_of_two_new_places_in_a_row_the_later_one_is_asked_though_the_first_is_still_to_come(
+    tmp_path: Any,
+) -> None:
+    """One of many nodes, which go to a new place one after another."""
+
+    async def story() -> None:
+        async with Peer() as peer:
+            listed = news(1, rows(peer))
+            async with Peer(listed) as old, Peer(listed) as between, Peer(listed) as last:
+                file = tmp_path / "told.json"
+                file.write_text(json.dumps(configuration(old.at)))
+                told = configuration(old.at)
+                async with running(peer, discovery=old, file=file, told=told, nodes=200) as (node, _):
+                    for place in (between, last):
+                        file.write_text(json.dumps(configuration(place.at)))
+                        node.read_again()
+                    async with asyncio.timeout(5):
+                        await last.asked.wait()
+                    assert not between.asked.is_set()
+
+    run(story())
