--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -14,12 +14,12 @@
 from typing import TYPE_CHECKING, Any
 
 from notchjunction.checks import Unfit
-from notchjunction.decider import Ask, Decider, Follow, Listed, Probe, SetAside, Tell
+from notchjunction.decider import Ask, Decider, Follow, Probe, SetAside, Tell
 from notchjunction.errors import NotchjunctionError
 from notchjunction.following import Following
 from notchjunction.http1.messages import Request
-from notchjunction.interface import News, Presence
-from notchjunction.net import management, node_input, talk, words
+from notchjunction.interface import News
+from notchjunction.net import management, node_input, talk
 from notchjunction.net.callers import LINGER_LAST, Callers
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.counters import Counters
@@ -30,6 +30,7 @@
 from notchjunction.net.flight_recorder import Occurrence
 from notchjunction.net.handover import Giver, Handover, Inherited
 from notchjunction.net.jobs import Job, Rights
+from notchjunction.net.known_servers import KnownServers
 from notchjunction.net.logs import pairs
 from notchjunction.net.management import Management
 from notchjunction.net.node_input import NodeInput
@@ -99,8 +100,7 @@
         self._handover: Handover | None = None
         self._inherited: list[socket.socket] = []  # of which nobody is let in yet: there is no list
         self._leading: asyncio.Task[None] | None = None
-        self._addresses: dict[str, Address] = {}
-        self._listed: dict[str, Listed] = {}
+        self._known = KnownServers()
         self._ready = False
         self._ready_now = asyncio.Event()
         self._list_fails = False
@@ -228,7 +228,7 @@
             self._led(Input.OUT)
         self._inherited = inherited.listeners
         self._start(self._adopt(inherited.listeners))
-        log.info("takes over", extra=pairs(servers=len(self._listed), barred=len(self._decider.barred)))
+        log.info("takes over", extra=pairs(servers=len(self._known), barred=len(self._decider.barred)))
 
     async def _adopt(self, listeners: list[socket.socket]) -> None:
         # Guards against letting in callers for whom there is no list yet; the other process has them.
@@ -252,13 +252,11 @@
         return self._callers.listeners
 
     def state(self) -> dict[str, Any]:
-        endpoints = [
-            words.row(server, text_of(self._addresses[name]) if name in self._addresses else None)
-            for name, server in self._listed.items()
-        ]
         out = self._service.state in (State.LEADING, State.PARTING)
         version = self._discovery.version
-        listed = {"index": version, "snapshot": True, "endpoints": endpoints} if version is not None else None
+        listed = None
+        if version is not None:
+            listed = {"index": version, "snapshot": True, "endpoints": self._known.rows()}
         barred = sorted(self._decider.barred)
         return {"barred": barred, "out": out, "list": listed, "lessons": self._decider.lessons()}
 
@@ -566,73 +564,24 @@
             self.counters.add_failure("list news failed in the node", error)
 
     def _hear(self, news: ServerList, kind: News) -> None:
-        if news.older:
-            news = replace(news, servers=tuple(self._still_drained(server) for server in news.servers))
-        if kind is not News.CHANGES and self._listed:
-            # Guards against a whole list of thousands that holds up the node: most of it is known.
-            news, kind = self._differences(news), News.CHANGES
-        self._addresses.update(news.addresses)
-        self._listed.update({server.name: server for server in news.servers})
-        for server in news.servers:
-            if server.presence is Presence.GONE:
-                self._addresses.pop(server.name, None)
-                self._listed.pop(server.name, None)
+        kind = News.CHANGES if len(self._known) else kind
+        new = self._known.take(news)
         ready = self._point()
-        self._decider.report_list(kind, news.servers)
+        self._decider.report_list(kind, new.servers)
         self.counters.recorder.note(
-            Occurrence.LIST_APPLIED, version=news.version, changes=len(news.servers), ready=ready
+            Occurrence.LIST_APPLIED, version=news.version, changes=len(new.servers), ready=ready
         )
         if not self._ready:
             self._ready = True
             self._ready_now.set()
             log.info("ready", extra=pairs(servers=ready, version=news.version))
 
-    def _differences(self, whole: ServerList) -> ServerList:
-        """A whole list as changes to the one that is known: what it doesn't name is gone."""
-        named = {server.name for server in whole.servers}
-        changed = [
-            server
-            for server in whole.servers
-            if self._listed.get(server.name) != server
-            or self._addresses.get(server.name) != whole.addresses.get(server.name)
-        ]
-        gone = [
-            replace(server, presence=Presence.GONE)
-            for name, server in self._listed.items()
-            if name not in named
-        ]
-        addresses = {
-            server.name: whole.addresses[server.name]
-            for server in changed
-            if server.name in whole.addresses
-        }
-        for server in changed:
-            if server.name not in whole.addresses:
-                self._addresses.pop(server.name, None)
-        return replace(whole, servers=(*changed, *gone), addresses=addresses)
-
     def _point(self) -> int:
-        """Shows the connections' owner who may get anything new: by the list, and by operators."""
-        ready = {
-            name: self._addresses[name]
-            for name, server in self._listed.items()
-            if server.presence is Presence.READY
-            and name in self._addresses
-            and name not in self._decider.barred
-        }
+        """Shows the connections' owner who may get anything new."""
+        ready = self._known.ready(self._decider.barred)
         self._servers.point(ready)
         return len(ready)
 
-    def _still_drained(self, server: Listed) -> Listed:
-        """Guards against taking a server's drain back on older word; only another start does.
-
-        Another, and not a later one: the wall clock that tells of starts may have been stepped back.
-        """
-        known = self._listed.get(server.name)
-        if known is None or known.presence is not Presence.DRAINING or server.started_at != known.started_at:
-            return server
-        return replace(server, presence=Presence.DRAINING) if server.presence is Presence.READY else server
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_SPAN)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -842,7 +842,7 @@
         client.ask()
         status = (await client.answer()).status
         assert node.counters.read()["servers_known"] == (status == 200)
-        return status, len(node._listed)
+        return status, len(node._known)
 
 
 @pytest.mark.parametrize(("version", "started", "status"), [(2, 0, 503), (4, 0, 200), (2, 5_000, 200)])
