--- a/notchjunction/soak/shim.py
+++ b/notchjunction/soak/shim.py
@@ -131,6 +131,12 @@
         time.sleep(seconds * random.random())
         signal.setitimer(signal.ITIMER_REAL, HOLD_EVERY * (0.5 + random.random()))
 
+    def close(self: asyncio.BaseEventLoop) -> None:
+        signal.setitimer(signal.ITIMER_REAL, 0)  # a loop that closes can't be woken by this signal
+        close_loop(self)
+
+    close_loop = asyncio.SelectorEventLoop.close
+    asyncio.SelectorEventLoop.close = close  # type: ignore[method-assign]
     signal.signal(signal.SIGALRM, hold)
     atexit.register(signal.setitimer, signal.ITIMER_REAL, 0)
     signal.setitimer(signal.ITIMER_REAL, HOLD_EVERY)
