Pauses between calls for the list grow only where a place that is down was quick to say so

Change: pauses double at once where a new call was refused at once since the last answer, else only after six refusals in a row; tries of many nodes begin 5 s apart at most, what they waited included.

--- a/notchjunction/following.py
+++ b/notchjunction/following.py
@@ -7,9 +7,10 @@
 keep one another out.
 
 A call that discovery refuses because it has waited costs it as much as one that it answers. Nodes that come
-again too soon are then refused for ever, all of them, long after what caused the crowd is over. So who was
-refused for having waited comes again after a span that doubles, and who has met such a crowd, or is one of
-many nodes, spreads its next tries further, also where discovery is merely down. Pure.
+again too soon are then refused for ever, all of them, long after what caused the crowd is over. So who has
+met such a crowd, or is one of many nodes, spreads its tries over 5 s, also where discovery is merely down;
+and who is refused again and again for having waited comes again after a span that doubles. A place that is
+down may refuse calls in the same way, which only a quick refusal before rules out. Pure.
 """
 
 from __future__ import annotations
@@ -31,10 +32,11 @@
 RENEW_LEAST = 0.25  # s before the list is asked for again after a failed call
 RENEW_MORE = 0.9  # s more for each failure, evenly at random from none, so that crowds come apart
 RENEW_STEPS = 3  # failures that count for it: tries 3 s apart at most, half of what a change may be late
-RENEW_SPREAD = 4.75  # s more, likewise, where a crowd was met: tries 5 s apart, and a second to answer
+RENEW_SPREAD = 4.75  # s more, likewise, of a crowd: tries begin 5 s apart at most, and a second to answer
 CROWD_NODES = 16  # nodes of a tier from which on they may be a crowd: fewer are answered in a moment
 CROWDED_AFTER = 0.25  # s after which a call that is refused has waited; one at a place that is down has not
 CROWDED_WITHIN = 2.5  # s; what was refused later had come through the queue, and was held as a watch
+CROWD_DOUBTED = 6  # such refusals in a row that may as well come of a place that is down and slow to say so
 CROWD_PAUSE = 2.0  # s before a call that waited in vain is made again, and twice that after each further one
 CROWD_SPREAD = 3.0  # s more, evenly at random from none, and twice that likewise
 CROWD_MOST = 12.0  # s of either; over the time in which discovery can answer any fleet once
@@ -134,6 +136,8 @@
         self._failures = 0  # calls in a row that were refused or broke
         self._crowds = 0  # of those, the last ones that had waited
         self._silences = 0  # calls in a row that ended without a word
+        self._failed_at_once = False  # since the last answer: a place that is down is quick to say so
+        self._waited = 0.0  # s that the last call that failed was out
         self._may_be_crowd = nodes >= CROWD_NODES
         self._moved = False
         self._missed_since = math.inf
@@ -168,7 +172,7 @@
         """How the last call ended."""
         # Guards against a new place that is silent: what it has counts soon after the move.
         self._moved = event is Input.MOVED or (self._moved and event is not Input.ANSWERED)
-        self._count(event)
+        self._count(event, now)
         if event is Input.ANSWERED:
             self._missed_since = math.inf
         elif event is not Input.MOVED:
@@ -179,15 +183,20 @@
         self.state = row.then
         return row.effect
 
-    def _count(self, event: Input) -> None:
+    def _count(self, event: Input, now: float) -> None:
         if event is Input.ANSWERED:
             self._failures = self._crowds = self._silences = 0
+            self._failed_at_once = False
         elif event is Input.SILENCE:
             self._silences += 1
         elif event is not Input.MOVED:
             self._failures += 1
             self._silences = 0
             self._crowds = self._crowds + 1 if event is Input.CROWD else 0
+            # A watch that goes on ends as discovery goes down; that says nothing of new calls.
+            is_new = self.state is not State.WATCHING
+            self._waited = now - self._began if is_new else 0.0
+            self._failed_at_once = self._failed_at_once or (is_new and self._waited < CROWDED_AFTER)
             self._may_be_crowd = self._may_be_crowd or event is Input.CROWD
 
     def pause(self) -> float:
@@ -196,11 +205,14 @@
         if self._pushed:
             # Guards against a pause that grows without bound while what the agent has counts already.
             return AGENT_PAUSE * (1 + chance)
-        if self._crowds:
-            times: float = 2 ** (self._crowds - 1)
+        # Guards against long pauses at a place that is down, and refuses each call only after a while.
+        crowds = self._crowds if self._failed_at_once else self._crowds - CROWD_DOUBTED
+        if crowds > 0:
+            times: float = 2 ** (crowds - 1)
             return min(CROWD_PAUSE * times, CROWD_MOST) + min(CROWD_SPREAD * times, CROWD_MOST) * chance
         if self._may_be_crowd:
-            return RENEW_LEAST + RENEW_SPREAD * chance
+            # From one try's beginning to the next: what came back meanwhile counts soon after.
+            return RENEW_LEAST + max(RENEW_MORE, RENEW_SPREAD - self._waited) * chance
         return renewal_pause(self._failures, self._random, self._ask_within / 4 or math.inf)
 
     def move_pause(self) -> float:
