A caller of the first moment has all its time

(1) test_net, the program that starts by its environment: 503 for its first job. Cause, by reading: the moment since when callers may wait in the queue was 0 until the loop had waited once after the listener was opened; a caller that came before that passed for one of 1970 and had no time left. It is set as the listener is opened; the new story fails without.

--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -165,6 +165,8 @@
     def adopt(self, listeners: list[socket.socket]) -> None:
         self.listeners = listeners
         self._paused = False
+        # Guards against a caller of the first moment that passes for one of long ago.
+        self._queued_since = self.clock()
         if self._stops:
             # Guards against letting callers in up to the node's end: their list has come only now.
             self.stop()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -29,7 +29,7 @@
     may_write,
     time_to_tell,
 )
-from tests.helpers import Peer, RawClient, running
+from tests.helpers import Client, Peer, RawClient, running
 
 SOUND = AttemptFacts(now=10.0, expires_at=11.0, stands=True, caller_there=True, listed=True)
 
@@ -186,3 +186,16 @@
 
     with asyncio.Runner(loop_factory=LateLoop) as runner:
         runner.run(story())
+
+
+def test_a_caller_of_the_first_moment_has_all_its_time() -> None:
+    """The loop has not looked at the sockets since the listener was opened."""
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            node._callers._left_at = node.now() + 1.0  # later than anything that has come
+            client = await Client().open(address)
+            client.ask()
+            assert (await client.answer()).status == 200
+
+    asyncio.run(story())
