--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -489,6 +489,7 @@
         """The one place where a caller's descriptor is given back."""
         if self._open:
             self._open = False
+            self._callers.counters.recorder.note(Occurrence.CALLER_CLOSED, why=self._why_closed())
             if self._job is not None:
                 self._job.check(self._job.ledger.connection_closed())
             self._stream.close()
@@ -496,6 +497,13 @@
             self._callers.descriptors.give_back_caller()
             self._callers.counters.add("callers_closed")
 
+    def _why_closed(self) -> str:
+        if self._at_fault:
+            return "bad request"
+        if self._parted:
+            return "ended by the node"
+        return "ended by the caller" if self._stream.closed() else "given up"
+
     def part_if_idle(self) -> None:
         """Ends the sending where no request is open; its coroutine reads on for a moment."""
         if self._rests():
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -97,7 +97,6 @@
         self._after: asyncio.Task[None] | None = None
         self._limit: asyncio.Timeout | None = None
         self._tasks: dict[int, asyncio.Task[Exchanged]] = {}
-        self._orders: dict[int, Send] = {}
         self._answers: dict[int, Answer] = {}
         self._broken = False
         self._answer_within = max(0.0, ask.time_left) + LOST_AFTER
@@ -208,23 +207,19 @@
             partial(self._decider.stands, self._ticket, dispatch),
             self._caller_there,
             partial(self._decider.repeat_until, self._ticket, dispatch),
-            partial(self._written, dispatch),
+            partial(self._written, dispatch, order.server),
         )
         work = self._servers.attempt(attempt, self._request)
         task = asyncio.create_task(work)
         self._tasks[dispatch] = task
-        self._orders[dispatch] = order
         # Told here and not inside the task: one that is stopped before its first step runs no code.
         task.add_done_callback(lambda _: self._ended(dispatch, task))
 
-    def _written(self, dispatch: int, told: float) -> None:
-        listed = self._servers.is_listed(self._ticket_server(dispatch))
+    def _written(self, dispatch: int, server: str, told: float) -> None:
+        listed = self._servers.is_listed(server)
         now = self._decider.now()
         self.check(self.ledger.attempt_written(dispatch, now, told, listed), attempt=dispatch)
 
-    def _ticket_server(self, dispatch: int) -> str:
-        return self._orders[dispatch].server
-
     def check(self, violations: Iterable[Violation], **facts: float | str | None) -> None:
         """Counts and logs what has been broken."""
         for violation in violations:
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -322,6 +322,7 @@
 
     def _led(self, event: Input) -> bool:
         effect = self._service.tell(event)
+        self.counters.recorder.note(Occurrence.STATE_CHANGED, service=self._service.state.name.lower())
         if effect is Effect.LEAD:
             log.info("out of service", extra=pairs(callers=self._callers.connected))
             self._callers.drain()
@@ -410,6 +411,7 @@
         while not ending.over:
             handover, now = self._handover, self.now()
             for effect in ending.look(now, self._followed(), self._connected):
+                self.counters.recorder.note(Occurrence.STATE_CHANGED, ending=effect.name.lower())
                 match effect:
                     case Do.LEAD:
                         self._callers.drain()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -24,6 +24,7 @@
 from notchjunction.net.callers import Caller, Callers, CallerStream
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.discovery import read_list
+from notchjunction.net.flight_recorder import Occurrence
 from notchjunction.net.jobs import Job
 from notchjunction.net.node import Node
 from notchjunction.net.relay import Download
@@ -886,3 +887,24 @@
             assert node.counters.read().get("failures", 0) == 0
 
     asyncio.run(story())
+
+
+def test_why_a_caller_was_closed_and_what_state_the_node_came_to_are_recorded() -> None:
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            bad, gone = RawClient(address), RawClient(address)
+            bad.more(b"nonsense\r\n\r\n")
+            gone.go("close")
+            async with asyncio.timeout(5):
+                while node.counters.read().get("callers_closed", 0) < 2:
+                    await asyncio.sleep(0.01)
+            await node.out_of_service()
+            await node.in_service()
+        noted = [(entry.what, dict(entry.facts)) for entry in node.counters.recorder.about("")]
+        whys = [facts["why"] for what, facts in noted if what is Occurrence.CALLER_CLOSED]
+        states = [facts for what, facts in noted if what is Occurrence.STATE_CHANGED]
+        assert sorted(map(str, whys)) == ["bad request", "ended by the caller"]
+        assert [facts["service"] for facts in states if "service" in facts] == ["leading", "serving"]
+        assert [facts["ending"] for facts in states if "ending" in facts][:1] == ["lead"]
+
+    asyncio.run(story())
