--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1027,7 +1027,7 @@
     # However slow the machine is, none of the first seven has stood for so long that it makes room.
     monkeypatch.setattr(callers, "SILENT_SPARED", 60.0)
     monkeypatch.setattr(callers, "IDLE_SPARED", 60.0)
-    # Nor is one that is about to ask taken for silent: the silent three go as the second for the refused ends.
+    # Nor is one that is about to ask taken for silent: the silent three go as the second of the refused ends.
     monkeypatch.setattr(callers, "SILENT_PRESSED", 0.9 * callers.REFUSED_WITHIN)
 
     async def story() -> None:
