--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -709,9 +709,7 @@
                         error = self._bad(408)
                 else:
                     room = asyncio.create_task(upload.room())
-                    await asyncio.wait(
-                        {work, room}, timeout=LOOK_EVERY, return_when=asyncio.FIRST_COMPLETED
-                    )
+                    await asyncio.wait({work, room}, timeout=LOOK_EVERY, return_when=asyncio.FIRST_COMPLETED)
                     full = not room.done()
                     room.cancel()
                     # Guards against a caller that goes unheard while its server takes nothing.
--- a/notchjunction/net/known_servers.py
+++ b/notchjunction/net/known_servers.py
@@ -70,9 +70,7 @@
 
     def _differs(self, server: Listed, whole: ServerList) -> bool:
         name = server.name
-        return (
-            self._listed.get(name) != server or self._addresses.get(name) != whole.addresses.get(name)
-        )
+        return self._listed.get(name) != server or self._addresses.get(name) != whole.addresses.get(name)
 
     def _still_drained(self, server: Listed) -> Listed:
         """Guards against taking a server's drain back on older word; only another start does.
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -67,9 +67,7 @@
         kept_back += talk.DESCRIPTORS if told.fleet is not None else 0
         self._descriptors = descriptors = Descriptors(told.sockets, kept_back)
         streams = Streams()
-        self._following = Following(
-            told.terms.ask_within, told.pushed, told.terms.seed, told.terms.nodes
-        )
+        self._following = Following(told.terms.ask_within, told.pushed, told.terms.seed, told.terms.nodes)
         self._discovery = Discovery(
             told.discovery, self._following, self.now, self._spare_one, counters.recorder
         )
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -208,9 +208,7 @@
                 # From here to the first byte nothing else runs.
                 request = self._permitted(attempt, request, connection, within)
                 writing = True
-                answer = await connection.exchange(
-                    request, answers, rest, all_written, wanted=attempt.wanted
-                )
+                answer = await connection.exchange(request, answers, rest, all_written, wanted=attempt.wanted)
             if answers.unread and not answer.more:
                 self._strayed()
             result = read_result(answer)
--- a/notchjunction/rules.py
+++ b/notchjunction/rules.py
@@ -530,7 +530,9 @@
 
         def fits(server: Server) -> bool:
             return (
-                self._takes_more(server, now) and len(server.flights) < most and self._is_open(server)
+                self._takes_more(server, now)
+                and len(server.flights) < most
+                and self._is_open(server)
                 and not (self._is_cold(server, now) and self._cold_left(server, now) < server.cold_due)
                 and not any(dispatch.server is server for dispatch in held.sent)
                 and (not held.sent or self._may_run_on(held, server, now))
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -49,9 +49,7 @@
     answered: int = 0
     attempts: int = 0
     worst_stall: float = 0.0  # s
-    counters: Mapping[str, float] = field(
-        default_factory=dict
-    )  # summed over processes that ended soundly
+    counters: Mapping[str, float] = field(default_factory=dict)  # summed over processes that ended soundly
 
 
 class SoakRun:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1388,9 +1388,7 @@
             whole.put(b"1234567890", True)
             first = await sent.servers.attempt(Attempt("s0", sent.clock + 2.0, whole), begun)
             sent.clock += 2 * SETTLED
-            second = asyncio.create_task(
-                sent.servers.attempt(Attempt("s0", sent.clock + 2.0, part), begun)
-            )
+            second = asyncio.create_task(sent.servers.attempt(Attempt("s0", sent.clock + 2.0, part), begun))
             await asked.wait()  # its head is out, and none of its body has come yet
             peer.end_all()
             results = first.ended.result, (await second).ended.result
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -78,9 +78,7 @@
         cold_time=8.0,
         tip_multiple=1.0,
     )
-    decider = Decider(
-        terms, Names(["plain"]), lambda: clock[0], lambda delay: None, lambda: clock[0] + step
-    )
+    decider = Decider(terms, Names(["plain"]), lambda: clock[0], lambda delay: None, lambda: clock[0] + step)
     decider.report_list(News.WHOLE, [])
     clock[0] += 1.0
     new = Listed("new", Presence.READY, clock[0] + step - 0.5)
