--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -20,8 +20,10 @@
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.http1.parser import RequestReader
 from notchjunction.interface import News
+from notchjunction.net import caller as caller_module
 from notchjunction.net import callers, ending, handover
-from notchjunction.net.callers import Caller, Callers, CallerStream
+from notchjunction.net.caller import Caller, CallerStream
+from notchjunction.net.callers import Callers
 from notchjunction.net.connections import Address, text_of
 from notchjunction.net.discovery import read_list
 from notchjunction.net.flight_recorder import Occurrence
@@ -136,7 +138,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     for name, span in spans.items():
-        monkeypatch.setattr(callers, name, span)
+        monkeypatch.setattr(caller_module if hasattr(caller_module, name) else callers, name, span)
 
     async def story() -> None:
         async with Peer(LONG) as peer, running(peer) as (node, address):
@@ -158,8 +160,8 @@
     ends: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Its job was turned back early; more of the body comes as the node gives it up."""
-    monkeypatch.setattr(callers, "BODY_SLACK", 0.1 if ends == "stalls" else 60.0)
-    monkeypatch.setattr(callers, "BODY_PACE", 10_000_000)
+    monkeypatch.setattr(caller_module, "BODY_SLACK", 0.1 if ends == "stalls" else 60.0)
+    monkeypatch.setattr(caller_module, "BODY_PACE", 10_000_000)
     monkeypatch.setattr(ending, "KILL_AFTER", -1.5)  # the node's end is 0.2 s after it was asked to
 
     async def story() -> None:
@@ -248,7 +250,7 @@
     last = then == "says nothing at the last"
     monkeypatch.setattr(callers, "LINGER_WITHIN", 0.05 if then == "says nothing" else 60.0)
     monkeypatch.setattr(callers, "LINGER_LAST", 0.05 if last else 60.0)
-    monkeypatch.setattr(callers, "LINGER_MOST", 100_000)
+    monkeypatch.setattr(caller_module, "LINGER_MOST", 100_000)
 
     async def story() -> None:
         async with Peer() as peer, running(peer) as (node, address):
@@ -295,7 +297,7 @@
 ) -> None:
     """Its first byte came before; the clock is past the end when its last byte, or its beginning, does."""
     for span in ("HEAD_WITHIN", "BODY_SLACK"):
-        monkeypatch.setattr(callers, span, 60.0)  # the clock is stepped by less
+        monkeypatch.setattr(caller_module, span, 60.0)  # the clock is stepped by less
     wire = wire_of(1, left=60_000)
     if form == "two at once":
         wire += wire_of(2, left=60_000)
@@ -843,7 +845,7 @@
 def test_a_request_that_comes_as_its_connection_has_rested_for_too_long_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(callers, "IDLE_MOST", 0.1)
+    monkeypatch.setattr(caller_module, "IDLE_MOST", 0.1)
 
     async def story() -> None:
         async with Peer() as peer, running(peer) as (_, address):
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -13,8 +13,8 @@
 from notchjunction.decider import Ask, Stop, TurnBack, WriteOff
 from notchjunction.http1.messages import BODY_MOST
 from notchjunction.interface import Result
-from notchjunction.net import callers
-from notchjunction.net.callers import Caller
+from notchjunction.net import caller as caller_module
+from notchjunction.net.caller import Caller
 from notchjunction.net.connections import PIECE, Address, Connection
 from notchjunction.net.node import Node
 from notchjunction.net.servers import SETTLED, Attempt, Servers
@@ -273,7 +273,7 @@
             while not caller._thrown:
                 await asyncio.sleep(0)
                 most = max(most, caller._requests.unread)
-            assert PIECE < most <= callers.AHEAD_MOST
+            assert PIECE < most <= caller_module.AHEAD_MOST
             peer.reply = OK
             peer.go_on.set()
             statuses = []
@@ -289,7 +289,7 @@
     async def story() -> None:
         async with Peer(SILENT) as peer, running(peer) as (node, address):
             client, _ = await waiting(node, address, peer)
-            send_ahead(client, 2 * callers.THROWN_MOST)
+            send_ahead(client, 2 * caller_module.THROWN_MOST)
             assert (await client.answer()).status == 413
             await withdrawn(node)
             assert len(peer.requests) == 1
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -24,7 +24,8 @@
 from notchjunction.http1.messages import Answer, Malformed, Request
 from notchjunction.http1.parser import AnswerReader, Reader, RequestReader
 from notchjunction.interface import Job, News, Outcome, Result
-from notchjunction.net import callers, connections, ending, handover, relay, servers
+from notchjunction.net import caller as caller_module
+from notchjunction.net import connections, ending, handover, relay, servers
 from notchjunction.net.connections import Address, Cut
 from notchjunction.net.discovery import read_list
 from notchjunction.net.node import Node
@@ -412,7 +413,7 @@
 def test_a_caller_that_goes_midway_or_reads_nothing_ends_the_servers_side_too(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(callers, "WRITTEN_WITHIN", 0.2)
+    monkeypatch.setattr(caller_module, "WRITTEN_WITHIN", 0.2)
 
     async def story() -> None:
         async def endless(talk: Talk) -> None:
@@ -437,7 +438,7 @@
 
 @pytest.mark.parametrize("how", ["caller closes", "caller stalls", "noise"])
 def test_a_body_that_is_never_whole_never_runs(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(callers, "BODY_SLACK", 0.2)
+    monkeypatch.setattr(caller_module, "BODY_SLACK", 0.2)
 
     async def story() -> None:
         ran = []
@@ -457,7 +458,7 @@
                 caller.send(b"what is this\r\n")
                 assert (await caller.answer()).status == 400
             else:
-                monkeypatch.setattr(callers, "BODY_PACE", 4 * MB)
+                monkeypatch.setattr(caller_module, "BODY_PACE", 4 * MB)
                 assert (await caller.answer()).status == 408
             await peer.gone.wait()
             await nothing_left(node)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -25,6 +25,7 @@
 from notchjunction.http1.messages import Answer, Request
 from notchjunction.http1.parser import AnswerReader
 from notchjunction.interface import Presence, Result
+from notchjunction.net import caller as caller_module
 from notchjunction.net import callers, discovery, ending, node_input
 from notchjunction.net.connections import Address, Connection, NotSent
 from notchjunction.net.counters import Counters
@@ -584,7 +585,7 @@
 
 
 def test_a_caller_that_reads_nothing_counts_as_gone(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(callers, "WRITTEN_WITHIN", 0.0)
+    monkeypatch.setattr(caller_module, "WRITTEN_WITHIN", 0.0)
 
     async def story() -> None:
         body = b"x" * 60000
@@ -637,10 +638,10 @@
 
 
 def test_a_bad_caller_that_is_gone_before_its_error_is_no_failure(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def gone(caller: callers.Caller, _: Answer) -> None:
+    async def gone(caller: caller_module.Caller, _: Answer) -> None:
         caller._stream.close()
 
-    monkeypatch.setattr(callers.Caller, "_write", gone)
+    monkeypatch.setattr(caller_module.Caller, "_write", gone)
 
     async def story() -> None:
         async with running() as (node, address):
@@ -676,7 +677,7 @@
 def test_a_first_request_is_due_by_the_time_of_connecting(
     said: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(callers, "HEAD_WITHIN", 0.2)
+    monkeypatch.setattr(caller_module, "HEAD_WITHIN", 0.2)
 
     async def story() -> None:
         async with running() as (_, address):
@@ -699,7 +700,7 @@
 
 
 def test_a_slow_head_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(callers, "HEAD_WITHIN", 0.05)
+    monkeypatch.setattr(caller_module, "HEAD_WITHIN", 0.05)
 
     async def story() -> None:
         async with running() as (_, address):
@@ -712,9 +713,9 @@
 
 @pytest.mark.parametrize(("pace", "status"), [(40, 200), (2, 408)])
 def test_a_body_may_come_slowly_but_not_drip(pace: int, status: int, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(callers, "HEAD_WITHIN", 0.1)
-    monkeypatch.setattr(callers, "BODY_PACE", 400)
-    monkeypatch.setattr(callers, "BODY_SLACK", 0.1)
+    monkeypatch.setattr(caller_module, "HEAD_WITHIN", 0.1)
+    monkeypatch.setattr(caller_module, "BODY_PACE", 400)
+    monkeypatch.setattr(caller_module, "BODY_SLACK", 0.1)
 
     async def story() -> None:
         async with Peer() as peer, running(peer) as (_, address):
@@ -1028,7 +1029,7 @@
     monkeypatch.setattr(callers, "SILENT_SPARED", 60.0)
     monkeypatch.setattr(callers, "IDLE_SPARED", 60.0)
     # Nor is one that is about to ask taken for silent: the silent three go as the second of the refused ends.
-    monkeypatch.setattr(callers, "SILENT_PRESSED", 0.9 * callers.REFUSED_WITHIN)
+    monkeypatch.setattr(callers, "SILENT_PRESSED", 0.9 * caller_module.REFUSED_WITHIN)
 
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -18,6 +18,7 @@
 from notchjunction import checks, following
 from notchjunction.following import Following
 from notchjunction.interface import Result
+from notchjunction.net import caller as caller_module
 from notchjunction.net import callers, handover, node_input
 from notchjunction.net.connections import Address
 from notchjunction.net.descriptors import SHORT_PAUSE
@@ -106,7 +107,7 @@
 def test_past_the_margin_callers_wait_for_an_answer_but_not_for_long(
     room_within: float, answered: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(callers, "REFUSED_WITHIN", 0.3)
+    monkeypatch.setattr(caller_module, "REFUSED_WITHIN", 0.3)
     monkeypatch.setattr(callers, "HEAD_PRESSED", 30.0)  # the crowd stays, however late the loop is
     monkeypatch.setattr(callers, "ROOM_WITHIN", room_within)
 
@@ -136,8 +137,8 @@
 def test_callers_that_wait_for_room_are_answered_by_a_node_that_ends_or_pauses(
     end: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(callers, "REFUSED_WITHIN", 0.5)
-    monkeypatch.setattr(callers, "HEAD_WITHIN", 0.5)
+    monkeypatch.setattr(caller_module, "REFUSED_WITHIN", 0.5)
+    monkeypatch.setattr(caller_module, "HEAD_WITHIN", 0.5)
 
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
@@ -171,17 +172,18 @@
 def test_past_the_margin_half_heads_are_told_408_and_a_new_caller_has_an_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    for span in ("HEAD_WITHIN", "REFUSED_WITHIN", "ROOM_WITHIN", "BODY_SLACK"):
-        monkeypatch.setattr(callers, span, 30.0)  # nobody goes by itself
-    turn_away = callers.Caller.turn_away_in_head
+    for span in ("HEAD_WITHIN", "REFUSED_WITHIN", "BODY_SLACK"):
+        monkeypatch.setattr(caller_module, span, 30.0)  # nobody goes by itself
+    monkeypatch.setattr(callers, "ROOM_WITHIN", 30.0)
+    turn_away = caller_module.Caller.turn_away_in_head
     crossing: list[RawClient] = []
 
-    def crossed(caller: callers.Caller) -> None:
+    def crossed(caller: caller_module.Caller) -> None:
         if crossing:
             crossing.pop().more(b"Req-Kind: plain\r\nReq-Deadline-Ms: 2000\r\n\r\n")
         turn_away(caller)
 
-    monkeypatch.setattr(callers.Caller, "turn_away_in_head", crossed)
+    monkeypatch.setattr(caller_module.Caller, "turn_away_in_head", crossed)
 
     async def answer_to(client: RawClient) -> bytes:
         async with asyncio.timeout(10):
