Known failure: a moment without memory in a read or write ends a connection

Found in the audit of system calls: recv(2) and send(2) may fail with ENOBUFS or ENOMEM for a moment. The stream takes each error but would-block for the connection's end. A caller whose answer meets that, or whose request, is closed unanswered; a server is blamed. Ruled out as covered: accept, connect and socket, each with its own handling, and EINTR, which the language retries.

--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,48 @@
+"""Reads and writes for which the operating system has no memory for a moment (recv(2), send(2))."""
+
+from __future__ import annotations
+
+import errno
+import os
+from typing import Any
+
+import pytest
+from tornado.iostream import IOStream
+
+from tests.helpers import Client, Peer, running
+from tests.test_net import run
+
+
+def fail_first(monkeypatch: pytest.MonkeyPatch, call: str, number: int) -> set[int]:
+    """The first such call on each connection of the node fails; the connections that it failed on, so far."""
+    known = getattr(IOStream, call)
+    failed: set[int] = set()
+
+    def failing(self: IOStream, data: Any) -> Any:
+        if id(self) not in failed:
+            failed.add(id(self))
+            raise OSError(number, os.strerror(number))
+        return known(self, data)
+
+    monkeypatch.setattr(IOStream, call, failing)
+    return failed
+
+
+@pytest.mark.parametrize("number", [errno.ENOBUFS, errno.ENOMEM])
+@pytest.mark.parametrize("call", ["read_from_fd", "write_to_fd"])
+def test_a_moment_without_memory_ends_no_connection(
+    call: str, number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Neither the caller's, whose answer would be lost, nor the server's, which would look like its fault."""
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (node, address):
+            failed = fail_first(monkeypatch, call, number)
+            client = await Client().open(address)
+            client.ask()
+            assert (await client.answer()).status == 200
+            assert len(peer.requests) == 1 and len(failed) >= 2
+            figures = node.counters.read()
+            assert figures["dispatches_first"] == 1 and "dispatches_again" not in figures
+
+    run(story())
