A moment without memory in a read or write ends no connection

Change: NodeStream, the base of all three kinds of streams, takes ENOBUFS and ENOMEM for a call that would block. Other errors are the connection's end under whatever name, with no line of error in the log.

--- a/notchjunction/net/caller.py
+++ b/notchjunction/net/caller.py
@@ -14,7 +14,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from notchjunction.http1.encoder import encode_answer, encode_end, encode_piece
 from notchjunction.http1.messages import Answer, Malformed, Request
@@ -25,6 +25,7 @@
 from notchjunction.net.jobs import Job, Rights, ask_of, own_failure, passed_on
 from notchjunction.net.observed_loop import waited_most
 from notchjunction.net.relay import Download, Upload
+from notchjunction.net.streams import NodeStream
 from notchjunction.permits import ConnectionFacts, Refusal, StartFacts, may_close, may_start
 
 if TYPE_CHECKING:
@@ -47,7 +48,7 @@
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class CallerStream(IOStream):
+class CallerStream(NodeStream):
     """Knows how much of what was written the operating system has taken, and when what was read came."""
 
     taken = 0
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -16,6 +16,7 @@
 from notchjunction.http1.encoder import encode_end, encode_piece, encode_request
 from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Request
 from notchjunction.http1.parser import AnswerReader
+from notchjunction.net.streams import NodeStream
 
 Address = tuple[str, int]
 PIECE = 64 * 1024  # bytes read at once
@@ -98,7 +99,7 @@
         self._closed_here = False
         self.lived: float | None = None  # s that it stood idle until the other side ended it
         if opened is not None:
-            self._stream = IOStream(opened, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+            self._stream = NodeStream(opened, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
             return
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         try:
@@ -106,7 +107,7 @@
         except OSError as error:
             # Guards against an outcome in doubt where the operating system itself is short of descriptors.
             raise NoDescriptor(_cause(error)) from error
-        self._stream = IOStream(sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
+        self._stream = NodeStream(sock, max_buffer_size=BUFFER_MOST, read_chunk_size=PIECE)
 
     async def open(self) -> None:
         try:
--- a/notchjunction/net/management.py
+++ b/notchjunction/net/management.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple, Protocol
 from urllib.parse import unquote
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
 from notchjunction.http1.encoder import encode_answer
@@ -22,6 +22,7 @@
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import SHORT, SHORT_PAUSE
 from notchjunction.net.logs import pairs
+from notchjunction.net.streams import NodeStream
 
 log = logging.getLogger(__name__)
 
@@ -76,7 +77,7 @@
 )
 
 
-class CallStream(IOStream):
+class CallStream(NodeStream):
     """Knows whether anything has come."""
 
     begun = False
--- /dev/null
+++ b/notchjunction/net/streams.py
@@ -0,0 +1,39 @@
+"""The base of this node's byte streams: what a failing read or write says of the connection."""
+
+from __future__ import annotations
+
+import errno
+
+from tornado.iostream import IOStream
+
+# What recv(2) and send(2) say where the system has no memory now; the connection stays.
+OUT_OF_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
+
+
+class NodeStream(IOStream):
+    """A stream that a shortage of memory does not end: the call is made again, as one that would block.
+
+    Each other error is the connection's end, whatever the operating system calls it.
+    """
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Bytes read; None where there are none yet. OSError at the connection's end."""
+        try:
+            return super().read_from_fd(buf)
+        except OSError as error:
+            if error.errno in OUT_OF_MEMORY:
+                return None
+            raise
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Bytes written. BlockingIOError where none can be now, OSError at the connection's end."""
+        try:
+            return super().write_to_fd(data)
+        except OSError as error:
+            if error.errno in OUT_OF_MEMORY:
+                raise BlockingIOError(error.errno, error.strerror) from error
+            raise
+
+    def _is_connreset(self, exc: BaseException) -> bool:
+        # Guards against a line of error in the log for an end that is called, say, host unreachable.
+        return isinstance(exc, OSError)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import socket
 from typing import Any
 
 import pytest
@@ -46,3 +47,25 @@
             assert figures["dispatches_first"] == 1 and "dispatches_again" not in figures
 
     run(story())
+
+
+@pytest.mark.parametrize("number", [errno.ENOBUFS, errno.ENOMEM])
+def test_a_look_that_fails_for_want_of_memory_says_nothing_of_the_caller(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Whether a caller is there is looked at before its request is sent on."""
+    receive = socket.socket.recv
+
+    def failing(self: socket.socket, size: int, flags: int = 0) -> bytes:
+        if flags & socket.MSG_PEEK:
+            raise OSError(number, os.strerror(number))
+        return receive(self, size, flags)
+
+    async def story() -> None:
+        async with Peer() as peer, running(peer) as (_, address):
+            monkeypatch.setattr(socket.socket, "recv", failing)
+            client = await Client().open(address)
+            client.ask()
+            assert (await client.answer()).status == 200 and len(peer.requests) == 1
+
+    run(story())
