What waits unread is looked at in one place, and a look that fails says nothing

Cause: four places peeked at a socket, each with its own reading of errors; a caller's took ENOMEM for its end. Change: NodeStream.unread() says nothing, bytes, end or unknown; each place decides what unknown means to it: a caller may be there, may have unread bytes and is not closed over them, a connection is not used again.

--- a/notchjunction/net/caller.py
+++ b/notchjunction/net/caller.py
@@ -25,7 +25,7 @@
 from notchjunction.net.jobs import Job, Rights, ask_of, own_failure, passed_on
 from notchjunction.net.observed_loop import waited_most
 from notchjunction.net.relay import Download, Upload
-from notchjunction.net.streams import NodeStream
+from notchjunction.net.streams import NodeStream, Unread
 from notchjunction.permits import ConnectionFacts, Refusal, StartFacts, may_close, may_start
 
 if TYPE_CHECKING:
@@ -209,15 +209,7 @@
 
     def _is_unread(self) -> bool:
         """Whether bytes, or an end, have come that wait in the operating system."""
-        if self._stream.closed():
-            return True
-        try:
-            self._stream.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True
+        return self._stream.unread() is not Unread.NOTHING
 
     def _part(self) -> None:
         """Ends the sending. Guards against a request that crosses this: from here on none is sent on."""
@@ -621,15 +613,9 @@
 
         Guards against a request that is sent on for nobody: the end stands behind bytes, or came just now.
         """
-        if self._stream.closed():
-            return False
-        try:
-            if not self._stream.socket.recv(1, socket.MSG_PEEK):
-                return False
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        unread = self._stream.unread()
+        if unread in (Unread.END, Unread.NOTHING):
+            return unread is Unread.NOTHING
         poll = select.poll()
         poll.register(self._stream.socket, select.POLLRDHUP)
         with suppress(OSError):
--- a/notchjunction/net/connections.py
+++ b/notchjunction/net/connections.py
@@ -16,7 +16,7 @@
 from notchjunction.http1.encoder import encode_end, encode_piece, encode_request
 from notchjunction.http1.messages import BODY_MOST, HEAD_MOST, Answer, Request
 from notchjunction.http1.parser import AnswerReader
-from notchjunction.net.streams import NodeStream
+from notchjunction.net.streams import NodeStream, Unread
 
 Address = tuple[str, int]
 PIECE = 64 * 1024  # bytes read at once
@@ -295,14 +295,10 @@
         """Whether a request may be written: open, and nothing unread. Guards against resets at reuse."""
         if self._stream.closed() or self._reading is None or self._reading.done():
             return False
-        try:
-            if self._stream.socket.recv(1, socket.MSG_PEEK):
-                self._stray()
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        unread = self._stream.unread()
+        if unread is Unread.BYTES:
+            self._stray()
+        return unread is Unread.NOTHING
 
     def close(self) -> None:
         self._closed_here = True
--- a/notchjunction/net/management.py
+++ b/notchjunction/net/management.py
@@ -22,7 +22,7 @@
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import SHORT, SHORT_PAUSE
 from notchjunction.net.logs import pairs
-from notchjunction.net.streams import NodeStream
+from notchjunction.net.streams import NodeStream, Unread
 
 log = logging.getLogger(__name__)
 
@@ -221,13 +221,7 @@
     """Whether nothing of a call has come, as the operating system knows it."""
     if stream.begun or stream.closed():
         return stream.closed()
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        pass
-    return False
+    return stream.unread() is Unread.NOTHING
 
 
 def _end(sock: socket.socket) -> None:
--- a/notchjunction/net/streams.py
+++ b/notchjunction/net/streams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import errno
+import socket
+from enum import Enum, auto
 
 from tornado.iostream import IOStream
 
@@ -10,6 +12,15 @@
 OUT_OF_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
 
 
+class Unread(Enum):
+    """What waits in the operating system."""
+
+    NOTHING = auto()
+    BYTES = auto()
+    END = auto()
+    UNKNOWN = auto()  # it could not be looked at
+
+
 class NodeStream(IOStream):
     """A stream that a shortage of memory does not end: the call is made again, as one that would block.
 
@@ -34,6 +45,17 @@
                 raise BlockingIOError(error.errno, error.strerror) from error
             raise
 
+    def unread(self) -> Unread:
+        """What has come and is not read yet, without reading it."""
+        if self.closed():
+            return Unread.END
+        try:
+            return Unread.BYTES if self.socket.recv(1, socket.MSG_PEEK) else Unread.END
+        except BlockingIOError:
+            return Unread.NOTHING
+        except OSError as error:
+            return Unread.UNKNOWN if error.errno in OUT_OF_MEMORY else Unread.END
+
     def _is_connreset(self, exc: BaseException) -> bool:
         # Guards against a line of error in the log for an end that is called, say, host unreachable.
         return isinstance(exc, OSError)
