The soak: short reads, reads and writes without memory, dead connections, upgrades

Change: four faults more in the shim and two in the plan, drawn apart, so that earlier seeds keep their other faults.

--- a/notchjunction/soak/events.py
+++ b/notchjunction/soak/events.py
@@ -103,6 +103,15 @@
     exit_code: int
 
 
+@dataclass(frozen=True, slots=True)
+class Upgrade:
+    """Two processes of a node ran side by side; what discovery wrote to one, the other may not know."""
+
+    node: str
+    began_at: float
+    ready_at: float  # the later one said yes, or ended
+
+
 @dataclass(slots=True)
 class Journal:
     """All observations of one run, in order of time within each list."""
@@ -114,6 +123,7 @@
     reachable: list[Reachable] = field(default_factory=list)
     cold_starts: list[ColdStart] = field(default_factory=list)
     killed: list[Killed] = field(default_factory=list)
+    upgrades: list[Upgrade] = field(default_factory=list)
     answers_made: dict[RequestId, set[bytes]] = field(default_factory=dict)
     cut_by_backend: set[RequestId] = field(default_factory=set)  # whose answer a backend broke off
     node_errors: list[str] = field(default_factory=list)
--- a/notchjunction/soak/plan.py
+++ b/notchjunction/soak/plan.py
@@ -15,6 +15,8 @@
     TERMINATE = auto()  # a node gets SIGTERM and starts again
     TERMINATE_SERIES = auto()  # one node after another gets it, `size` in all
     KILL = auto()  # a node dies and starts again
+    UPGRADE = auto()  # a node's next process starts beside it and takes over
+    UPGRADE_FAILS = auto()  # the same, but it dies `size` s later
     PAUSE = auto()  # a node is stopped for `size` s
     HANG_UP_SERIES = auto()  # `size` new configurations in quick succession, at all nodes
     MOVE_DISCOVERY = auto()  # a new configuration names another place of discovery
@@ -58,6 +60,7 @@
     seconds: float
     rate: float  # requests a second
     descriptors: int  # that a node may hold
+    upgrades: bool  # whether a node's processes can take over from one another
     shim: Mapping[str, Any]  # faults of system calls and clocks in each node
     faults: Sequence[Fault]
 
@@ -76,6 +79,7 @@
     Kind.DISCOVERY_SLOW: (10, 100),
     Kind.CLIENTS_LEAVE: (0.2, 0.8),
     Kind.BURST: (1.5, 3),
+    Kind.UPGRADE_FAILS: (0.1, 1.5),
 }
 LENGTHS: Mapping[Kind, tuple[float, float]] = {
     Kind.DISCOVERY_DOWN: (1.0, 4.0),
@@ -90,6 +94,9 @@
     Kind.BACKENDS_TROUBLE,
     Kind.CONNECTIONS_RESET,
 )
+UPGRADES = (Kind.UPGRADE, Kind.UPGRADE_FAILS)
+ANY = tuple(kind for kind in Kind if kind not in UPGRADES)
+UPGRADES_MOST = 4  # in a run that has any
 QUIET = 1.0  # s at the beginning in which nothing goes wrong
 
 
@@ -107,9 +114,18 @@
         "clock_steps": random.choice((0, 0, 3600)),
         "hold_seconds": random.choice((0, 0, 0.15)),
     }
+    # Drawn apart: seeds of before these were there keep their other faults.
+    calls = Random(f"soak calls {seed}")
+    shim |= {
+        "short_reads": calls.choice((0, 0.1)),
+        "failing_sockets": calls.choice((0, 0, 0.02)),
+        "out_of_memory": calls.choice((0, 0, 0.01)),
+        "dead_connections": calls.choice((0, 0, 0.01)),
+    }
     count = random.randint(6, 14)
-    kinds = [random.choice(OFTEN if random.random() < 0.4 else tuple(Kind)) for _ in range(count)]
+    kinds = [random.choice(OFTEN if random.random() < 0.4 else ANY) for _ in range(count)]
     faults = [_fault(random, kind, seconds) for kind in kinds]
+    upgrades = _upgrades(seed, seconds)
     return Plan(
         seed=seed,
         nodes=nodes or drawn_nodes,
@@ -119,11 +135,21 @@
         seconds=seconds,
         rate=random.choice((60, 120, 200)),
         descriptors=random.choice((64, 120, 256, 1024)),
+        upgrades=bool(upgrades),
         shim=shim,
-        faults=sorted(faults, key=lambda fault: fault.at),
+        faults=sorted((*faults, *upgrades), key=lambda fault: fault.at),
     )
 
 
+def _upgrades(seed: int, seconds: float) -> list[Fault]:
+    """In every other run some. Drawn apart, as the calls' faults are."""
+    random = Random(f"soak upgrades {seed}")
+    if random.random() < 0.5:
+        return []
+    count = random.randint(1, UPGRADES_MOST)
+    return [_fault(random, random.choice(UPGRADES), seconds) for _ in range(count)]
+
+
 def _fault(random: Random, kind: Kind, seconds: float) -> Fault:
     at = random.uniform(QUIET, seconds * 0.8)
     length = random.uniform(*LENGTHS.get(kind, ANY_LENGTH))
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -60,7 +60,9 @@
         self.journal = Journal()
         self.random = Random(f"play {plan.seed}")
         self.folder = folder
-        self.nodes = [SoakNode(number, folder, self.journal, plan.shim) for number in range(plan.nodes)]
+        self.nodes = [
+            SoakNode(number, folder, self.journal, plan.shim, plan.upgrades) for number in range(plan.nodes)
+        ]
         self.backends: list[Backend] = []
         self.discovery = DiscoveryService(self.journal, self.random)
         self.second_discovery = False
@@ -200,6 +202,17 @@
         pressing.cancel()
         await self._restart(node)
 
+    async def upgrade(self, node: SoakNode) -> None:
+        """The next process of a node takes over; clients go on, on the connections that they have too."""
+        self._busy_nodes.add(node.name)
+        await node.upgrade(LONGEST_DEADLINE)
+        self._busy_nodes.discard(node.name)
+
+    async def upgrade_that_fails(self, node: SoakNode, seconds: float) -> None:
+        self._busy_nodes.add(node.name)
+        await node.upgrade_that_fails(seconds)
+        self._busy_nodes.discard(node.name)
+
     async def kill(self, node: SoakNode) -> None:
         self._busy_nodes.add(node.name)
         await node.kill()
@@ -317,6 +330,18 @@
         await run.kill(node)
 
 
+async def _upgrade(run: SoakRun, fault: Fault, _: float) -> None:
+    node = run.pick_node(fault)
+    if node is not None:
+        await run.upgrade(node)
+
+
+async def _upgrade_fails(run: SoakRun, fault: Fault, _: float) -> None:
+    node = run.pick_node(fault)
+    if node is not None:
+        await run.upgrade_that_fails(node, fault.size)
+
+
 async def _pause(run: SoakRun, fault: Fault, _: float) -> None:
     await run.nodes[fault.target % len(run.nodes)].pause(fault.size)
 
@@ -448,6 +473,8 @@
     Kind.TERMINATE: _terminate,
     Kind.TERMINATE_SERIES: _terminate_series,
     Kind.KILL: _kill,
+    Kind.UPGRADE: _upgrade,
+    Kind.UPGRADE_FAILS: _upgrade_fails,
     Kind.PAUSE: _pause,
     Kind.HANG_UP_SERIES: _hang_up_series,
     Kind.MOVE_DISCOVERY: _move_discovery,
--- a/notchjunction/soak/shim.py
+++ b/notchjunction/soak/shim.py
@@ -18,13 +18,16 @@
 import sys
 import time
 from collections.abc import Mapping
+from contextlib import suppress
 from random import Random
 from typing import Any
+from weakref import WeakSet
 
 VARIABLE = "SOAK_SHIM"
 HOLD_EVERY = 0.3  # s between two moments in which the process may be held up
 STEP_EVERY = 1.0  # s between two steps of the wall clock
 RIGHT_FOR = 1.5  # s from the program's start in which it is right
+FILENO_AT = 4  # the place of `fileno` among the arguments of a new socket
 
 
 def install(told: Mapping[str, Any]) -> None:
@@ -36,8 +39,16 @@
         _failing_connects(random, share)
     if share := float(told.get("failing_accepts", 0)):
         _failing_accepts(random, share)
+    if share := float(told.get("failing_sockets", 0)):
+        _failing_sockets(random, share)
     if share := float(told.get("short_writes", 0)):
         _short_writes(random, share)
+    if share := float(told.get("short_reads", 0)):
+        _short_reads(random, share)
+    if share := float(told.get("out_of_memory", 0)):
+        _out_of_memory(random, share)
+    if share := float(told.get("dead_connections", 0)):
+        _dead_connections(random, share)
     if seconds := float(told.get("clock_steps", 0)):
         _clock_steps(random, seconds)
     if seconds := float(told.get("hold_seconds", 0)):
@@ -105,6 +116,84 @@
     IOStream.write_to_fd = short  # type: ignore[method-assign]
 
 
+def _short_reads(random: Random, share: float) -> None:
+    """A share of reads gives only a part of what is there."""
+    from tornado.iostream import IOStream
+
+    read = IOStream.read_from_fd
+
+    def short(self: Any, buffer: bytearray | memoryview) -> int | None:
+        if len(buffer) < 2 or random.random() >= share:
+            return read(self, buffer)
+        with memoryview(buffer) as whole, whole[: random.randrange(1, len(buffer))] as part:
+            return read(self, part)
+
+    IOStream.read_from_fd = short  # type: ignore[method-assign,assignment]
+
+
+def _failing_sockets(random: Random, share: float) -> None:
+    """A share of new sockets finds no descriptor, or no memory, once the program has its listeners."""
+    initialize = socket.socket.__init__
+    began = time.monotonic()
+    errors = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+    def failing(self: socket.socket, *arguments: Any, **named: Any) -> None:
+        made_anew = named.get("fileno") is None and len(arguments) < FILENO_AT
+        if made_anew and time.monotonic() > began + RIGHT_FOR and random.random() < share:
+            number = random.choice(errors)
+            initialize(self, *arguments, **named)
+            self.close()
+            raise OSError(number, os.strerror(number))
+        initialize(self, *arguments, **named)
+
+    socket.socket.__init__ = failing  # type: ignore[method-assign]
+
+
+def _out_of_memory(random: Random, share: float) -> None:
+    """A share of reads, looks and writes finds no memory for a moment; the connection stays."""
+    errors = (errno.ENOBUFS, errno.ENOMEM)
+
+    def wrap(name: str) -> None:
+        call = getattr(socket.socket, name)
+
+        def failing(self: socket.socket, *arguments: Any) -> Any:
+            if self.family in (socket.AF_INET, socket.AF_INET6) and random.random() < share:
+                number = random.choice(errors)
+                raise OSError(number, os.strerror(number))
+            return call(self, *arguments)
+
+        setattr(socket.socket, name, failing)
+
+    for name in ("recv", "recv_into", "send"):
+        wrap(name)
+
+
+def _dead_connections(random: Random, share: float) -> None:
+    """A share of reads on connections that the program opened finds that the other machine is gone."""
+    connect, receive = socket.socket.connect, socket.socket.recv_into
+    opened: WeakSet[socket.socket] = WeakSet()
+    errors = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+
+    def noted(self: socket.socket, address: Any) -> None:
+        opened.add(self)
+        connect(self, address)
+
+    def failing(self: socket.socket, *arguments: Any) -> int:
+        try:
+            return receive(self, *arguments)
+        except BlockingIOError:
+            # Only then: the operating system gives what has come before it tells of an error.
+            if self not in opened or random.random() >= share:
+                raise
+        with suppress(OSError):
+            self.shutdown(socket.SHUT_RDWR)
+        number = random.choice(errors)
+        raise OSError(number, os.strerror(number))
+
+    socket.socket.connect = noted  # type: ignore[method-assign,assignment]
+    socket.socket.recv_into = failing  # type: ignore[method-assign,assignment]
+
+
 def _clock_steps(random: Random, seconds: float) -> None:
     """The wall clock is stepped now and then, by up to so many seconds either way.
 
