A first list makes no cold server warm, whatever the wall clock was at the start

A process that starts while the wall clock is ahead took the cold servers of its first list for warm ones. Nothing there tells them from servers that started up to an hour ago, so the least age counts that a server can have had: one from before this process is as old as the list says less an hour; one from after it, as it says. Processes that follow are told ages by the one before.

The first list's story said that a server of 500 s is believed; it is one that a step can hide, so the story has it cold now, and one an hour older as 500 s old. The soak's wall clocks are wrong from the first moment on.

--- a/notchjunction/decider.py
+++ b/notchjunction/decider.py
@@ -198,7 +198,7 @@
     ) -> None:
         self._clock = clock
         self._wall = wall or clock
-        self._starts = Starts()
+        self._starts = Starts(clock())
         self._wake = wake
         self._kinds: dict[str, Kind] = {}
         self._kinds_made = 0
@@ -368,6 +368,14 @@
             "spent": {name: found["spent"][kind.number] for name, kind in self._kinds.items()},
         }
 
+    def start_ages(self) -> Mapping[str, Sequence[float]]:
+        """What is known of when servers started, for a process that follows this one (`inherit_starts`)."""
+        return self._starts.ages(self._clock())
+
+    def inherit_starts(self, ages: Mapping[str, Sequence[float]]) -> None:
+        """Takes that over, before any list is; TypeError, ValueError or AttributeError where it is none."""
+        self._starts.inherit(ages, self._clock())
+
     def learn(self, lessons: Mapping[str, Any]) -> None:
         """Takes over what another process learned, of servers and profiles that are known here too."""
         servers, spent = lessons["servers"], lessons["spent"]
--- a/notchjunction/net/node.py
+++ b/notchjunction/net/node.py
@@ -213,6 +213,10 @@
         state = inherited.state
         for server in state.get("barred", ()):
             self._decider.bar(server, known=True)
+        try:
+            self._decider.inherit_starts(state.get("starts", {}))
+        except (TypeError, ValueError, AttributeError) as error:
+            log.warning("no starts from the other process", extra=pairs(why=repr(error)))
         with suppress(Unusable):
             known = read_list(state.get("list"))
             if known.servers:
@@ -256,7 +260,13 @@
         if version is not None:
             listed = {"index": version, "snapshot": True, "endpoints": self._known.rows()}
         barred = sorted(self._decider.barred)
-        return {"barred": barred, "out": out, "list": listed, "lessons": self._decider.lessons()}
+        return {
+            "barred": barred,
+            "out": out,
+            "list": listed,
+            "starts": self._decider.start_ages(),
+            "lessons": self._decider.lessons(),
+        }
 
     def usage(self) -> dict[str, int]:
         return {"held": self._descriptors.held, "callers": self._descriptors.callers}
--- a/notchjunction/soak/shim.py
+++ b/notchjunction/soak/shim.py
@@ -26,7 +26,7 @@
 VARIABLE = "SOAK_SHIM"
 HOLD_EVERY = 0.3  # s between two moments in which the process may be held up
 STEP_EVERY = 1.0  # s between two steps of the wall clock
-RIGHT_FOR = 1.5  # s from the program's start in which it is right
+STARTED_WITHIN = 1.5  # s from the program's start in which it opens its listeners
 FILENO_AT = 4  # the place of `fileno` among the arguments of a new socket
 
 
@@ -139,7 +139,7 @@
 
     def failing(self: socket.socket, *arguments: Any, **named: Any) -> None:
         made_anew = named.get("fileno") is None and len(arguments) < FILENO_AT
-        if made_anew and time.monotonic() > began + RIGHT_FOR and random.random() < share:
+        if made_anew and time.monotonic() > began + STARTED_WITHIN and random.random() < share:
             number = random.choice(errors)
             initialize(self, *arguments, **named)
             self.close()
@@ -195,20 +195,13 @@
 
 
 def _clock_steps(random: Random, seconds: float) -> None:
-    """The wall clock is stepped now and then, by up to so many seconds either way.
-
-    It is right as the program starts: by a first list alone nobody could tell how old its servers are.
-    """
+    """The wall clock is stepped now and then, by up to so many seconds either way, from the first moment on."""
     wall = time.time
-    began = time.monotonic()
     steps: dict[int, float] = {}
 
     def stepped() -> float:
-        now = wall()
-        if time.monotonic() < began + RIGHT_FOR:
-            return now
         step = steps.setdefault(int(time.monotonic() / STEP_EVERY), random.uniform(-seconds, seconds))
-        return now + step
+        return wall() + step
 
     time.time = stepped
 
--- a/notchjunction/starts.py
+++ b/notchjunction/starts.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 LISTED_LATE = 3.0  # s that a list may be late with a start; an older one that is news is not believed
+STEP_MOST = 3600.0  # s by which the wall clock may have been stepped before this process began
+SAME_WITHIN = 0.001  # s by which two words of one start may differ; the list has milliseconds
 KEPT_MOST = 8192  # names of servers remembered, also of those that left; over twice the largest fleet
 
 
@@ -25,7 +28,9 @@
 class Starts:
     """The starts of all servers that were heard of lately."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        """`now` is the node's clock (s) as this process begins."""
+        self._born_at = now
         self._starts: OrderedDict[str, Start] = OrderedDict()
         self._heard_at: float | None = None
 
@@ -35,29 +40,62 @@
         `now` is the node's clock and `wall` the wall clock, both as the word came.
         """
         known = self._starts.get(name)
-        if known is not None and known.told == told:
+        if known is not None and abs(known.told - told) < SAME_WITHIN:
             self._starts.move_to_end(name)
             return known.at
         start = Start(told, now - self._age(told, now, wall) if told > 0 else 0.0)
+        self._keep(name, start)
+        return start.at
+
+    def ages(self, now: float) -> Mapping[str, tuple[float, float]]:
+        """By server, a start as the list tells it and its age (s), of those that a clock may hide.
+
+        For another process of this node, which can't tell how old they are.
+        """
+        return {
+            name: (start.told, now - start.at)
+            for name, start in self._starts.items()
+            if start.at > 0 and now - start.at < 2 * STEP_MOST
+        }
+
+    def inherit(self, ages: Mapping[str, Sequence[float]], now: float) -> None:
+        """Takes what another process of this node knows; TypeError, ValueError or AttributeError if unfit."""
+        for name, (told, age) in ages.items():
+            self._keep(name, Start(float(told), now - float(age)))
+
+    def _keep(self, name: str, start: Start) -> None:
         self._starts[name] = start
         self._starts.move_to_end(name)
         if len(self._starts) > KEPT_MOST:
             self._starts.popitem(last=False)
-        return start.at
 
     def heard(self, now: float) -> None:
         """Discovery's word has been taken in whole: what it did not name had not started by then."""
         self._heard_at = now
 
     def _age(self, told: float, now: float, wall: float) -> float:
-        """s since a start that is news; none where what the wall clock says can't be.
+        """s since a start that is news: the least that it can be."""
+        by_wall = wall - told
+        if self._heard_at is None:
+            return self._age_at_first(told, now, wall)
+        most = now - self._heard_at + LISTED_LATE
+        return self._lesser(told, now, wall) if by_wall <= most else 0.0
+
+    def _age_at_first(self, told: float, now: float, wall: float) -> float:
+        """Of a server in the first word from discovery, which may have started at any time.
+
+        One from before this process is as old as the wall clock says, less any step of that clock since: a
+        node that took it for older would push it as it warms up.
+        """
+        by_wall = wall - told
+        since_own_start = now - self._born_at
+        return self._lesser(told, now, wall) if by_wall <= since_own_start else max(0.0, by_wall - STEP_MOST)
+
+    def _lesser(self, told: float, now: float, wall: float) -> float:
+        """Of the ages by the wall clock and by the node's own, which was set by it once and never stepped.
 
-        The node's clock was set by the wall clock once, and never stepped: of two ages that can be the lesser
-        counts, as a step of the wall clock in either direction makes one of them too great.
+        A step of the wall clock in either direction makes one of them too great. None where it lies ahead.
         """
         by_wall = wall - told
         by_own = now - told
-        most = by_wall if self._heard_at is None else now - self._heard_at + LISTED_LATE
-        if not 0 <= by_wall <= most:
-            return 0.0
-        return min(by_wall, by_own) if by_own >= 0 else by_wall
+        return max(0.0, min(by_wall, by_own) if by_own >= 0 else by_wall)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+from typing import Any
+
 import pytest
 
 from notchjunction.decider import Ask, Decider, Listed, Names, Send, TurnBack, WriteOff
@@ -14,7 +17,7 @@
 
 @pytest.mark.parametrize("step", [-HOUR, -60.0, 0.0, 60.0, HOUR])
 def test_a_start_that_is_news_is_recent_however_the_wall_clock_was_stepped_before_it(step: float) -> None:
-    starts = Starts()
+    starts = Starts(NOW)
     starts.heard(NOW)
     wall = NOW + 2.0 + step
     assert starts.at("s", wall - 1.0, NOW + 2.0, wall) == pytest.approx(NOW + 1.0)
@@ -22,7 +25,7 @@
 
 @pytest.mark.parametrize("step", [-HOUR, -60.0, 60.0, HOUR])
 def test_a_step_between_a_start_and_its_news_makes_it_just_started(step: float) -> None:
-    starts = Starts()
+    starts = Starts(NOW)
     starts.heard(NOW)
     assert starts.at("s", NOW + 1.0, NOW + 2.0, NOW + 2.0 + step) == NOW + 2.0
 
@@ -30,27 +33,28 @@
 @pytest.mark.parametrize("step", [-HOUR, 2.0, HOUR])
 def test_a_first_word_that_comes_after_a_step_takes_no_cold_server_for_a_warm_one(step: float) -> None:
     """The clock was right as the node started; discovery had nothing to say until the step was over."""
-    starts = Starts()
+    starts = Starts(NOW)
     assert starts.at("s", NOW + 2.0, NOW + 2.5, NOW + 2.5 + step) >= NOW + 2.0
 
 
 def test_a_step_of_a_few_seconds_makes_no_server_warm_too_early() -> None:
-    starts = Starts()
+    starts = Starts(NOW)
     starts.heard(NOW)
     assert starts.at("s", NOW + 1.0, NOW + 1.5, NOW + 1.5 + 2.0) >= NOW + 1.0
 
 
 def test_what_was_said_of_a_start_stays_whatever_the_clocks_say_later() -> None:
-    starts = Starts()
+    starts = Starts(NOW)
     starts.heard(NOW)
     first = starts.at("s", NOW + 1.0, NOW + 2.0, NOW + 2.0)
     starts.heard(NOW + 2.0)
     assert starts.at("s", NOW + 1.0, NOW + 50.0, NOW + 50.0 - HOUR) == first
 
 
-def test_a_first_list_is_believed_and_a_list_that_is_a_little_late_too() -> None:
-    starts = Starts()
-    assert starts.at("old", NOW - 500.0, NOW, NOW) == NOW - 500.0
+def test_a_first_list_is_believed_but_for_a_step_and_a_list_that_is_a_little_late_too() -> None:
+    starts = Starts(NOW)
+    assert starts.at("old", NOW - HOUR - 500.0, NOW, NOW) == NOW - 500.0
+    assert starts.at("young", NOW - 500.0, NOW, NOW) == NOW
     assert starts.at("always", 0.0, NOW, NOW) == 0.0
     starts.heard(NOW)
     late = NOW + 1.0 - (1.0 + LISTED_LATE) + 0.1
@@ -58,8 +62,33 @@
     assert starts.at("later", late - 0.2, NOW + 1.0, NOW + 1.0) == NOW + 1.0
 
 
+def test_a_server_that_started_after_this_process_is_as_old_as_the_first_word_says() -> None:
+    starts = Starts(NOW)
+    assert starts.at("s", NOW + 20.0, NOW + 25.0, NOW + 25.0) == NOW + 20.0
+
+
+@pytest.mark.parametrize("step", [-HOUR, 0.0, HOUR])
+def test_a_following_process_knows_how_old_servers_are_whatever_its_clock_says(step: float) -> None:
+    """The list comes as the other process has it, with its times in milliseconds."""
+    before = Starts(NOW)
+    before.heard(NOW)
+    told = NOW + 100.0 + 1 / 3
+    assert before.at("s", told, NOW + 101.0, NOW + 101.0) == pytest.approx(told)
+    now = NOW + 110.0 + step  # its own clock goes by a wall clock that was stepped
+    after = Starts(now)
+    after.inherit(json.loads(json.dumps(before.ages(NOW + 110.0))), now)
+    assert after.at("s", told * 1000 / 1000, now, now) == pytest.approx(now - (110.0 - 100.0 - 1 / 3))
+    assert after.at("s", round(told, 3), now + 1.0, now + 1.0) == pytest.approx(now - 9.0 - 2 / 3)
+
+
+@pytest.mark.parametrize("ages", [[], {"s": 1}, {"s": ["x", 1]}, {"s": [1]}, None])
+def test_what_is_no_word_of_starts_is_refused(ages: Any) -> None:
+    with pytest.raises((TypeError, ValueError, AttributeError)):
+        Starts(NOW).inherit(ages, NOW)
+
+
 def test_names_are_not_kept_for_ever() -> None:
-    starts = Starts()
+    starts = Starts(NOW)
     for number in range(KEPT_MOST + 10):
         starts.at(f"s{number}", 0.0, NOW, NOW)
     assert len(starts._starts) == KEPT_MOST
@@ -102,5 +131,5 @@
 
 def test_a_node_that_starts_with_a_stepped_clock_takes_no_cold_server_for_a_warm_one() -> None:
     """Its clock is ahead by an hour; a server in its first list started a second ago."""
-    starts = Starts()
+    starts = Starts(NOW)
     assert starts.at("s", NOW - HOUR - 1.0, NOW, NOW) >= NOW - LISTED_LATE
