--- a/notchjunction/soak/shim.py
+++ b/notchjunction/soak/shim.py
@@ -195,7 +195,7 @@
 
 
 def _clock_steps(random: Random, seconds: float) -> None:
-    """The wall clock is stepped now and then, by up to so many seconds either way, from the first moment on."""
+    """The wall clock is wrong from the first moment on, each second by up to so many s either way."""
     wall = time.time
     steps: dict[int, float] = {}
 
