--- a/notchjunction/soak/backend.py
+++ b/notchjunction/soak/backend.py
@@ -5,10 +5,12 @@
 import asyncio
 import socket
 import struct
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum, auto
+from math import inf
 from random import Random
 
 from notchjunction.http1.messages import Malformed, Request
@@ -19,6 +21,7 @@
 
 HOST = "127.0.0.1"
 ABORT = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
+CAPACITY_SPAN = 1.0  # s
 BACKLOG = 256
 STRAY_AFTER = 0.004  # s until a second answer follows the first; the protocol's spoilt answers
 IDLE_MOMENTS = (0.0, 0.01, 0.03, 0.05)  # s after an answer at which a connection is closed without a word
@@ -96,6 +99,8 @@
         self.journal = journal
         self.random = random
         self.request_of = request_of
+        self.capacity = inf  # requests that it serves in CAPACITY_SPAN; it declines what comes past them
+        self._served_at: deque[float] = deque()
         self._listener: asyncio.Server | None = None
         self.connections: set[BackendConnection] = set()
 
@@ -121,6 +126,15 @@
         if self._listener is None:
             await self.open()
 
+    def serves_one_more(self, now: float) -> bool:
+        """Whether it has room for a request that comes now (s), which is counted then."""
+        while self._served_at and self._served_at[0] <= now - CAPACITY_SPAN:
+            self._served_at.popleft()
+        if len(self._served_at) >= self.capacity:
+            return False
+        self._served_at.append(now)
+        return True
+
     @property
     def is_up(self) -> bool:
         return self._listener is not None
@@ -205,6 +219,8 @@
             trouble = Trouble.HANG
         elif backend.random.random() < behaviour.trouble_share:
             trouble = backend.random.choice(behaviour.troubles)
+        if trouble is not Trouble.DECLINED and not backend.serves_one_more(now):
+            trouble = Trouble.DECLINED
         name = backend.request_of(request)
         told_seconds = int(request.headers.get(words.TIME_LEFT, "0")) / 1000
         disposition = Disposition.DECLINED if trouble is Trouble.DECLINED else Disposition.EXECUTED
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from notchjunction.net.connections import text_of
-from notchjunction.soak.backend import Backend, Behaviour, Trouble
+from notchjunction.soak.backend import CAPACITY_SPAN, Backend, Behaviour, Trouble
 from notchjunction.soak.client import Clients, Manner
 from notchjunction.soak.discovery import ACTIVE, LEAVING, LEFT, DiscoveryService
 from notchjunction.soak.events import Effect, Journal
@@ -60,6 +60,7 @@
         self.journal = Journal()
         self.random = Random(f"play {plan.seed}")
         self.folder = folder
+        self.capacity = CAPACITY_TIMES * plan.rate / plan.backends  # requests a second of a warm backend
         self.nodes = [
             SoakNode(number, folder, self.journal, plan.shim, plan.upgrades) for number in range(plan.nodes)
         ]
@@ -116,6 +117,7 @@
 
     async def _backend(self, name: str, zone: int) -> Backend:
         backend = Backend(name, f"z{zone}", self.journal, self.random)
+        backend.capacity = self.capacity * CAPACITY_SPAN
         backend.behaviour.idle_seconds = self.random.choice((1.0, CONNECTION_IDLE, CONNECTION_IDLE))
         await backend.open()
         return backend
@@ -285,8 +287,7 @@
                     self.journal.node_errors.append(f"{node.name}: {line[:400]}")
 
     def _result(self) -> Result:
-        capacity = CAPACITY_TIMES * self.plan.rate / self.plan.backends
-        limits = Limits(KEY_WINDOW, COLD_TIME, COLD_SHARE, FALL_MULTIPLE, FALL_SPAN, capacity)
+        limits = Limits(KEY_WINDOW, COLD_TIME, COLD_SHARE, FALL_MULTIPLE, FALL_SPAN, self.capacity)
         counters: dict[str, float] = {}
         for node in self.nodes:
             for name, figure in node.counters().items():
