--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1030,6 +1030,7 @@
     monkeypatch.setattr(callers, "IDLE_SPARED", 60.0)
     # Nor is one that is about to ask taken for silent: the silent three go as the second of the refused ends.
     monkeypatch.setattr(callers, "SILENT_PRESSED", 0.9 * caller_module.REFUSED_WITHIN)
+    monkeypatch.setattr(callers, "ROOM_WITHIN", 5.0)  # and that is when there is room for who comes last
 
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
