--- a/notchjunction/net/caller.py
+++ b/notchjunction/net/caller.py
@@ -507,12 +507,7 @@
             raise self._broken_off(length, chunks) from error
         finally:
             download.close()
-        self._busy = False
-        if keep and not self._callers.parting:
-            self._rest()
-            await self.converse()
-        else:
-            await self._linger()
+        await self._go_on(keep)
 
     def turn_back_upload(self) -> None:
         if self._discards and not self._turned_back and (self._callers.mover is None or self._stays):
@@ -588,6 +583,10 @@
         keep = bool(state["keep"])
         if await self._discard(keep):
             return
+        await self._go_on(keep)
+
+    async def _go_on(self, keep: bool) -> None:
+        """What another process began is done: from here on as with any caller."""
         self._busy = False
         if keep and not self._callers.parting:
             self._rest()
--- a/notchjunction/net/callers.py
+++ b/notchjunction/net/callers.py
@@ -26,7 +26,7 @@
 from notchjunction.net.logs import pairs
 from notchjunction.net.observed_loop import waited_most
 from notchjunction.net.relay import Download, Streams, Upload
-from notchjunction.net.streams import discard_unread, end_sending
+from notchjunction.net.streams import give_up
 
 log = logging.getLogger(__name__)
 
@@ -63,8 +63,7 @@
     """
     with suppress(OSError):
         connection.send(REFUSAL, socket.MSG_DONTWAIT)
-    end_sending(connection)
-    discard_unread(connection)
+    give_up(connection)
     connection.close()
 
 
--- a/notchjunction/net/jobs.py
+++ b/notchjunction/net/jobs.py
@@ -200,14 +200,14 @@
         attempt = Attempt(
             order.server,
             order.until,
-            self._upload,
-            lambda: self._whole_until,
-            partial(self._begun, dispatch),
-            partial(rights.write, dispatch) if rights is not None else None,
-            partial(self._decider.stands, self._ticket, dispatch),
-            self._caller_there,
-            partial(self._decider.repeat_until, self._ticket, dispatch),
-            partial(self._written, dispatch, order.server),
+            rest=self._upload,
+            whole_until=lambda: self._whole_until,
+            begun=partial(self._begun, dispatch),
+            may_spend=partial(rights.write, dispatch) if rights is not None else None,
+            stands=partial(self._decider.stands, self._ticket, dispatch),
+            caller_there=self._caller_there,
+            repeat_until=partial(self._decider.repeat_until, self._ticket, dispatch),
+            written=partial(self._written, dispatch, order.server),
         )
         work = self._servers.attempt(attempt, self._request)
         task = asyncio.create_task(work)
--- a/notchjunction/net/management.py
+++ b/notchjunction/net/management.py
@@ -22,7 +22,7 @@
 from notchjunction.net.counters import Counters
 from notchjunction.net.descriptors import SHORT, SHORT_PAUSE
 from notchjunction.net.logs import pairs
-from notchjunction.net.streams import NodeStream, Unread, discard_unread, end_sending
+from notchjunction.net.streams import NodeStream, Unread, end_sending, give_up
 
 log = logging.getLogger(__name__)
 
@@ -138,8 +138,7 @@
             # Guards against callers that say nothing keeping out those who do: the oldest of them goes.
             oldest = next(iter(self._unread), None)
             if oldest is None:
-                end_sending(connection)
-                discard_unread(connection)
+                give_up(connection)
                 connection.close()
                 return True
             self._counters.add("operator_calls_dropped")
@@ -153,8 +152,7 @@
 
     def _close(self, stream: CallStream) -> None:
         if not stream.closed():
-            end_sending(stream.socket)
-            discard_unread(stream.socket)
+            give_up(stream.socket)
             stream.close()
 
     def _done(self, task: asyncio.Task[None]) -> None:
@@ -183,8 +181,7 @@
                 async with asyncio.timeout(LINGER_WITHIN):
                     await stream.write(encode_answer(answer))
                     if not stream.closed():
-                        with suppress(OSError):  # it may have gone by now
-                            stream.socket.shutdown(socket.SHUT_WR)
+                        end_sending(stream.socket)
                     while True:
                         await read_piece(stream)
 
--- a/notchjunction/net/servers.py
+++ b/notchjunction/net/servers.py
@@ -140,10 +140,6 @@
         self._lives = {server: lives for server, lives in self._lives.items() if server in ready}
         self._retire(lambda server, connection: not self._current(server, connection))
 
-    async def dispatch(self, server: str, request: Request, within: float) -> Exchanged:
-        """One attempt that ends within so many s from now, of a request that is there whole."""
-        return await self.attempt(Attempt(server, self._clock() + within), request)
-
     async def attempt(self, attempt: Attempt, request: Request) -> Exchanged:
         """One attempt of a job; whether it may be written is decided as it is written."""
         rest = attempt.rest
--- a/notchjunction/net/streams.py
+++ b/notchjunction/net/streams.py
@@ -70,6 +70,12 @@
         sock.shutdown(socket.SHUT_WR)
 
 
+def give_up(sock: socket.socket) -> None:
+    """Ends the sending and throws away what has come; the socket can be closed then without a reset."""
+    end_sending(sock)
+    discard_unread(sock)
+
+
 def discard_unread(sock: socket.socket) -> None:
     """Reads what has come and throws it away: a close over it is a reset, which may destroy an answer."""
     with suppress(OSError):
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -309,12 +309,6 @@
 Player = Callable[[SoakRun, Fault, float], Coroutine[Any, Any, None]]
 
 
-async def _terminate(run: SoakRun, fault: Fault, _: float) -> None:
-    node = run.pick_node(fault)
-    if node is not None:
-        await run.terminate(node)
-
-
 async def _terminate_series(run: SoakRun, fault: Fault, _: float) -> None:
     for step in range(round(fault.size)):
         node = run.nodes[(fault.target + step) % len(run.nodes)]
@@ -325,16 +319,15 @@
         await asyncio.sleep(0.05)
 
 
-async def _kill(run: SoakRun, fault: Fault, _: float) -> None:
-    node = run.pick_node(fault)
-    if node is not None:
-        await run.kill(node)
+def _at_a_node(act: Callable[[SoakRun, SoakNode], Coroutine[Any, Any, None]]) -> Player:
+    """Does this to the node that is met, if there is one."""
 
+    async def play(run: SoakRun, fault: Fault, _: float) -> None:
+        node = run.pick_node(fault)
+        if node is not None:
+            await act(run, node)
 
-async def _upgrade(run: SoakRun, fault: Fault, _: float) -> None:
-    node = run.pick_node(fault)
-    if node is not None:
-        await run.upgrade(node)
+    return play
 
 
 async def _upgrade_fails(run: SoakRun, fault: Fault, _: float) -> None:
@@ -471,10 +464,10 @@
 
 
 PLAYERS: Mapping[Kind, Player] = {
-    Kind.TERMINATE: _terminate,
+    Kind.TERMINATE: _at_a_node(SoakRun.terminate),
     Kind.TERMINATE_SERIES: _terminate_series,
-    Kind.KILL: _kill,
-    Kind.UPGRADE: _upgrade,
+    Kind.KILL: _at_a_node(SoakRun.kill),
+    Kind.UPGRADE: _at_a_node(SoakRun.upgrade),
     Kind.UPGRADE_FAILS: _upgrade_fails,
     Kind.PAUSE: _pause,
     Kind.HANG_UP_SERIES: _hang_up_series,
--- a/notchjunction/soak/shim.py
+++ b/notchjunction/soak/shim.py
@@ -17,7 +17,7 @@
 import socket
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from random import Random
 from typing import Any
@@ -35,24 +35,15 @@
     random = Random(str(told.get("seed", 0)))
     if share := float(told.get("late_connects", 0)):
         _late_connects(random, share, float(told.get("late_seconds", 0.5)))
-    if share := float(told.get("failing_connects", 0)):
-        _failing_connects(random, share)
-    if share := float(told.get("failing_accepts", 0)):
-        _failing_accepts(random, share)
-    if share := float(told.get("failing_sockets", 0)):
-        _failing_sockets(random, share)
-    if share := float(told.get("short_writes", 0)):
-        _short_writes(random, share)
-    if share := float(told.get("short_reads", 0)):
-        _short_reads(random, share)
-    if share := float(told.get("out_of_memory", 0)):
-        _out_of_memory(random, share)
-    if share := float(told.get("dead_connections", 0)):
-        _dead_connections(random, share)
-    if seconds := float(told.get("clock_steps", 0)):
-        _clock_steps(random, seconds)
-    if seconds := float(told.get("hold_seconds", 0)):
-        _holds(random, seconds)
+    for name, fault in FAULTS:
+        if size := float(told.get(name, 0)):
+            fault(random, size)
+
+
+def _error(random: Random, numbers: Sequence[int]) -> OSError:
+    """One of these errors, as the operating system words it."""
+    number = random.choice(numbers)
+    return OSError(number, os.strerror(number))
 
 
 def _late_connects(random: Random, share: float, seconds: float) -> None:
@@ -81,8 +72,7 @@
 
     def failing(self: socket.socket, address: Any) -> None:
         if random.random() < share:
-            number = random.choice(errors)
-            raise OSError(number, os.strerror(number))
+            raise _error(random, errors)
         connect(self, address)
 
     socket.socket.connect = failing  # type: ignore[method-assign,assignment]
@@ -95,8 +85,7 @@
 
     def failing(self: socket.socket) -> Any:
         if random.random() < share:
-            number = random.choice(errors)
-            raise OSError(number, os.strerror(number))
+            raise _error(random, errors)
         return accept(self)
 
     socket.socket.accept = failing  # type: ignore[method-assign]
@@ -140,10 +129,9 @@
     def failing(self: socket.socket, *arguments: Any, **named: Any) -> None:
         made_anew = named.get("fileno") is None and len(arguments) < FILENO_AT
         if made_anew and time.monotonic() > began + STARTED_WITHIN and random.random() < share:
-            number = random.choice(errors)
             initialize(self, *arguments, **named)
             self.close()
-            raise OSError(number, os.strerror(number))
+            raise _error(random, errors)
         initialize(self, *arguments, **named)
 
     socket.socket.__init__ = failing  # type: ignore[method-assign]
@@ -158,8 +146,7 @@
 
         def failing(self: socket.socket, *arguments: Any) -> Any:
             if self.family in (socket.AF_INET, socket.AF_INET6) and random.random() < share:
-                number = random.choice(errors)
-                raise OSError(number, os.strerror(number))
+                raise _error(random, errors)
             return call(self, *arguments)
 
         setattr(socket.socket, name, failing)
@@ -187,8 +174,7 @@
                 raise
         with suppress(OSError):
             self.shutdown(socket.SHUT_RDWR)
-        number = random.choice(errors)
-        raise OSError(number, os.strerror(number))
+        raise _error(random, errors)
 
     socket.socket.connect = noted  # type: ignore[method-assign,assignment]
     socket.socket.recv_into = failing  # type: ignore[method-assign,assignment]
@@ -224,6 +210,20 @@
     signal.setitimer(signal.ITIMER_REAL, HOLD_EVERY)
 
 
+# By name, what `install` is told besides late connects; a later one wraps an earlier one of the same call.
+FAULTS = (
+    ("failing_connects", _failing_connects),
+    ("failing_accepts", _failing_accepts),
+    ("failing_sockets", _failing_sockets),
+    ("short_writes", _short_writes),
+    ("short_reads", _short_reads),
+    ("out_of_memory", _out_of_memory),
+    ("dead_connections", _dead_connections),
+    ("clock_steps", _clock_steps),
+    ("hold_seconds", _holds),
+)
+
+
 def main() -> None:
     install(json.loads(os.environ.get(VARIABLE, "{}")))
     sys.argv = ["notchjunction", *sys.argv[1:]]
--- a/notchjunction/starts.py
+++ b/notchjunction/starts.py
@@ -77,25 +77,13 @@
         """s since a start that is news: the least that it can be."""
         by_wall = wall - told
         if self._heard_at is None:
-            return self._age_at_first(told, now, wall)
-        most = now - self._heard_at + LISTED_LATE
-        return self._lesser(told, now, wall) if by_wall <= most else 0.0
-
-    def _age_at_first(self, told: float, now: float, wall: float) -> float:
-        """Of a server in the first word from discovery, which may have started at any time.
-
-        One from before this process is as old as the wall clock says, less any step of that clock since: a
-        node that took it for older would push it as it warms up.
-        """
-        by_wall = wall - told
-        since_own_start = now - self._born_at
-        return self._lesser(told, now, wall) if by_wall <= since_own_start else max(0.0, by_wall - STEP_MOST)
-
-    def _lesser(self, told: float, now: float, wall: float) -> float:
-        """Of the ages by the wall clock and by the node's own, which was set by it once and never stepped.
-
-        A step of the wall clock in either direction makes one of them too great. None where it lies ahead.
-        """
-        by_wall = wall - told
+            # In the first word from discovery it may lie before this process: then it is as old as the wall
+            # clock says, less any step of that clock since. One taken for older is pushed as it warms up.
+            if by_wall > now - self._born_at:
+                return max(0.0, by_wall - STEP_MOST)
+        elif by_wall > now - self._heard_at + LISTED_LATE:
+            return 0.0
+        # The node's own clock was set by the wall clock once, and never stepped: a step of the wall clock in
+        # either direction makes one of the two ages too great.
         by_own = now - told
         return max(0.0, min(by_wall, by_own) if by_own >= 0 else by_wall)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -812,6 +812,17 @@
     run(story())
 
 
+def as_an_answer_is_ready(act: Callable[[Caller], None], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Does this ahead of each answer, with the caller that it is for."""
+    note = Caller._note_answer
+
+    def noted(self: Caller, *facts: Any) -> None:
+        act(self)
+        note(self, *facts)
+
+    monkeypatch.setattr(Caller, "_note_answer", noted)
+
+
 def test_a_request_that_waits_unread_as_an_answer_is_ready_is_answered_too(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -820,15 +831,13 @@
     async def story() -> None:
         async with Peer() as peer, running(peer) as (node, address):
             caller = RawClient(address)
-            note = Caller._note_answer
 
-            def crossed(self: Caller, *facts: Any) -> None:
+            def crossed(_: Caller) -> None:
                 node._callers.part()
                 if len(peer.requests) == 1:
                     caller.ask()
-                note(self, *facts)
 
-            monkeypatch.setattr(Caller, "_note_answer", crossed)
+            as_an_answer_is_ready(crossed, monkeypatch)
             caller.ask()
             async with asyncio.timeout(5):
                 while len(peer.requests) < 2:
@@ -873,14 +882,12 @@
     async def story() -> None:
         async with Peer() as peer, running(peer) as (node, address):
             caller = RawClient(address)
-            note = Caller._note_answer
 
-            def gone(self: Caller, *facts: Any) -> None:
+            def gone(answered: Caller) -> None:
                 node._callers.part()
-                self._stream.close()
-                note(self, *facts)
+                answered._stream.close()
 
-            monkeypatch.setattr(Caller, "_note_answer", gone)
+            as_an_answer_is_ready(gone, monkeypatch)
             # No read is under way beside an answer that takes no time.
             caller.more(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
             async with asyncio.timeout(5):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -71,8 +71,8 @@
         """Kept connections may be used again."""
         self.clock += 2 * SETTLED
 
-    async def send(self, within: float = 2.0) -> Exchanged:
-        return await self.servers.dispatch("s0", JOB, within)
+    async def send(self, within: float = 2.0, server: str = "s0", request: Request = JOB) -> Exchanged:
+        return await self.servers.attempt(Attempt(server, self.clock + within), request)
 
 
 def answer(head: bytes, body: bytes = b"") -> bytes:
@@ -117,7 +117,7 @@
             pass
         sent = Dispatches(peer)
         assert (await sent.send()).ended.result is Result.NO_CONNECTION
-        assert (await sent.servers.dispatch("unheard of", JOB, 1.0)).ended.result is Result.NO_CONNECTION
+        assert (await sent.send(1.0, "unheard of")).ended.result is Result.NO_CONNECTION
         assert sent.descriptors.held == 0
 
     run(story())
@@ -215,7 +215,7 @@
                 await sent.send()
                 assert peer.connections == connections
                 sent.rested()
-            await sent.servers.dispatch("s0", Request("GET", "/api", {"req-id": "1"}), 2.0)
+            await sent.send(request=Request("GET", "/api", {"req-id": "1"}))
             assert peer.connections == 3
             sent.clock += 10.5
             await sent.send()  # the kept ones have stood idle for too long by now
@@ -338,7 +338,7 @@
             await sent.send()
             sent.servers.point({"s1": peer.address})
             await peer.left.wait()
-            await sent.servers.dispatch("s1", JOB, 2.0)
+            await sent.send(server="s1")
             assert (len(peer.requests), peer.connections, sent.descriptors.held) == (2, 2, 1)
 
     run(story())
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -22,6 +22,7 @@
 from notchjunction.net.connections import Address
 from notchjunction.net.descriptors import SHORT_PAUSE
 from notchjunction.net.discovery import Discovery
+from notchjunction.net.node import Node
 from tests.helpers import (
     OK,
     SILENT,
@@ -103,6 +104,17 @@
     return crowd
 
 
+async def crowded(node: Node, address: Address) -> tuple[list[Client], list[Client]]:
+    """That crowd, let in, and six callers past the margin who have asked."""
+    crowd = await crowd_of_half_heads(address)
+    while node._descriptors.callers < 8:
+        await asyncio.sleep(0.001)
+    late = [await Client().open(address) for _ in range(6)]
+    for client in late:
+        client.ask()
+    return crowd, late
+
+
 @pytest.mark.parametrize(("room_within", "let_in"), [(5.0, True), (0.05, False)])
 def test_past_the_margin_callers_wait_for_an_answer_but_not_for_long(
     room_within: float, let_in: bool, monkeypatch: pytest.MonkeyPatch
@@ -113,12 +125,7 @@
 
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
-            crowd = await crowd_of_half_heads(address)
-            while node._descriptors.callers < 8:
-                await asyncio.sleep(0.001)
-            late = [await Client().open(address) for _ in range(6)]
-            for client in late:
-                client.ask()
+            crowd, late = await crowded(node, address)
             for client in late:
                 found = await client.answer()
                 assert (found.status, found.keep) == (503, False) and await client.closed()
@@ -140,13 +147,8 @@
 
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
-            crowd = await crowd_of_half_heads(address)
-            while node._descriptors.callers < 8:
-                await asyncio.sleep(0.001)
-            late = [await Client().open(address) for _ in range(6)]
+            crowd, late = await crowded(node, address)
             began = asyncio.get_running_loop().time()
-            for client in late:
-                client.ask()
             for client in late:
                 found = await client.answer()
                 assert (found.status, found.keep) == (503, False) and await client.closed()
@@ -168,12 +170,7 @@
 
     async def story() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
-            crowd = await crowd_of_half_heads(address)
-            while node._descriptors.callers < 8:
-                await asyncio.sleep(0.001)
-            late = [await Client().open(address) for _ in range(6)]
-            for client in late:
-                client.ask()
+            crowd, late = await crowded(node, address)
             while node._callers._waiting is None:
                 await asyncio.sleep(0.001)
             if end:
