Slow peers are told from gone ones by acknowledged bytes, not by accepted ones

A body on its way to a server that reads at that pace was given up alike, and so was an answer in the process that an upgrade moved it to.

Cause: a write that the operating system did not finish accepting within 10 s counted as a peer that takes nothing. A full socket is reported as writable only once a third of its send buffer is free; of 4 MB that takes 20 s at 64 kB a second.

Evidence: a sender and a reader over loopback, send queue and readiness sampled 20 times a second for 45 s. Longest span without accepted bytes, and without acknowledged bytes: 64 kB/s 22.5 and 2.0 s; 100 kB/s 15.0 and 1.3 s; segments of 1,400 bytes 10.0 and 2.0 s; receive buffer of 8 KB 19.1 and 0.2 s. The peer took bytes throughout; the node did not look.

Change: net/write_stall.py measures progress by the bytes that the peer has acknowledged (accepted bytes less the send queue). Both directions and adopted streams use it; a peer that acknowledges nothing for 10 s is still given up.

--- a/notchjunction/net/body_streaming.py
+++ b/notchjunction/net/body_streaming.py
@@ -11,11 +11,11 @@
 from notchjunction.http1.parser import ResponseReader
 from notchjunction.net.upstream_connection import (
     READ_CHUNK_BYTES,
-    STALL_TIMEOUT_S,
     AttemptWithheldError,
     ConnectionLostError,
     UpstreamConnection,
 )
+from notchjunction.net.write_stall import STALL_TIMEOUT_S
 
 # Bytes of a piece by the number of open streams: (streams at most, bytes).
 PIECE_SIZES = ((32, READ_CHUNK_BYTES), (128, 16 * 1024))
--- a/notchjunction/net/client_stream.py
+++ b/notchjunction/net/client_stream.py
@@ -14,9 +14,8 @@
 
 
 class ClientStream(NodeStream):
-    """Counts the bytes that the operating system accepted, and records when the last bytes arrived."""
+    """Records when the last bytes arrived."""
 
-    bytes_sent = 0  # accepted by the operating system
     arrived_at = 0.0  # s, monotonic; the earliest time at which the bytes read last may have arrived
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -29,12 +28,6 @@
             self.arrived_at = time.monotonic() - max_unread_age()
         return count
 
-    def write_to_fd(self, data: memoryview) -> int:
-        """Writes bytes. Returns how many the operating system accepted."""
-        count = super().write_to_fd(data)
-        self.bytes_sent += count
-        return count
-
     def has_unread(self) -> bool:
         """Whether bytes or the end of the stream are unread, or the operating system cannot tell."""
         return self.unread() is not Unread.NOTHING
--- a/notchjunction/net/response_writer.py
+++ b/notchjunction/net/response_writer.py
@@ -6,7 +6,6 @@
 import socket
 import struct
 from contextlib import suppress
-from typing import Any
 
 from tornado.iostream import StreamClosedError
 
@@ -17,9 +16,7 @@
 from notchjunction.net.client_state import ConnectionState
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.stream_state import ResponseFraming
-
-# A client that takes longer to read a response, or a piece of one, counts as gone.
-WRITE_TIMEOUT_S = 10.0
+from notchjunction.net.write_stall import wait_until_written
 
 
 class ResponseWriter:
@@ -45,12 +42,7 @@
             StreamClosedError: The client has gone or does not read.
         """
         self._bytes_queued += len(wire)
-        try:
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
-                await self.stream.write(wire)
-        except TimeoutError as error:
-            # Guards against a client that never reads, which a drain would wait for.
-            raise StreamClosedError from error
+        await wait_until_written(self.stream, self.stream.write(wire))
 
     async def write_body(self, download: Download, framing: ResponseFraming) -> bool:
         """Writes a body piece by piece as it arrives, and its end marker.
@@ -98,19 +90,13 @@
 
     async def _wait_written(self, written: asyncio.Future[None]) -> bool:
         """Waits until a piece is written or migration starts. Returns whether it is written."""
-        migrating = self._context.migrating
-        futures: set[asyncio.Future[Any]] = {written}
-        if not self._state.pinned:
-            futures.add(migration := asyncio.ensure_future(migrating.wait()))
-        await asyncio.wait(futures, timeout=WRITE_TIMEOUT_S, return_when=asyncio.FIRST_COMPLETED)
-        if not self._state.pinned:
+        if self._state.pinned:
+            return await wait_until_written(self.stream, written)
+        migration = asyncio.ensure_future(self._context.migrating.wait())
+        try:
+            return await wait_until_written(self.stream, written, migration)
+        finally:
             migration.cancel()
-        if written.done():
-            written.result()
-        elif self._state.pinned or not migrating.is_set():
-            # Guards against a client that never reads, which a drain would wait for.
-            raise StreamClosedError
-        return written.done()
 
     def truncate(self, framing: ResponseFraming) -> StreamClosedError:
         """Returns the error that ends a connection whose response is incomplete because of its endpoint.
--- a/notchjunction/net/socket_stream.py
+++ b/notchjunction/net/socket_stream.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket
+import struct
+import termios
 from contextlib import suppress
 from enum import Enum, auto
 
@@ -11,6 +14,8 @@
 
 # Errors of recv(2) and send(2) for a temporary shortage of memory; the connection persists.
 OUT_OF_MEMORY_ERRORS = (errno.ENOBUFS, errno.ENOMEM)
+# The result of TIOCOUTQ: how many bytes the peer has not acknowledged.
+SEND_QUEUE_SIZE = struct.Struct("i")
 # Bytes read and discarded before a close; reading more is not worth its cost.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Bytes of one such read.
@@ -32,6 +37,8 @@
     Any other error ends the connection, whatever its error code.
     """
 
+    bytes_sent = 0  # accepted by the operating system
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads bytes. Returns their number; None if none are there.
 
@@ -53,11 +60,27 @@
             OSError: The connection has ended.
         """
         try:
-            return super().write_to_fd(data)
+            count: int = super().write_to_fd(data)
         except OSError as error:
             if error.errno in OUT_OF_MEMORY_ERRORS:
                 raise BlockingIOError(error.errno, error.strerror) from error
             raise
+        self.bytes_sent += count
+        return count
+
+    def bytes_acknowledged(self) -> int | None:
+        """Returns how many of the bytes sent here the peer's operating system has acknowledged.
+
+        Only differences count: it is negative while bytes are unacknowledged that another process sent before
+        this one took the connection over. None if the operating system cannot tell.
+        """
+        if self.closed():
+            return None
+        try:
+            queued = fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(SEND_QUEUE_SIZE.size))
+        except OSError:
+            return None
+        return self.bytes_sent - int(SEND_QUEUE_SIZE.unpack(queued)[0])
 
     def unread(self) -> Unread:
         """Returns what is unread, without reading it."""
--- a/notchjunction/net/upstream_connection.py
+++ b/notchjunction/net/upstream_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -18,9 +17,9 @@
 from notchjunction.http1.messages import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES, Request, Response
 from notchjunction.http1.parser import ResponseReader
 from notchjunction.net.socket_stream import NodeStream, Unread
+from notchjunction.net.write_stall import WriteStallDetector
 
 READ_CHUNK_BYTES = 64 * 1024  # read at once
-STALL_TIMEOUT_S = 10.0  # without a byte sent or accepted by the peer; above the pauses of a slow one
 CLIENT_CHECK_INTERVAL_S = 0.05  # between checks whether a client still exists while its bytes can't be sent
 # How long a response that may be large is held back after its head: it may prove short or malformed.
 RESPONSE_HOLD_S = 0.3
@@ -238,19 +237,18 @@
         """Waits for a write; `writing` shows its result also if this wait is cancelled.
 
         Raises:
-            RequestNotSentError: A piece of a streamed body was not accepted in time.
+            RequestNotSentError: The upstream takes no bytes of a streamed body.
             AttemptWithheldError: The request is no longer wanted.
         """
-        loop = asyncio.get_running_loop()
         # Guards against an upstream that reads nothing: no other timeout applies before the body's last byte.
-        deadline = math.inf if body is None else loop.time() + STALL_TIMEOUT_S
+        is_watched = body is not None and not writing.done()
+        stall_detector = WriteStallDetector(self._stream) if is_watched else None
         while not writing.done():
-            remaining = max(0.0, deadline - loop.time())
-            await asyncio.wait({writing}, timeout=min(remaining, CLIENT_CHECK_INTERVAL_S))
+            await asyncio.wait({writing}, timeout=CLIENT_CHECK_INTERVAL_S)
             if writing.done():
                 break
             # Closed here, not by the handler of the error: until that runs, the stream would go on writing.
-            if loop.time() >= deadline:
+            if stall_detector is not None and stall_detector.has_stalled():
                 self.close()
                 raise RequestNotSentError("the upstream accepts no more bytes")
             if (body is None or body.complete) and not is_wanted():
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -26,7 +26,7 @@
 from notchjunction.discovery.endpoint_list import read_list
 from notchjunction.http1.messages import MalformedMessageError, Request, Response
 from notchjunction.http1.parser import MessageReader, RequestReader, ResponseReader
-from notchjunction.net import body_streaming, request_intake, response_writer, upstream, upstream_connection
+from notchjunction.net import body_streaming, request_intake, upstream, upstream_connection, write_stall
 from notchjunction.net.body_streaming import Download, StreamBuffers
 from notchjunction.net.socket_stream import NodeStream
 from notchjunction.net.upstream import AttemptSpec
@@ -427,7 +427,7 @@
 def test_client_that_closes_or_stops_reading_ends_the_upstream_connection(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(response_writer, "WRITE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(write_stall, "STALL_TIMEOUT_S", 0.2)
 
     async def scenario() -> None:
         async def send_30_mb(connection: ScriptedConnection) -> None:
@@ -1224,7 +1224,7 @@
 def test_upload_to_a_server_that_reads_nothing_is_aborted(
     client_aborts: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(upstream_connection, "STALL_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(write_stall, "STALL_TIMEOUT_S", 0.5)
 
     async def scenario() -> None:
         finish = asyncio.Event()
@@ -1292,7 +1292,7 @@
 
 
 def test_aborted_upload_is_not_completed_later(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream_connection, "STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(write_stall, "STALL_TIMEOUT_S", 0.2)
     aborted, last_bytes = False, b"the last of it"
     original_wait, write = upstream_connection.UpstreamConnection._wait_written, IOStream.write_to_fd
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -34,7 +34,7 @@
     descriptor_pressure,
     discovery_client,
     request_intake,
-    response_writer,
+    write_stall,
 )
 from notchjunction.net.body_streaming import StreamBuffers, Upload
 from notchjunction.net.descriptors import Descriptors
@@ -620,7 +620,7 @@
 
 
 def test_a_client_that_reads_nothing_is_disconnected(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(response_writer, "WRITE_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(write_stall, "STALL_TIMEOUT_S", 0.0)
 
     async def scenario() -> None:
         body = b"x" * 60000
