A slow peer with a large receive buffer has the time to read a window's step

What callers saw: a client with a receive buffer of 4 MB that reads at 64 kB a second was still cut off.

Cause: a full receive buffer acknowledges nothing until a sixteenth of it is free (Linux, tcp_select_window). Nothing tells the sender in between that the peer reads.

Change: the largest window seen of a peer (TCP_INFO) adds the time that a sixteenth of it takes at 48 kB a second, the rate that bodies of clients already have to keep. A peer that takes nothing is given up after 10 s and that: 0.1 s for 64 KB.

A stream that an upgrade moves starts with no window seen; that is open.

--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -14,12 +14,13 @@
 from notchjunction.net.client_state import ConnectionState, ManagedConnection
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.upstream_connection import READ_CHUNK_BYTES, start_read
+from notchjunction.net.write_stall import MIN_BYTES_PER_S
 from notchjunction.safety.preconditions import ConnectionFacts, may_close
 
 # A head has to be complete this long after the accept, or after its first byte. Some clients take 2 s.
 HEAD_TIMEOUT_S = 2.6
-# Bytes a second; a body has to arrive at this average rate. Slow clients send 64 kB a second.
-BODY_MIN_RATE = 48 * 1024
+# Bytes a second; a body has to arrive at this average rate.
+BODY_MIN_RATE = MIN_BYTES_PER_S
 # A body may be this much later than at BODY_MIN_RATE, as slow clients pause. A client that stops in the
 # middle of a request gets its response within 3 s.
 BODY_GRACE_S = 2.2
--- a/notchjunction/net/response_writer.py
+++ b/notchjunction/net/response_writer.py
@@ -80,6 +80,7 @@
         """Writes one piece. Returns whether the response migrated, with the rest of the piece, meanwhile."""
         wire = encode_piece(piece, framing.length, framing.chunks)
         self._bytes_queued += len(wire)
+        self.stream.observe_peer_window()
         written = self.stream.write(wire)
         while not written.done() and not await self._wait_written(written):
             unsent = wire[len(wire) - (self._bytes_queued - self.stream.bytes_sent) :]
--- a/notchjunction/net/socket_stream.py
+++ b/notchjunction/net/socket_stream.py
@@ -16,6 +16,9 @@
 OUT_OF_MEMORY_ERRORS = (errno.ENOBUFS, errno.ENOMEM)
 # The result of TIOCOUTQ: how many bytes the peer has not acknowledged.
 SEND_QUEUE_SIZE = struct.Struct("i")
+# In tcp_info: the receive window that the peer advertised last (bytes). Older kernels lack the field.
+PEER_WINDOW = struct.Struct("I")
+PEER_WINDOW_OFFSET = 228
 # Bytes read and discarded before a close; reading more is not worth its cost.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Bytes of one such read.
@@ -38,6 +41,7 @@
     """
 
     bytes_sent = 0  # accepted by the operating system
+    max_peer_window = 0  # bytes; the largest receive window of the peer that was observed
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads bytes. Returns their number; None if none are there.
@@ -82,6 +86,17 @@
             return None
         return self.bytes_sent - int(SEND_QUEUE_SIZE.unpack(queued)[0])
 
+    def observe_peer_window(self) -> None:
+        """Updates `max_peer_window`; it stays as it is if the operating system cannot tell the window."""
+        if self.closed():
+            return
+        size = PEER_WINDOW_OFFSET + PEER_WINDOW.size
+        with suppress(OSError):
+            info = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+            if len(info) == size:
+                (window,) = PEER_WINDOW.unpack_from(info, PEER_WINDOW_OFFSET)
+                self.max_peer_window = max(self.max_peer_window, window)
+
     def unread(self) -> Unread:
         """Returns what is unread, without reading it."""
         if self.closed():
--- a/notchjunction/net/upstream_connection.py
+++ b/notchjunction/net/upstream_connection.py
@@ -226,6 +226,7 @@
         # Whether no bytes of the request follow: then no early response is looked for after this write.
         is_last = body.drained and (not piece or request.length is not None)
         if wire:
+            self._stream.observe_peer_window()
             writing = self._stream.write(wire)
             self._last_write = writing if is_last else None
             await self._wait_written(writing, body, is_wanted)
--- a/notchjunction/net/write_stall.py
+++ b/notchjunction/net/write_stall.py
@@ -3,6 +3,9 @@
 The operating system reports a full socket as writable only once a good part of its send buffer is free. A
 slow peer may need longer for that part than the stall timeout. So progress is measured by the bytes that the
 peer has acknowledged, and not by the bytes that the operating system has accepted.
+
+A peer whose receive buffer is full acknowledges nothing either until it has read a part of it, on Linux a
+sixteenth (tcp_select_window). So a peer also gets the time in which a slow one reads that much.
 """
 
 from __future__ import annotations
@@ -16,6 +19,9 @@
 
 STALL_TIMEOUT_S = 10.0  # without a byte sent or acknowledged by the peer; above the pauses of a slow one
 CHECK_INTERVAL_S = 1.0  # between checks for acknowledged bytes
+MIN_BYTES_PER_S = 48 * 1024  # of a peer in a body; slow ones move 64 kB a second
+# The part of its receive buffer that a peer reads before it acknowledges further bytes.
+WINDOW_STEP_SHARE = 1 / 16
 
 
 class WriteStallDetector:
@@ -27,18 +33,23 @@
         self._acknowledged = stream.bytes_acknowledged()
         self._progress_at = self._loop.time()
 
+    @property
+    def _timeout(self) -> float:
+        """How long (s) the peer may acknowledge nothing."""
+        return STALL_TIMEOUT_S + WINDOW_STEP_SHARE * self._stream.max_peer_window / MIN_BYTES_PER_S
+
     def has_stalled(self) -> bool:
-        """Whether the peer has acknowledged no byte for `STALL_TIMEOUT_S`."""
+        """Whether the peer has acknowledged no byte for longer than a slow one needs."""
         now = self._loop.time()
         acknowledged = self._stream.bytes_acknowledged()
         if acknowledged is not None and acknowledged != self._acknowledged:
             self._acknowledged = acknowledged
             self._progress_at = now
-        return now - self._progress_at >= STALL_TIMEOUT_S
+        return now - self._progress_at >= self._timeout
 
     def until_next_check(self) -> float:
         """Returns how long (s) to wait before `has_stalled` is worth a call."""
-        remaining = self._progress_at + STALL_TIMEOUT_S - self._loop.time()
+        remaining = self._progress_at + self._timeout - self._loop.time()
         return min(CHECK_INTERVAL_S, max(0.0, remaining))
 
 
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -195,3 +195,40 @@
         assert stream.bytes_acknowledged() is None
 
     run(scenario())
+
+
+def test_a_peer_with_a_large_receive_buffer_has_time_to_read_a_part_of_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against giving up a slow peer whose system acknowledges nothing until much of it is read."""
+    monkeypatch.setattr(write_stall, "STALL_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(write_stall, "MIN_BYTES_PER_S", 1_000_000)
+
+    async def scenario() -> None:
+        stream, peer = connect_streams()
+        with peer:
+            stream.observe_peer_window()
+            first_window = stream.max_peer_window
+            assert first_window > 0
+            stream.max_peer_window = 16_000_000
+            stream.observe_peer_window()
+            assert stream.max_peer_window == 16_000_000  # the largest counts
+            detector = WriteStallDetector(stream)
+            assert not detector.has_stalled() and 0.9 < detector.until_next_check() <= 1.0
+            await asyncio.sleep(1.01)
+            assert detector.has_stalled()
+        stream.close()
+
+    run(scenario())
+
+
+def test_peer_window_is_unknown_where_the_system_cannot_tell() -> None:
+    async def scenario() -> None:
+        ours, theirs = socket.socketpair()  # no TCP
+        stream = NodeStream(ours)
+        stream.observe_peer_window()
+        assert stream.max_peer_window == 0
+        stream.close()
+        theirs.close()
+
+    run(scenario())
