--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import contextlib
-import errno
 import json
 import os
 import signal
-import socket
 import struct
 import subprocess
 import sys
@@ -24,7 +22,7 @@
 from notchjunction.balancing.engine import BalancerEngine, CancelAttempt, RequestHandle, StartResponse
 from notchjunction.balancing.interface import AttemptOutcome, AttemptResult, ListUpdate, NewRequest
 from notchjunction.discovery.endpoint_list import read_list
-from notchjunction.http1.messages import MalformedMessageError, Request, Response
+from notchjunction.http1.messages import MalformedMessageError, Request
 from notchjunction.http1.parser import MessageReader, RequestReader, ResponseReader
 from notchjunction.net import body_streaming, request_intake, upstream, upstream_connection, write_stall
 from notchjunction.net.body_streaming import Download, StreamBuffers
@@ -32,7 +30,7 @@
 from notchjunction.net.upstream import AttemptSpec
 from notchjunction.net.upstream_connection import ConnectionLostError
 from notchjunction.node.node import Node
-from notchjunction.upgrade import handover, shared_folder, shutdown
+from notchjunction.upgrade import shutdown
 from tests.helpers import Client, FakeHost, Peer, call, configuration, free_address, rows, running
 from tests.test_net import REQUEST, PoolHarness, run
 from tests.test_upgrade import wait_until_ready
@@ -747,240 +745,6 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("framing", ["length", "chunks", "end"])
-@pytest.mark.parametrize("version", ["1.1", "1.0"])
-@pytest.mark.parametrize("slow_side", ["client", "server"])
-def test_response_in_progress_migrates_to_the_successor(
-    framing: str, version: str, slow_side: str, tmp_path: Path
-) -> None:
-    """A client that reads slowly, or a server that pauses, outlasts the process that began the response."""
-
-    async def scenario() -> None:
-        go_on = asyncio.Event()
-
-        async def send_8_mb(connection: ScriptedConnection) -> None:
-            await connection.read_request()
-            head = {"length": b"Content-Length: %d" % (8 * MB), "chunks": b"Transfer-Encoding: chunked"}
-            await connection.send(b"HTTP/1.1 200 OK\r\n" + head.get(framing, b"X: y") + b"\r\n\r\n")
-            for number in range(8):
-                if number == 1 and slow_side == "server":
-                    await go_on.wait()
-                piece = b"%x\r\n%b\r\n" % (MB, BODY) if framing == "chunks" else BODY
-                await connection.send(piece)
-            await connection.send(b"0\r\n\r\n" if framing == "chunks" else b"")
-            if framing != "end":
-                await connection.reader.read()
-
-        async with running_with_scripts(send_8_mb, shared=tmp_path) as (old, address, _):
-            client = await BodyClient().open(address)
-            client.begin_request(version=version)
-            await client._reader.readuntil(b"\r\n\r\n")
-            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
-                while old._handover is None or not old._handover.has_successor:
-                    await asyncio.sleep(0.002)
-                old.stop()
-                while old._client_listener.connected:  # until the old process has no client left
-                    await asyncio.sleep(0.005)
-                while not new.counters.read().get("streams_adopted"):
-                    await asyncio.sleep(0.005)
-                assert old.counters.read()["streams_migrated"] == new.counters.read()["streams_adopted"] == 1
-                go_on.set()
-                expected, received = BODY * 8, bytearray()
-                if framing == "length" or version == "1.0":
-                    received += await client._reader.readexactly(len(expected))
-                else:
-                    while line := (await client._reader.readline()).strip():
-                        size = int(line, 16)
-                        received += await client._reader.readexactly(size)
-                        await client._reader.readexactly(2)
-                        if size == 0:
-                            break
-                assert bytes(received) == expected
-                if version == "1.0":
-                    assert await client.closed()
-                while new.counters.read()["streams_open"]:
-                    await asyncio.sleep(0.002)
-                client.writer.close()
-                while new._descriptors.in_use:
-                    await asyncio.sleep(0.002)
-                assert not new.counters.read().get("internal_errors") and not old.counters.read().get(
-                    "internal_errors"
-                )
-
-    run(scenario())
-
-
-def test_migrated_response_that_breaks_off_is_truncated(tmp_path: Path) -> None:
-    async def scenario() -> None:
-        go_on = asyncio.Event()
-
-        async def break_off(connection: ScriptedConnection) -> None:
-            await connection.read_request()
-            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (8 * MB), BODY)
-            await go_on.wait()
-            connection.reset()
-
-        async with running_with_scripts(break_off, shared=tmp_path) as (old, address, _):
-            client = await BodyClient().open(address)
-            client.begin_request()
-            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
-                while old._handover is None or not old._handover.has_successor:
-                    await asyncio.sleep(0.002)
-                old.stop()
-                while not new.counters.read().get("streams_adopted"):
-                    await asyncio.sleep(0.002)
-                go_on.set()
-                status, body, complete = await client.read_response()
-                assert status == 200 and not complete and len(body) <= MB
-                while new._descriptors.in_use or new.counters.read()["streams_open"]:
-                    await asyncio.sleep(0.002)
-                assert new.counters.read()["streams_truncated"] == 1
-
-    run(scenario())
-
-
-def test_response_stays_when_no_process_can_adopt_it(tmp_path: Path) -> None:
-    async def scenario() -> None:
-        go_on = asyncio.Event()
-
-        async def pause_midway(connection: ScriptedConnection) -> None:
-            await connection.read_request()
-            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * MB), BODY)
-            await go_on.wait()
-            await connection.send(BODY)
-
-        async with running_with_scripts(pause_midway, shared=tmp_path) as (old, address, _):
-            client = await BodyClient().open(address)
-            client.begin_request(deadline_ms=3000)
-            async with running(shared=tmp_path, listen=address, known=False):
-                while old._handover is None or not old._handover.has_successor:
-                    await asyncio.sleep(0.002)
-                (tmp_path / shared_folder.STREAMS_SOCKET).unlink()
-                old.stop()
-                await asyncio.sleep(0.3)
-                go_on.set()
-                status, body, complete = await client.read_response()
-                assert (status, body == BODY * 2, complete) == (200, True, True)
-
-    run(scenario())
-
-
-@pytest.mark.parametrize("missing", ["descriptor", "queue space"])
-def test_response_migrates_although_the_stream_socket_could_not_be_opened_at_first(
-    missing: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """No descriptor is free at that moment, or the queue of the successor's socket is full."""
-    failures = [errno.EMFILE if missing == "descriptor" else errno.EAGAIN] * 2
-    original_init = handover.StreamSender.__init__
-
-    def fail_at_first(sender: handover.StreamSender, *args: Any) -> None:
-        if failures:
-            raise OSError(failures.pop(), "temporary")
-        original_init(sender, *args)
-
-    async def scenario() -> None:
-        go_on = asyncio.Event()
-
-        async def pause_midway(connection: ScriptedConnection) -> None:
-            await connection.read_request()
-            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * MB), BODY)
-            await go_on.wait()
-            await connection.send(BODY)
-
-        async with running_with_scripts(pause_midway, shared=tmp_path) as (old, address, _):
-            client = await BodyClient().open(address)
-            client.begin_request(deadline_ms=3000)
-            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
-                while old._handover is None or not old._handover.has_successor:
-                    await asyncio.sleep(0.002)
-                monkeypatch.setattr(handover.StreamSender, "__init__", fail_at_first)
-                old.stop()
-                async with asyncio.timeout(10):
-                    while old._client_listener.connected:
-                        await asyncio.sleep(0.005)
-                assert old.counters.read()["streams_migrated"] == 1 and not failures
-                go_on.set()
-                assert await client.read_response() == (200, BODY * 2, True)
-                assert new.counters.read()["streams_adopted"] == 1
-                client.writer.close()
-
-    run(scenario())
-
-
-@pytest.mark.parametrize("failure", [None, errno.EMFILE, errno.EAGAIN])
-def test_response_migrates_to_the_third_process_after_the_second_has_stopped(
-    failure: int | None, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """The second process stops between two checks. A third one owns the stream socket then.
-
-    The first connect to it may fail.
-    """
-    monkeypatch.setattr(shutdown, "KILL_AFTER_S", 8.0)
-    connect, failures = socket.socket.connect, [failure]
-
-    def fail_once(sock: socket.socket, address: Any) -> None:
-        if str(address).endswith(shared_folder.STREAMS_SOCKET) and (
-            error_number := failures.pop() if failures else None
-        ):
-            raise OSError(error_number, "temporary")
-        connect(sock, address)
-
-    async def scenario() -> None:
-        go_on, finish = asyncio.Event(), asyncio.Event()
-
-        async def respond_late(connection: ScriptedConnection) -> None:
-            await connection.read_request()
-            await go_on.wait()
-            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * MB), BODY)
-            await finish.wait()
-            await connection.send(BODY)
-
-        async with (
-            running_with_scripts(respond_late, shared=tmp_path) as (first, address, _),
-            contextlib.AsyncExitStack() as second_stack,
-        ):
-            client = await BodyClient().open(address)
-            client.begin_request(deadline_ms=20_000)
-            options: dict[str, Any] = {"shared": tmp_path, "listen": address, "known": False}
-            second, _ = await second_stack.enter_async_context(running(**options))
-            while first._handover is None or not first._handover.has_successor:
-                await asyncio.sleep(0.002)
-            first.stop()
-            while first._clients.migrate_stream is None:
-                await asyncio.sleep(0.002)
-            async with running(**options) as (third, _):
-                while second._handover is None or not second._handover.has_successor:
-                    await asyncio.sleep(0.002)
-                await second_stack.aclose()
-                while first._handover.peer_count:
-                    await asyncio.sleep(0.002)
-                monkeypatch.setattr(socket.socket, "connect", fail_once)
-                go_on.set()
-                async with asyncio.timeout(10):
-                    while first._client_listener.connected:
-                        await asyncio.sleep(0.002)
-                    while not third.counters.read().get("streams_adopted"):
-                        await asyncio.sleep(0.002)
-                finish.set()
-                assert await client.read_response() == (200, BODY * 2, True)
-                assert not second.counters.read().get("streams_adopted") and not failures
-                client.writer.close()
-
-    run(scenario())
-
-
-def test_process_does_not_migrate_responses_to_itself(tmp_path: Path) -> None:
-    """The stream socket may be its own: its successor has stopped, or had no descriptor to take it over."""
-
-    async def scenario() -> None:
-        async with Peer() as peer, running(peer, shared=tmp_path) as (node, _):
-            while node._handover is None or not node._handover.is_offered:
-                await asyncio.sleep(0.002)
-            assert node._handover.open_stream_sender() is None and len(node._handover._stream_sockets) == 1
-
-    run(scenario())
-
-
 def test_body_incomplete_at_the_shutdown_deadline_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(shutdown, "KILL_AFTER_S", -1.5)  # the shutdown deadline is 0.2 s after `stop`
 
@@ -1004,53 +768,6 @@
     run(scenario())
 
 
-def test_many_responses_migrate_although_the_stream_socket_is_sometimes_full(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    accepted: list[bool] = []
-    original_call = handover.StreamSender.__call__
-
-    def block_two_of_three(sender: handover.StreamSender, *stream: Any) -> bool:
-        accepted.append(len(accepted) % 3 == 2)
-        if not accepted[-1]:
-            raise BlockingIOError
-        return original_call(sender, *stream)
-
-    monkeypatch.setattr(handover.StreamSender, "__call__", block_two_of_three)
-
-    async def scenario() -> None:
-        async def send_4_mb(connection: ScriptedConnection) -> None:
-            await connection.read_request()
-            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (4 * MB), BODY * 4)
-            await connection.reader.read()
-
-        async with running_with_scripts(send_4_mb, send_4_mb, send_4_mb, shared=tmp_path) as (
-            old,
-            address,
-            _,
-        ):
-            clients = [await BodyClient().open(address) for _ in range(6)]
-            for client in clients:
-                client.begin_request()
-            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
-                while old.counters.read().get("responses_streamed", 0) < 3:
-                    await asyncio.sleep(0.002)
-                while old._handover is None or not old._handover.has_successor:
-                    await asyncio.sleep(0.002)
-                old.stop()
-                for client in clients:
-                    status, body, complete = await client.read_response()
-                    assert complete and (status, len(body)) in ((200, 4 * MB), (503, 0))
-                while old._client_listener.connected:
-                    await asyncio.sleep(0.002)
-                migrated = old.counters.read().get("streams_migrated", 0)
-                while new.counters.read().get("streams_adopted", 0) < migrated:
-                    await asyncio.sleep(0.005)
-                assert migrated == sum(accepted)
-
-    run(scenario())
-
-
 @pytest.mark.parametrize("cause", ["node drains", "client requests close"])
 def test_early_response_does_not_close_the_connection_before_the_body_has_arrived(cause: str) -> None:
     """The request was rejected early. A slow client reads the response only after it has sent its body."""
@@ -1124,83 +841,6 @@
     run(scenario())
 
 
-def test_migrated_response_is_not_read_by_the_old_process() -> None:
-    """An event may arrive after the migration: the bytes that it reports belong to the other process."""
-
-    async def scenario() -> None:
-        ours, theirs = socket.socketpair()
-        ours.setblocking(False)
-        other_process_socket = ours.dup()
-        connection = upstream_connection.UpstreamConnection(("", 0), ours)
-        download = body_streaming.Download(
-            StreamBuffers(), connection, ResponseReader(), Response(200, more_body=True)
-        )
-        assert download.take_buffered()
-        theirs.send(b"more")
-        download.move()
-        connection._stream._handle_events(ours.fileno(), 1)  # readable
-        assert other_process_socket.recv(10) == b"more"
-        download.close()
-        other_process_socket.close()
-        theirs.close()
-
-    run(scenario())
-
-
-async def request_ready_status(client: BodyClient) -> int:
-    client.send(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
-    return (await client.answer()).status
-
-
-@pytest.mark.parametrize("response_sent", ["before migration", "at the shutdown deadline"])
-def test_unfinished_upload_is_read_to_its_end_by_the_successor(
-    response_sent: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """The client has been sent its response, and reads it only after it has sent its whole body."""
-    monkeypatch.setattr(shutdown, "KILL_AFTER_S", -1.4)  # the shutdown deadline is 0.3 s after `stop`
-
-    async def scenario() -> None:
-        received: list[object] = []
-
-        async def record_request(connection: ScriptedConnection) -> None:
-            received.append(await connection.read_request())
-
-        async def respond_500(connection: ScriptedConnection) -> None:
-            await connection.read_request(max_bytes=1)
-            await connection.send(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
-
-        early = response_sent == "before migration"
-        async with running_with_scripts(respond_500 if early else record_request, shared=tmp_path) as (
-            old,
-            address,
-            _,
-        ):
-            client = await BodyClient().open(address)
-            client.ask("POST", extra="Transfer-Encoding: chunked\r\n")
-            client.send(b"%x\r\n%b" % (MB, BODY[:200_000]))
-            counter = "responses_failed" if early else "attempts_first"
-            while not old.counters.read().get(counter):
-                await asyncio.sleep(0.002)
-            async with running(shared=tmp_path, listen=address, known=False) as (new, _):
-                while old._handover is None or not old._handover.has_successor:
-                    await asyncio.sleep(0.002)
-                old.stop()
-                while not new.counters.read().get("uploads_adopted"):
-                    await asyncio.sleep(0.002)
-                while old._client_listener.connected:
-                    await asyncio.sleep(0.002)
-                client.send(BODY[200_000:] + b"\r\n0\r\n\r\n")
-                response = await client.answer()
-                assert (response.status, response.keep_alive) == ((502, True) if early else (503, False))
-                if early:  # the new process serves it like any other client
-                    assert await request_ready_status(client) == 200
-                else:
-                    assert await client.closed()
-                assert not received and old.counters.read()["uploads_migrated"] == 1
-
-    run(scenario())
-
-
 @pytest.mark.parametrize("cancellation", [True, False])
 def test_upload_is_aborted_when_its_client_closes_with_or_without_cancellation(cancellation: bool) -> None:
     async def scenario() -> None:
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -29,6 +29,7 @@
     wait_until_idle,
 )
 from tests.test_net import run
+from tests.test_response_migration import wait_for_counter, wait_for_successor
 
 # A third of a full send buffer is 1.3 MB; at the slow pace that takes twice as long as this.
 STALL_TIMEOUT_S = 1.0
@@ -77,12 +78,10 @@
 
 async def stop_after_handover(old: Node, new: Node) -> None:
     """Stop the old process, and wait until the new one has adopted its response."""
-    while old._handover is None or not old._handover.has_successor:
-        await asyncio.sleep(0.002)
+    await wait_for_successor(old)
     old.stop()
     async with asyncio.timeout(5):
-        while not new.counters.read().get("streams_adopted"):
-            await asyncio.sleep(0.002)
+        await wait_for_counter(new, "streams_adopted")
 
 
 def test_response_to_a_client_that_reads_slowly_is_not_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
