A stream that an upgrade moves allows for its client's window, which the next process has not seen

What callers saw: a client with a receive buffer of 4 MB that reads at 64 kB a second was cut off after an upgrade.

Cause: the time for a window's step follows from the largest window seen, and a process that takes a stream over has seen none, or only the small ones after the buffer was full.

Change: for such a stream the largest window is taken to be what its scale allows, and no more than the client has acknowledged. The messages of the handover stay as they are.

--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -338,6 +338,7 @@
 
     async def _resume_response(self, migrated: MigratedResponse, download: Download) -> bool:
         """Writes the unsent bytes and further pieces. Returns whether the connection can be used again."""
+        self._stream.assume_largest_peer_window()
         try:
             if migrated.unsent:
                 await self._writer.write(migrated.unsent)
--- a/notchjunction/net/socket_stream.py
+++ b/notchjunction/net/socket_stream.py
@@ -9,6 +9,7 @@
 import termios
 from contextlib import suppress
 from enum import Enum, auto
+from typing import NamedTuple
 
 from tornado.iostream import IOStream
 
@@ -16,15 +17,25 @@
 OUT_OF_MEMORY_ERRORS = (errno.ENOBUFS, errno.ENOMEM)
 # The result of TIOCOUTQ: how many bytes the peer has not acknowledged.
 SEND_QUEUE_SIZE = struct.Struct("i")
-# In tcp_info: the receive window that the peer advertised last (bytes). Older kernels lack the field.
-PEER_WINDOW = struct.Struct("I")
-PEER_WINDOW_OFFSET = 228
+# Fields of tcp_info: the scale of the peer's windows (the lower four bits), the bytes that it has
+# acknowledged, and the receive window that it advertised last (bytes). Older kernels lack the last one.
+TCP_INFO_FIELDS = struct.Struct("=6xB113xQ100xI")
+WINDOW_SCALE_MASK = 0x0F
+MAX_UNSCALED_WINDOW = 65535
 # Bytes read and discarded before a close; reading more is not worth its cost.
 MAX_DISCARDED_BYTES = 1024 * 1024
 # Bytes of one such read.
 DISCARD_CHUNK_BYTES = 64 * 1024
 
 
+class TcpInfo(NamedTuple):
+    """What the operating system knows of a TCP connection."""
+
+    window_scale: int  # the peer's windows are this power of two times what their 16 bits can hold
+    bytes_acknowledged: int  # by the peer, of all bytes sent on the connection
+    peer_window: int  # bytes; the receive window that the peer advertised last
+
+
 class Unread(Enum):
     """What the operating system holds that has not been read."""
 
@@ -88,14 +99,30 @@
 
     def observe_peer_window(self) -> None:
         """Updates `max_peer_window`; it stays as it is if the operating system cannot tell the window."""
+        if info := self._tcp_info():
+            self.max_peer_window = max(self.max_peer_window, info.peer_window)
+
+    def assume_largest_peer_window(self) -> None:
+        """Sets `max_peer_window` for a connection that another process has used.
+
+        The window was never larger than its scale allows, nor, once it is full, than all bytes acknowledged.
+        """
+        if info := self._tcp_info():
+            largest = MAX_UNSCALED_WINDOW << info.window_scale
+            self.max_peer_window = min(largest, info.bytes_acknowledged)
+
+    def _tcp_info(self) -> TcpInfo | None:
+        """Returns what the operating system knows of the connection; None if it cannot tell."""
         if self.closed():
-            return
-        size = PEER_WINDOW_OFFSET + PEER_WINDOW.size
-        with suppress(OSError):
-            info = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
-            if len(info) == size:
-                (window,) = PEER_WINDOW.unpack_from(info, PEER_WINDOW_OFFSET)
-                self.max_peer_window = max(self.max_peer_window, window)
+            return None
+        try:
+            info = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FIELDS.size)
+        except OSError:
+            return None
+        if len(info) < TCP_INFO_FIELDS.size:
+            return None
+        scales, bytes_acknowledged, peer_window = TCP_INFO_FIELDS.unpack(info)
+        return TcpInfo(scales & WINDOW_SCALE_MASK, bytes_acknowledged, peer_window)
 
     def unread(self) -> Unread:
         """Returns what is unread, without reading it."""
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -231,3 +231,26 @@
         theirs.close()
 
     run(scenario())
+
+
+def test_a_stream_taken_over_assumes_the_largest_window_that_its_peer_can_have_had() -> None:
+    """Guards against giving up a slow client of a moved response; its process has seen no window of it."""
+
+    async def scenario() -> None:
+        stream, peer = connect_streams()
+        with peer:
+            writing = stream.write(bytes(16 * MB))
+            acknowledged, before = stream.bytes_acknowledged(), None
+            while acknowledged != before:
+                await asyncio.sleep(0.2)  # until the peer's receive buffer is full
+                acknowledged, before = stream.bytes_acknowledged(), acknowledged
+            assert acknowledged and not writing.done()
+            taken_over = NodeStream(stream.socket.dup())
+            taken_over.observe_peer_window()
+            assert taken_over.max_peer_window < acknowledged // 2  # closed by now
+            taken_over.assume_largest_peer_window()
+            assert taken_over.max_peer_window == acknowledged
+            taken_over.close()
+            stream.close()
+
+    run(scenario())
