Review: an upgrade cuts off the tail of an answer to a slow reader

Cause: a response of which the last byte was read from its server stays with the old process, and dies with it.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,122 +1,114 @@
-"""Upgrades whose new process cannot listen at its admin address."""
+"""An upgrade while clients read long answers slowly."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import signal
+import socket
 
 from standins_2 import harness
 from standins_2.harness import Ask, Case, Message, Node, NotRunError
 
-STARTS = 40 if harness.TROUBLE else 10  # of a new process
-DEADLINE_MS = 2000
-WORK_S = 0.02
-CLIENTS = 40  # each sends one request on a connection of its own, and then the next
-PAUSE_S = 0.05
+CLIENTS = 100
+SMALLEST_BYTES, LARGEST_BYTES = 3_000_000, 4_400_000  # of answers; up to 32 MB occur
+PACE = 64_000  # bytes a second that a client reads
+SLOW_S = 14.0  # for which a client reads slowly; then it reads the rest at once
+DEADLINE_MS = 3000
 KILL_AFTER_S = DEADLINE_MS / 1000 + 0.7  # from SIGTERM, as PROTOCOL.md says
+UPGRADE_AFTER_S = 8.0
 
 
-class Clients:
-    """Clients that open a connection for each request."""
+class Reader:
+    """A client that reads one long answer slowly."""
 
-    def __init__(self, case: Case, port: int) -> None:
-        self.answered: dict[int, int] = {}
-        self.lost: list[str] = []
-        self.unread = 0  # connections that were refused, or reset before the request was read
+    def __init__(self, case: Case, port: int, number: int) -> None:
+        self.size = SMALLEST_BYTES + (LARGEST_BYTES - SMALLEST_BYTES) * number // CLIENTS
+        self.got = 0
+        self.begun = False  # a 200 has come
+        self.ask = Ask(f"{number}-{self.size}", "read", DEADLINE_MS)
         self._record = case.record
         self._port = port
-        self._numbers = itertools.count(1)
+        self._start_after = number * 0.03
 
     async def run(self) -> None:
-        """Sends requests, one after the other."""
-        while True:
-            ask = Ask(str(next(self._numbers)), "read", DEADLINE_MS)
-            try:
-                async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
-                    await self._exchange(ask)
-            except TimeoutError:
-                self._note_lost(ask, "no answer in time")
-            except (OSError, asyncio.IncompleteReadError) as error:
-                # The system resets a connection that a process closes over unread bytes.
-                self.unread += 1
-                self._record.note("client", "reset", id=ask.id, why=type(error).__name__)
-            await asyncio.sleep(PAUSE_S)
-
-    async def _exchange(self, ask: Ask) -> None:
-        reader, writer = await harness.open_connection(self._port)
+        """Asks, and reads the answer."""
+        await asyncio.sleep(self._start_after)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (harness.HOST, self._port))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=32_000)
         try:
-            writer.write(ask.wire())
-            answer = await harness.read_message(reader)
-        finally:
-            writer.close()
-        if answer is None:
-            # No reset: the request was read whole.
-            self._note_lost(ask, "read, and closed without an answer")
-            return
-        self.answered[answer.status] = self.answered.get(answer.status, 0) + 1
-
-    def _note_lost(self, ask: Ask, why: str) -> None:
-        self.lost.append(ask.id)
-        self._record.note("client", "lost", id=ask.id, why=why)
-
-
-async def upgrade(case: Case, serving: Node, number: int, taken: int) -> Node:
-    """Starts a new process beside the serving one; returns the one that serves then."""
+            writer.write(self.ask.wire())
+            self.begun = b" 200 " in await reader.readuntil(b"\r\n\r\n")
+            if self.begun:
+                await self._read_body(reader)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            self._record.note("client", "end", id=self.ask.id, why=repr(error))
+        self._record.note("client", "read", id=self.ask.id, bytes=self.got, begun=self.begun)
+        writer.close()
+
+    async def _read_body(self, reader: asyncio.StreamReader) -> None:
+        began = self._record.now()
+        while self.got < self.size:
+            data = await reader.read(32_000)
+            if not data:
+                return
+            self.got += len(data)
+            if self._record.now() < began + SLOW_S:
+                await asyncio.sleep(max(0.0, began + self.got / PACE - self._record.now()))
+
+
+async def upgrade(case: Case, serving: Node) -> None:
+    """Lets a new process follow the serving one, as DAYS.md says."""
     new = case.node("n1", serving.config)
     new.file, new.temporary, new.port = serving.file, serving.temporary, serving.port
-    new.log = case.folder / f"start{number}.log"
     new.config = serving.config
-    if harness.TROUBLE:
-        new.start(GW_MGMT=f"{harness.HOST}:{taken}")
-        assert new.process is not None
-        if not await harness.wait_for(lambda: new.process is None or new.process.poll() is not None, 6):
-            raise NotRunError("the new process runs although its admin address is taken")
-        case.record.note("new", "ended", status=new.process.returncode)
-        await asyncio.sleep(0.2)
-        return serving
+    new.log = case.folder / "new.log"
     new.start(GW_MGMT=f"{harness.HOST}:{new.mgmt}")
-    for _ in range(120):
-        if await harness.call(new.mgmt, "GET", "/control/ready") == 200:
-            break
-        await asyncio.sleep(0.05)
+    if not await harness.until(lambda: harness.call(new.mgmt, "GET", "/control/ready"), 200, 6):
+        raise NotRunError("the new process is not ready")
     serving.signal(signal.SIGTERM)
-    assert serving.process is not None
-    await harness.wait_for(
-        lambda: serving.process is None or serving.process.poll() is not None, KILL_AFTER_S
-    )
+    process = serving.process
+    assert process is not None
+    ended = await harness.wait_for(lambda: process.poll() is not None, KILL_AFTER_S)
+    case.record.note("n1", "has ended" if ended else "is killed")
     serving.kill()
-    return new
 
 
 async def play(case: Case) -> list[str]:
     """Plays the case."""
+    given: set[str] = set()
 
     async def handle(request: Message, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(WORK_S)
-        writer.write(harness.response(200, request.request_id.encode()))
+        size = int(request.request_id.partition("-")[2])
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode())
+        for at in range(0, size, 65536):
+            writer.write(b"x" * min(65536, size - at))
+            await writer.drain()
+        given.add(request.request_id)
+        case.record.note("servers", "gave all", id=request.request_id)
 
     discovery = await case.serve(lambda name: handle)
     settings = harness.settings([harness.profile("read", "repeatable", DEADLINE_MS)])
-    serving = case.node("n1", harness.discovery_config(discovery, settings))
-    serving.start(GW_MGMT=f"{harness.HOST}:{serving.mgmt}")
-    await serving.ready()
-    clients = Clients(case, serving.port)
-    for _ in range(CLIENTS):
-        case.spawn(clients.run())
-    await asyncio.sleep(1)
-    first_mgmt = serving.mgmt  # of the process that serves: another one cannot listen there
-    for number in range(STARTS):
-        serving = await upgrade(case, serving, number, first_mgmt)
-    await asyncio.sleep(1)
-    if serving.process is None or serving.process.poll() is not None:
-        raise NotRunError("the serving process has ended")
-    record = {str(status): count for status, count in clients.answered.items()}
-    case.record.note("case", "answers", lost=len(clients.lost), unread=clients.unread, **record)
-    if clients.answered.get(200, 0) < 100:
-        raise NotRunError(f"too few requests were served: {record}")
-    lost = clients.lost
-    return [f"{len(lost)} requests read and never answered, over {STARTS} starts"] if lost else []
+    node = case.node("n1", harness.discovery_config(discovery, settings))
+    node.start()
+    await node.ready()
+    readers = [Reader(case, node.port, number) for number in range(CLIENTS)]
+    tasks = [case.spawn(reader.run()) for reader in readers]
+    await asyncio.sleep(UPGRADE_AFTER_S)
+    if harness.TROUBLE:
+        await upgrade(case, node)
+    await asyncio.wait(tasks, timeout=60)
+    whole = sum(1 for reader in readers if reader.got == reader.size)
+    short = [
+        reader for reader in readers if reader.begun and reader.got < reader.size and reader.ask.id in given
+    ]
+    case.record.note("case", "answers", whole=whole, cut_off=len(short))
+    if whole < CLIENTS // 2:
+        raise NotRunError(f"too few answers: {whole}")
+    lacks = ", ".join(str(reader.size - reader.got) for reader in short)
+    return [f"{len(short)} of {CLIENTS} answers lack their last bytes: {lacks}"] if short else []
 
 
 harness.run_case(__file__, play)
--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -507,6 +507,16 @@
     return True
 
 
+async def until(ask: Callable[[], Awaitable[Any]], wanted: Any, timeout: float) -> bool:
+    """Asks every 0.05 s until the answer is the wanted one; returns whether it was in time."""
+    end = time.monotonic() + timeout
+    while await ask() != wanted:
+        if time.monotonic() > end:
+            return False
+        await asyncio.sleep(0.05)
+    return True
+
+
 class Case:
     """One run of a case: its record, its temporary folder, and its processes."""
 
