--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,108 +1,74 @@
-"""The limit of a fleet after an operator has lowered it."""
+"""A bad client that sends the id of another client's open request, whose long answer has begun."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
-import signal
 
 from standins_2 import harness
 from standins_2.harness import Ask, Case, Message, NotRunError
 
-BEFORE, AFTER = 6, 2  # the limit, all of it owned by n1
-WORK_S = 0.3  # of a request at a server
-DEADLINE_MS = 2000
-QUARANTINE_S = 2 * DEADLINE_MS / 1000 + 2.0  # until owners use their rights: docs/fleet.md
-SETTLED_S = 12.0  # from the change; twice what any attempt or lease of before can last
-WATCHED_S = 25.0
-CLIENTS = 5  # all at n2, which borrows from n1
+ANSWER_BYTES = 400 * 1024  # over 64 KiB: passed on as it comes
+PIECE_BYTES = 16 * 1024
+PIECE_EACH_S = 0.1  # at a server; the whole answer takes 2.5 s
+DEADLINE_MS = 4000
+REPEAT_AFTER_S = 1.0  # from the client's first byte of the answer to the bad client's request
+ROUNDS = 5
 
 
-class Servers:
-    """What is out at the servers: begun and not answered."""
+class Service:
+    """Servers that count how often the request of an id has run."""
 
     def __init__(self, case: Case) -> None:
-        self.out: set[str] = set()
-        self.limit = BEFORE
-        self.over: list[int] = []
+        self.runs: dict[str, int] = {}
         self._record = case.record
 
     async def handle(self, request: Message, writer: asyncio.StreamWriter) -> None:
-        """Works on a request, and answers it."""
-        self.out.add(request.request_id)
-        if len(self.out) > self.limit:
-            self.over.append(len(self.out))
-            self._record.note("servers", "over", out=len(self.out), requests=",".join(sorted(self.out)))
-        await asyncio.sleep(WORK_S)
-        self.out.discard(request.request_id)
-        self._record.note("servers", "ran", id=request.request_id, out=len(self.out))
-        writer.write(harness.response(200, request.request_id.encode()))
-
-
-async def start_nodes(case: Case, servers: Servers) -> None:
-    """Starts two nodes that are a fleet; one of them owns the whole limit."""
-    discovery = await case.serve(lambda name: servers.handle)
-    places = {name: f"{harness.HOST}:{harness.free_port(harness.socket.SOCK_DGRAM)}" for name in ("n1", "n2")}
-    settings = harness.settings([harness.profile("post", "once", DEADLINE_MS)], nodes=2)
-    for name, place in places.items():
-        fleet = {
-            "listen": place,
-            "seeds": list(places.values()),
-            "keys": [{"number": 1, "secret": "5a" * 32}],
-            "places": places,
-            "limits": [{"name": "ledger", "revision": 1, "owners": {"n1": BEFORE}}],
-        }
-        case.node(name, {**harness.discovery_config(discovery, settings), "fleet": fleet}).start()
-    for node in case.nodes:
-        await node.ready()
-
-
-def lower_limit(case: Case) -> None:
-    """Changes the limit as docs/fleet.md says, at both nodes."""
-    change = {
-        "name": "ledger",
-        "revision": 2,
-        "owners": {"n1": AFTER},
-        "before": {"revision": 1, "owners": {"n1": BEFORE}},
-    }
-    for node in case.nodes:
-        node.write(fleet={**node.config["fleet"], "limits": [change]})
-        node.signal(signal.SIGHUP)
+        """Runs a request, and gives its long answer piece by piece."""
+        self.runs[request.request_id] = self.runs.get(request.request_id, 0) + 1
+        self._record.note("servers", "ran", id=request.request_id, body=request.body.decode())
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n".encode())
+        for _ in range(ANSWER_BYTES // PIECE_BYTES):
+            writer.write(request.body[:1] * PIECE_BYTES)
+            await writer.drain()
+            await asyncio.sleep(PIECE_EACH_S)
+
+
+async def play_round(case: Case, port: int, request_id: str) -> tuple[int | None, int | None]:
+    """Returns the statuses that the usual and the bad client hear; the latter is None without trouble."""
+    reader, writer = await harness.open_connection(port)
+    writer.write(Ask(request_id, "charge", DEADLINE_MS, "POST", body=b"usual").wire())
+    first = await reader.readexactly(1)
+    case.record.note("client", "answer begins", id=request_id)
+    await asyncio.sleep(REPEAT_AFTER_S)
+    bad = None
+    if harness.TROUBLE:
+        repeat = Ask(request_id, "charge", DEADLINE_MS, "POST", body=b"bad")
+        case.record.note("bad", "sent", id=request_id)
+        bad = await harness.ask_once(port, repeat, 6)
+        case.record.note("bad", "answer", id=request_id, status=bad.status if bad else None)
+    head = first + await reader.readuntil(b"\r\n\r\n")
+    body = await reader.readexactly(ANSWER_BYTES)
+    writer.close()
+    case.record.note("client", "answer whole", id=request_id, right=body == b"u" * ANSWER_BYTES)
+    return int(head.split(b" ")[1]), bad.status if bad else None
 
 
 async def play(case: Case) -> list[str]:
     """Plays the case."""
-    servers = Servers(case)
-    await start_nodes(case, servers)
-    numbers = itertools.count(1)
-    answers: dict[str, int] = {}
-
-    async def client(port: int) -> None:
-        while True:
-            ask = Ask(str(next(numbers)), "post", DEADLINE_MS, "POST", body=b"x")
-            answer = await harness.ask_once(port, ask, DEADLINE_MS / 1000 + 0.5)
-            status = answer.status if answer else None
-            case.record.note("client", "answer", id=ask.id, status=status)
-            answers[str(status)] = answers.get(str(status), 0) + 1
-            await asyncio.sleep(0.005 if status == 200 else 0.2)
-
-    for _ in range(CLIENTS):
-        case.spawn(client(case.nodes[1].port))
-    await asyncio.sleep(QUARANTINE_S + 5)
-    if harness.TROUBLE:
-        lower_limit(case)
-    await asyncio.sleep(SETTLED_S)
-    if harness.TROUBLE:
-        servers.limit = AFTER
-    case.record.note("case", "limit", now=servers.limit)
-    await asyncio.sleep(WATCHED_S)
-    case.record.note("case", "answers", **answers)
-    if answers.get("200", 0) < 10:
-        raise NotRunError(f"too few requests were served: {answers}")
-    over = servers.over
-    if not over:
+    service = Service(case)
+    discovery = await case.serve(lambda name: service.handle)
+    settings = harness.settings([harness.profile("charge", "once", DEADLINE_MS)])
+    node = case.node("n1", harness.discovery_config(discovery, settings))
+    node.start()
+    await node.ready()
+    statuses = [await play_round(case, node.port, f"r{number}") for number in range(ROUNDS)]
+    if any(usual != 200 for usual, _ in statuses):
+        raise NotRunError(f"the usual client was not served: {statuses}")
+    twice = [request for request, runs in service.runs.items() if runs > 1]
+    served = sum(1 for _, bad in statuses if bad == 200)
+    if not twice and not served:
         return []
-    return [f"{max(over)} attempts out under a limit of {servers.limit}, over it {len(over)} times"]
+    return [f"{len(twice)} of {ROUNDS} ids ran twice, and the bad client was served {served} times"]
 
 
 harness.run_case(__file__, play)
