--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,8 +9,8 @@
 from standins_2 import harness
 from standins_2.harness import Ask, Case, Message, Node, NotRunError
 
-CLIENTS = 100
-SMALLEST_BYTES, LARGEST_BYTES = 3_000_000, 4_400_000  # of answers; up to 32 MB occur
+CLIENTS = 150
+SMALLEST_BYTES, LARGEST_BYTES = 3_000_000, 4_300_000  # of answers; up to 32 MB occur
 PACE = 64_000  # bytes a second that a client reads
 SLOW_S = 14.0  # for which a client reads slowly; then it reads the rest at once
 DEADLINE_MS = 3000
--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -647,9 +647,15 @@
             print(f"the rule {verdict} ({'with' if TROUBLE else 'without'} the disruption)")
             return BROKEN if breaches else HELD
 
+    # Ends the processes that the case started also where the case itself is ended from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+
     async def ended() -> None:
-        status = await whole()
-        sys.stdout.flush()
-        os._exit(status)  # at once: open connections of the stand-ins are of no further interest
+        status = NOT_RUN
+        try:
+            status = await whole()
+        finally:
+            sys.stdout.flush()
+            os._exit(status)  # at once: open connections of the stand-ins are of no further interest
 
     asyncio.run(ended())
