The id of a request is taken to the last byte of its response, and while the request may run

Cause: the id was held while the request waited for the balancer (_handle_request), not while it was open. It was let go at the first bytes of a response over 64 KiB, as the client left, and as the request failed although a server might work on.

Change: safety/request_ids.py owns the ids. Each is taken until the last byte is written; a request that ended otherwise and may have run keeps its id for as long again as it was allowed, 30 s at most. Which outcomes may still run is a property of AttemptResult, asked by the balancer too. The list NEVER_RAN of the retry rules is that property now, its test with it.

--- a/notchjunction/balancing/balancer.py
+++ b/notchjunction/balancing/balancer.py
@@ -44,7 +44,6 @@
     median,
 )
 from notchjunction.balancing.retry_policy import (
-    NEVER_RAN,
     RetryBudget,
     is_endpoint_fault,
     is_rejection_safe,
@@ -307,7 +306,7 @@
             return
         now = self._host.now()
         attempt.in_flight = False
-        attempt.may_have_run = outcome.result not in NEVER_RAN
+        attempt.may_have_run = not outcome.result.never_ran
         self._remove_in_flight(attempt)
         if outcome.result not in RESULTS_WITHOUT_RESPONSE:
             attempt.endpoint.last_response_at = now
--- a/notchjunction/balancing/interface.py
+++ b/notchjunction/balancing/interface.py
@@ -45,6 +45,21 @@
     NOT_SENT = "not sent"
     UNKNOWN = "unknown"
 
+    @property
+    def never_ran(self) -> bool:
+        """Whether the endpoint certainly did not run the request, and will not."""
+        return self in (AttemptResult.REJECTED, AttemptResult.NO_CONNECTION, AttemptResult.NOT_SENT)
+
+    @property
+    def may_still_run(self) -> bool:
+        """Whether the endpoint may be working on the request, as it has sent no response to it."""
+        return self in (
+            AttemptResult.TIMED_OUT,
+            AttemptResult.RESET,
+            AttemptResult.CANCELLED,
+            AttemptResult.UNKNOWN,
+        )
+
 
 class ListUpdate(Enum):
     """The kind of an endpoint list update."""
--- a/notchjunction/balancing/retry_policy.py
+++ b/notchjunction/balancing/retry_policy.py
@@ -12,8 +12,6 @@
 # Retries per first attempt: the upper bound of the design. The count is rounded down, without a minimum.
 RETRY_RATIO = 0.2
 
-# Results of attempts that the endpoint certainly did not run.
-NEVER_RAN = (AttemptResult.REJECTED, AttemptResult.NO_CONNECTION, AttemptResult.NOT_SENT)
 # Results that the endpoint itself caused, whatever services it depends on.
 ENDPOINT_FAULTS = (
     AttemptResult.REJECTED,
--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -59,6 +59,7 @@
         self._writer = ResponseWriter(context, stream, state, self._migrator)
         self._open = True
         self._open_request: OpenRequest | None = None
+        self._handler: RequestHandler | None = None  # of the request that is open or ended last
         self._discarding = False  # the response was sent before the body ended; the rest is read
 
     def note_queued(self, since: float) -> None:
@@ -102,10 +103,35 @@
 
     async def _respond(self, request: Request) -> bool:
         """Responds to one request. Returns whether the connection can be used again."""
-        response: FinalResponse | None = self._direct_response(request)
-        handler: RequestHandler | None = None
+        response = self._direct_response(request)
         if response is None:
-            handler, response = await self._handle_request(request)
+            accepted = self._accept(request)
+            if isinstance(accepted, RequestSpec):
+                return await self._respond_balanced(request, accepted)
+            response = accepted
+        return await self._send_response(request, HandledRequest(None, response))
+
+    async def _respond_balanced(self, request: Request, spec: RequestSpec) -> bool:
+        """Passes an accepted request to the balancer and responds; returns as `_respond` does.
+
+        The request's id stays taken until the last byte of the response is written.
+        """
+        request_ids, request_id = self._context.request_ids, request.headers[protocol.REQUEST_ID]
+        request_ids.open(request_id, spec.time_left)
+        self._handler = None
+        delivered = False
+        try:
+            handled = await self._balance(request, spec)
+            keep = await self._send_response(request, handled)
+            delivered = handled.response is not None
+            return keep
+        finally:
+            may_run = self._handler is not None and self._handler.may_run(delivered)
+            request_ids.close(request_id, self._context.clock(), may_run)
+
+    async def _send_response(self, request: Request, handled: HandledRequest) -> bool:
+        """Writes a response to its last byte. Returns whether the connection can be used again."""
+        handler, response = handled
         if response is None:
             return False
         self._record_response(request, handler, response)
@@ -186,34 +212,32 @@
             return self._client_error(404)
         return self._client_error(405) if request.method not in ("GET", "POST") else None
 
-    async def _handle_request(self, request: Request) -> HandledRequest:
-        """Validates a request, and passes it to the balancer if it may start."""
+    def _accept(self, request: Request) -> RequestSpec | Response | None:
+        """Validates a request. Returns its specification if it may start, else the response that rejects it.
+
+        Returns None if the connection is closing: no response could be sent.
+        """
         waited = 0.0 if request.more_body else self._context.clock() - self._intake.arrived_at
         spec = request_spec_of(request, waited, self._context.request_classes)
         if spec is None:
-            return HandledRequest(None, self._client_error(400))
+            return self._client_error(400)
         request_id = request.headers[protocol.REQUEST_ID]
-        refusal = may_start(
-            AdmissionFacts(self._state.closing, is_duplicate=request_id in self._context.request_ids)
-        )
+        is_duplicate = self._context.request_ids.is_taken(request_id, self._context.clock())
+        refusal = may_start(AdmissionFacts(self._state.closing, is_duplicate))
         if refusal is Refusal.CONNECTION_CLOSING:
             # Guards against a request that arrives as its connection is closed: no response could be sent.
-            return HandledRequest(None, None)
+            return None
         if refusal is not None:
             # Guards against responses confused between requests of one id, here and at endpoints.
-            return HandledRequest(None, self._client_error(409))
+            return self._client_error(409)
         self._context.counters.add("requests_received")
         self._context.counters.recorder.note(
             Occurrence.REQUEST_ACCEPTED, request_id, left=round(spec.time_left, 3), waited=round(waited, 4)
         )
         if self._state.over_limit:
             self._context.counters.add("responses_rejected")
-            return HandledRequest(None, Response(503))
-        self._context.request_ids.add(request_id)
-        try:
-            return await self._balance(request, spec)
-        finally:
-            self._context.request_ids.discard(request_id)
+            return Response(503)
+        return spec
 
     async def _balance(self, request: Request, spec: RequestSpec) -> HandledRequest:
         """Applies the fleet's quotas to a request, passes it to the balancer and returns the response."""
@@ -226,7 +250,7 @@
                     self._context.counters.add("responses_rejected")
                     return HandledRequest(None, admitted)
                 permits, spec = admitted
-            handler = self._context.start_request(spec, request, upload, permits)
+            self._handler = handler = self._context.start_request(spec, request, upload, permits)
             self._open_request = OpenRequest(self._context, self._stream, self._intake, handler, upload)
             try:
                 return HandledRequest(handler, await self._open_request.wait_response())
--- a/notchjunction/net/client_context.py
+++ b/notchjunction/net/client_context.py
@@ -13,6 +13,7 @@
 from notchjunction.net.client_state import ConnectionPhases
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.request_handler import QuotaPermits, RequestHandler
+from notchjunction.safety.request_ids import RequestIds
 from notchjunction.telemetry.counters import Counters
 
 # Admission under the fleet's quotas, before the balancer: a rejection, or the permits and the request.
@@ -43,7 +44,7 @@
     descriptors: Descriptors
     streams: StreamBuffers
     phases: ConnectionPhases
-    request_ids: set[str]  # ids of requests in flight
+    request_ids: RequestIds
     draining: bool  # readiness checks are answered with 503
     closing_announced: bool  # responses announce that the connection closes
     migrate_stream: StreamMigrator | None
--- a/notchjunction/net/client_registry.py
+++ b/notchjunction/net/client_registry.py
@@ -18,6 +18,7 @@
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.upstream_connection import MAX_BUFFER_BYTES, READ_CHUNK_BYTES
+from notchjunction.safety.request_ids import RequestIds
 from notchjunction.telemetry.counters import Counters
 from notchjunction.telemetry.logs import pairs
 
@@ -57,7 +58,7 @@
         self.descriptors = services.descriptors
         self.phases = ConnectionPhases()
         self.connections: dict[ClientConnection, asyncio.Task[None]] = {}
-        self.request_ids: set[str] = set()  # ids of requests in flight
+        self.request_ids = RequestIds()
         self.draining = False  # readiness checks are answered with 503
         self.closing_announced = False  # responses announce that the connection closes
         self.final_phase = False  # of a shutdown: each open request has to be answered now
--- a/notchjunction/net/request_handler.py
+++ b/notchjunction/net/request_handler.py
@@ -111,6 +111,8 @@
         self._completion: asyncio.Task[None] | None = None
         self._timeout: asyncio.Timeout | None = None
         self._tasks: dict[int, asyncio.Task[ExchangeResult]] = {}
+        self._ran: set[int] = set()  # attempts that were written, without those that certainly never ran
+        self._answered: set[int] = set()  # attempts whose endpoints have sent a response, or its beginning
         self._responses: dict[int, Response] = {}
         self._failed = False
         self._response_timeout = max(0.0, spec.time_left) + RESPONSE_GRACE_S
@@ -234,8 +236,18 @@
     def _attempt_written(self, attempt: int, endpoint: str, time_left: float) -> None:
         listed = self._upstreams.is_listed(endpoint)
         now = self._engine.now()
+        self._ran.add(attempt)
         self.report_violations(self.ledger.attempt_written(attempt, now, time_left, listed), attempt=attempt)
 
+    def may_run(self, delivered: bool) -> bool:
+        """Returns whether an endpoint may run the ended request, or has run it without a response to show.
+
+        Args:
+            delivered: Whether the client has got a complete response. Then only attempts count that an
+                endpoint may still be working on.
+        """
+        return bool(self._ran - self._answered if delivered else self._ran)
+
     def report_violations(self, violations: Iterable[Violation], **facts: float | str | None) -> None:
         """Counts and logs broken invariants."""
         for violation in violations:
@@ -244,6 +256,7 @@
 
     def _response_started(self, attempt: int, download: Download) -> None:
         self._downloads[attempt] = download
+        self._answered.add(attempt)
         if not self._engine.report_response_started(self._handle, attempt):
             download.close(ConnectionLostError("another answer was first"))
 
@@ -263,6 +276,10 @@
             outcome = result.outcome
             if result.response is not None:
                 self._responses[attempt] = result.response
+        if outcome.result.never_ran:
+            self._ran.discard(attempt)
+        elif not outcome.result.may_still_run:
+            self._answered.add(attempt)
         self.ledger.attempt_ended(attempt, outcome.result)
         if self._permits is not None:
             self._permits.attempt_ended(attempt, outcome.result not in UNANSWERED)
--- a/notchjunction/node/node.py
+++ b/notchjunction/node/node.py
@@ -679,6 +679,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._upstreams.close_stale()
+            self._clients.request_ids.forget_expired(self.now())
 
     def _print_counters(self) -> None:
         log.info("counters", extra=pairs(**self.counters.read()))
--- a/notchjunction/safety/preconditions.py
+++ b/notchjunction/safety/preconditions.py
@@ -30,7 +30,7 @@
     NOT_LISTED = "not listed"  # the endpoint is draining, removed or banned, or has another address
     DEADLINE_PASSED = "deadline passed"
     MAY_HAVE_RUN = "an earlier attempt may have run"
-    DUPLICATE_REQUEST = "duplicate request"  # another request with the same id is in flight at this node
+    DUPLICATE_REQUEST = "duplicate request"  # another request with the same id is open or may run
     NO_QUOTA = "no quota"  # a quota of the whole fleet has no free unit
     CONNECTION_CLOSING = "connection closing"  # its sending side is closed, so no response could be sent
     REQUEST_PENDING = "request pending"  # a request, or part of one, has been read and has no response
@@ -102,7 +102,7 @@
     """The facts that decide whether a request that has been read is accepted."""
 
     closing: bool  # the connection's sending side is closed
-    is_duplicate: bool  # a request with the same id is in flight
+    is_duplicate: bool  # a request with the same id is open or may run
 
 
 def may_start(facts: AdmissionFacts) -> Refusal | None:
--- a/tests/test_connection_close.py
+++ b/tests/test_connection_close.py
@@ -23,6 +23,7 @@
 from tornado.netutil import bind_sockets
 
 from notchjunction.addresses import Address, text_of
+from notchjunction.balancing.engine import RequestSpec
 from notchjunction.balancing.interface import ListUpdate
 from notchjunction.discovery.endpoint_list import read_list
 from notchjunction.http1.messages import Request
@@ -730,18 +731,18 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The node is closing its connections. The second request has been read, but not parsed."""
-    handle_request = ClientConnection._handle_request
+    balance = ClientConnection._balance
     second_requests: list[socket.socket] = []
 
-    async def hooked(connection: ClientConnection, request: Request) -> HandledRequest:
-        handled = await handle_request(connection, request)
+    async def hooked(connection: ClientConnection, request: Request, spec: RequestSpec) -> HandledRequest:
+        handled = await balance(connection, request, spec)
         if second_requests:
             second_requests.pop().sendall(wire_of(2))
             while not connection._intake.has_read():
                 await asyncio.sleep(0)
         return handled
 
-    monkeypatch.setattr(ClientConnection, "_handle_request", hooked)
+    monkeypatch.setattr(ClientConnection, "_balance", hooked)
 
     async def scenario() -> None:
         async with Peer() as peer, running(peer) as (node, address):
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -11,7 +11,6 @@
 from notchjunction.balancing.recent_events import EVENT_SPAN_S
 from notchjunction.balancing.records import Attempt, Endpoint
 from notchjunction.balancing.retry_policy import (
-    NEVER_RAN,
     RetryBudget,
     is_endpoint_fault,
     is_rejection_safe,
@@ -99,7 +98,8 @@
 
 
 def test_only_unsent_and_rejected_attempts_certainly_never_ran() -> None:
-    assert set(NEVER_RAN) == {AttemptResult.REJECTED, AttemptResult.NO_CONNECTION, AttemptResult.NOT_SENT}
+    never_ran = {result for result in AttemptResult if result.never_ran}
+    assert never_ran == {AttemptResult.REJECTED, AttemptResult.NO_CONNECTION, AttemptResult.NOT_SENT}
 
 
 @pytest.mark.parametrize("idempotency", list(Idempotency))
