In an upgrade the rest of a response migrates, whichever byte it stands at

Cause: migrate_response pinned a response to the old process once its last byte had been read from the endpoint; what the operating system had not accepted by SIGKILL was gone. Small responses, heads, end markers and the first write of a process that had taken a response over could not migrate at all.

Change: each write of a response can migrate. An id that moves is no longer held for its old process.

--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -35,6 +35,18 @@
     TO_THE_END = auto()  # the body ends with the connection
 
 
+# The exported state of a body that has ended, whatever its framing was.
+ENDED_BODY: Mapping[str, Any] = {
+    "unread": "",
+    "framing": Framing.LENGTH.name,
+    "wanted": 0,
+    "come": 0,
+    "trailers": 0,
+    "in_trailer": False,
+    "chunk_left": -1,
+}
+
+
 class MessageReader:
     """Parses what requests and responses have in common: the lines of the head, the framing and the body.
 
@@ -91,6 +103,11 @@
         """Whether a body is streamed: its beginning was returned, and `take_piece` returns the rest."""
         return self._streaming
 
+    @property
+    def body_ended(self) -> bool:
+        """Whether all bytes of a body of a stated length have been parsed."""
+        return self._framing is Framing.LENGTH and self._body_received == self._body_length
+
     @property
     def length(self) -> int | None:
         """The length of the body in bytes, if the head states it."""
--- a/notchjunction/net/body_streaming.py
+++ b/notchjunction/net/body_streaming.py
@@ -151,13 +151,18 @@
     def take_buffered(self) -> bool:
         """Moves what the connection has received into the parser, so that `state` covers it.
 
-        Returns False if the upstream has closed the connection.
+        Returns False if the connection has ended.
         """
         received = self._connection.take_buffered()
         if received is None:
             return False
         self._parser.feed(received)
-        return True
+        return self._connection.is_open
+
+    @property
+    def ended_cleanly(self) -> bool:
+        """Whether the upstream has closed the connection without an error."""
+        return self._connection.ended_cleanly
 
     async def wait_readable(self, event: asyncio.Event) -> None:
         """Waits until more of the response has been received, or until the event is set.
--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -84,6 +84,7 @@
             if request is None:
                 break
             self._state.request_open = True
+            self._state.pinned = False  # what kept an earlier response here says nothing of this one
             keep = await self._respond(request)
             # The rest of the body is read even if the connection ends after this request. A close would reset
             # the connection and destroy the response to a client that sends its whole body before it reads.
@@ -147,8 +148,7 @@
             assert handler is not None
             return await self._stream_response(request, handler, response, keep)
         keep = keep and response.keep_alive
-        await self._writer.write(encode_response(replace(response, keep_alive=keep)))
-        return keep
+        return await self._writer.write_response(encode_response(replace(response, keep_alive=keep)), keep)
 
     def _record_response(
         self, request: Request, handler: RequestHandler | None, response: FinalResponse
@@ -295,7 +295,9 @@
         keep = keep and (head.length is not None or request.accepts_chunked)
         framing = ResponseFraming(head.length, request.accepts_chunked, keep)
         try:
-            await self._writer.write(encode_response(replace(head, keep_alive=keep), request.accepts_chunked))
+            wire = encode_response(replace(head, keep_alive=keep), request.accepts_chunked)
+            if await self._writer.write_part(wire, download, framing):
+                return False
             return await self._writer.write_body(download, framing)
         except (ConnectionLostError, MalformedMessageError) as error:
             download.close(error)
@@ -388,8 +390,8 @@
         """Writes the unsent bytes and further pieces. Returns whether the connection can be used again."""
         self._stream.assume_largest_peer_window()
         try:
-            if migrated.unsent:
-                await self._writer.write(migrated.unsent)
+            if migrated.unsent and await self._writer.write_part(migrated.unsent, download, migrated.framing):
+                return False
             return await self._writer.write_body(download, migrated.framing)
         except (ConnectionLostError, MalformedMessageError) as error:
             self._context.counters.add("streams_truncated")
--- a/notchjunction/net/client_migration.py
+++ b/notchjunction/net/client_migration.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
+from notchjunction.http1.parser import ENDED_BODY
 from notchjunction.net.body_streaming import Download
 from notchjunction.net.client_context import ClientContext
 from notchjunction.net.client_state import ConnectionState
 from notchjunction.net.client_stream import ClientStream
+from notchjunction.net.descriptors import SHORTAGE_ERRNOS
 from notchjunction.net.request_intake import RequestIntake
 from notchjunction.net.stream_state import MigratedResponse, MigratedUpload, ResponseFraming
 
@@ -49,25 +52,75 @@
         read that.
 
         Args:
-            download: The response of the endpoint, of which more follows.
+            download: The response of the endpoint.
             framing: How the response is written to the client.
-            unsent: The encoded bytes of the last piece that the operating system has not accepted.
+            unsent: The encoded bytes, of the last piece, that the operating system has not accepted. If the
+                response has ended, they include its end marker.
         """
-        self._state.pinned = True
-        migrate_stream = self._context.migrate_stream
-        has_other_data = self._intake.parser.started or self._intake.has_read() or self._stream.closed()
-        if migrate_stream is None or has_other_data or download.finished or not download.take_buffered():
+        if download.finished:
+            return self.migrate_tail(unsent, framing.keep)
+        if not self._can_migrate():
             return False
+        is_connected = download.take_buffered()
         state = MigratedResponse(framing, download.state, unsent, self._state.request_id)
+        if is_connected:
+            migrated = self._send(state, download.socket)
+        else:
+            # The rest of the body is here, and its end is that of the connection, unless it broke off.
+            migrated = download.ended_cleanly and self._send_without_upstream(state)
+        if migrated:
+            download.move()
+        return migrated
+
+    def migrate_tail(self, unsent: bytes, keep: bool) -> bool:
+        """Migrates the last bytes of a response, of which nothing more comes from its endpoint.
+
+        Returns whether it did.
+
+        Args:
+            unsent: The encoded bytes that the operating system has not accepted, to the response's end.
+            keep: Whether the connection is kept after the response.
+        """
+        if not self._can_migrate():
+            return False
+        framing = ResponseFraming(length=0, chunks=False, keep=keep)  # the bytes are framed already
+        return self._send_without_upstream(
+            MigratedResponse(framing, ENDED_BODY, unsent, self._state.request_id)
+        )
+
+    def _send_without_upstream(self, response: MigratedResponse) -> bool:
+        """Sends a response whose endpoint sends nothing more, with a closed connection in place of its own.
+
+        Guards against a message with one socket, which the other process takes for an upload.
+        """
+        try:
+            closed, peer = socket.socketpair()
+        except OSError as error:
+            self._state.pinned = error.errno not in SHORTAGE_ERRNOS
+            return False
+        peer.close()
+        with closed:
+            return self._send(response, closed)
+
+    def _can_migrate(self) -> bool:
+        """Whether this connection can migrate; if not, it is pinned."""
+        has_other_data = self._intake.parser.started or self._intake.has_read() or self._stream.closed()
+        self._state.pinned = self._context.migrate_stream is None or has_other_data
+        return not self._state.pinned
+
+    def _send(self, response: MigratedResponse, upstream: socket.socket) -> bool:
+        """Sends a response to the other process, and closes the connection here if it was accepted."""
+        migrate_stream = self._context.migrate_stream
+        assert migrate_stream is not None
+        self._state.pinned = True
         try:
-            if not migrate_stream(state.to_wire(), self._stream.socket, download.socket):
+            if not migrate_stream(response.to_wire(), self._stream.socket, upstream):
                 return False
         except BlockingIOError:
             self._state.pinned = False  # the other process is still busy with earlier connections
             return False
         self._context.counters.add("streams_migrated")
         self._state.moved = True
-        download.move()
         # Guards against a later half-close here: it would end the connection for the other process.
         self._stream.close()
         return True
--- a/notchjunction/net/client_registry.py
+++ b/notchjunction/net/client_registry.py
@@ -146,8 +146,7 @@
 
     def adopt_id(self, request_id: str) -> None:
         """Takes the id of a request whose response another process of the node began to forward."""
-        time_allowed = self.request_ids.time_allowed(request_id)
-        self.request_ids.open(request_id, time_allowed)
+        time_allowed = self.request_ids.adopt(request_id)
         if self.claims is not None:
             self.claims.adopted(request_id, time_allowed)
 
--- a/notchjunction/net/response_writer.py
+++ b/notchjunction/net/response_writer.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from contextlib import suppress
 
 from tornado.iostream import StreamClosedError
@@ -44,6 +45,31 @@
         self._bytes_queued += len(wire)
         await wait_until_written(self.stream, self.stream.write(wire))
 
+    async def write_response(self, wire: bytes, keep: bool) -> bool:
+        """Writes a complete response; `keep` says whether the connection is kept after it.
+
+        Returns whether the connection can be used again; it cannot if the response migrated meanwhile.
+
+        Raises:
+            StreamClosedError: The client has gone or does not read.
+        """
+        migrated = await self._write_migratable(
+            wire, lambda unsent: self._migrator.migrate_tail(unsent, keep)
+        )
+        return keep and not migrated
+
+    async def write_part(self, wire: bytes, download: Download, framing: ResponseFraming) -> bool:
+        """Writes the next encoded bytes of a streamed response.
+
+        Returns whether the response migrated, with the rest of the bytes, meanwhile.
+
+        Raises:
+            StreamClosedError: The client has gone or does not read.
+        """
+        return await self._write_migratable(
+            wire, lambda unsent: self._migrator.migrate_response(download, framing, unsent)
+        )
+
     async def write_body(self, download: Download, framing: ResponseFraming) -> bool:
         """Writes a body piece by piece as it arrives, and its end marker.
 
@@ -60,33 +86,41 @@
                     return False
                 await self._migrator.pause()
             piece = download.take_piece()
+            wire = encode_piece(piece, framing.length, framing.chunks)
+            if download.finished:
+                wire += encode_end(framing.length, framing.chunks)
+            if wire and await self.write_part(wire, download, framing):
+                return False
+            if download.finished:
+                return framing.keep
             if piece:
-                if await self._write_piece(piece, download, framing):
-                    return False
                 await asyncio.sleep(0)  # guards against one body that starves other connections
-            elif download.finished:
-                break
-            else:
-                await download.wait_readable(
-                    asyncio.Event() if self._state.pinned else self._context.migrating
-                )
-                if download.has_more():
-                    await download.read_more()
-        if end := encode_end(framing.length, framing.chunks):
-            await self.write(end)
-        return framing.keep
-
-    async def _write_piece(self, piece: bytes, download: Download, framing: ResponseFraming) -> bool:
-        """Writes one piece. Returns whether the response migrated, with the rest of the piece, meanwhile."""
-        wire = encode_piece(piece, framing.length, framing.chunks)
+                continue
+            await download.wait_readable(asyncio.Event() if self._state.pinned else self._context.migrating)
+            if download.has_more():
+                await download.read_more()
+
+    async def _write_migratable(self, wire: bytes, migrate: Callable[[bytes], bool]) -> bool:
+        """Writes encoded bytes, and migrates the response if that is due before all are written.
+
+        Args:
+            wire: The bytes.
+            migrate: Migrates the response with those of the bytes that the operating system has not
+                accepted; returns whether it did.
+
+        Returns:
+            Whether the response migrated.
+        """
         self._bytes_queued += len(wire)
         self.stream.observe_peer_window()
         written = self.stream.write(wire)
         while not written.done() and not await self._wait_written(written):
             unsent = wire[len(wire) - (self._bytes_queued - self.stream.bytes_sent) :]
-            if self._migrator.migrate_response(download, framing, unsent):
+            if migrate(unsent):
                 return True
             await self._migrator.pause()
+        if written.done():
+            written.result()
         return False
 
     async def _wait_written(self, written: asyncio.Future[None]) -> bool:
--- a/notchjunction/net/upstream.py
+++ b/notchjunction/net/upstream.py
@@ -357,6 +357,7 @@
         connection = UpstreamConnection(("", 0), sock)
         self._descriptors.take()
         download = Download(self._streams, connection, parser, Response(200, more_body=True))
+        download.finished = parser.body_ended
         download.ended.add_done_callback(lambda _: self._close(connection))
         return download
 
--- a/notchjunction/net/upstream_connection.py
+++ b/notchjunction/net/upstream_connection.py
@@ -264,6 +264,16 @@
         sock: socket.socket = self._stream.socket
         return sock
 
+    @property
+    def is_open(self) -> bool:
+        """Whether no end of the connection has been noticed."""
+        return not self._stream.closed()
+
+    @property
+    def ended_cleanly(self) -> bool:
+        """Whether the peer has closed the connection without an error."""
+        return self._stream.closed() and self._stream.error is None and not self._closed_here
+
     def start_reading(self, max_bytes: int = READ_CHUNK_BYTES) -> asyncio.Future[bytes]:
         """Starts a read, or returns the one in progress; `read` takes its result.
 
--- a/notchjunction/safety/request_ids.py
+++ b/notchjunction/safety/request_ids.py
@@ -55,11 +55,14 @@
         """Takes the id of a request that was accepted; `time_allowed` is its time left in s."""
         self._open[request_id] = time_allowed
 
-    def time_allowed(self, request_id: str) -> float:
-        """Returns the time (s) that a request open elsewhere was allowed; the upper bound if unknown."""
-        return next(
-            (ids[request_id] for ids in self._open_elsewhere.values() if request_id in ids), MAX_HOLD_S
-        )
+    def adopt(self, request_id: str) -> float:
+        """Takes the id of a request that has moved here from another process, which no longer frees it.
+
+        Returns the time (s) that the request was allowed; the upper bound if that is unknown.
+        """
+        times = [ids.pop(request_id) for ids in self._open_elsewhere.values() if request_id in ids]
+        self._open[request_id] = max(times, default=MAX_HOLD_S)
+        return self._open[request_id]
 
     def close(self, request_id: str, now: float, may_run: bool) -> float:
         """Frees the id of a request that has ended, and returns for how long (s) it stays taken.
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -49,7 +49,10 @@
     ids.closed_elsewhere("old", "a", 100.0, hold=0.0)
     ids.closed_elsewhere("old", "b", 100.0, hold=1.0)
     assert [ids.is_taken(request_id, 100.5) for request_id in ("a", "b", "c")] == [False, True, True]
+    ids.opened_elsewhere("old", "moved", 3.0)
+    assert ids.adopt("moved") == 3.0
     assert ids.process_left("old", 110.0) == {"c": 2.0}
+    assert ids.close("moved", 110.0, may_run=False) == 0.0 and not ids.is_taken("moved", 110.0)
     assert [ids.is_taken(request_id, 111.9) for request_id in ("a", "b", "c")] == [False, False, True]
     assert not ids.is_taken("c", 112.0)
 
--- a/tests/test_response_migration.py
+++ b/tests/test_response_migration.py
@@ -7,7 +7,7 @@
 import errno
 import socket
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -15,6 +15,8 @@
 from notchjunction.http1.parser import ResponseReader
 from notchjunction.net import body_streaming, upstream_connection
 from notchjunction.net.body_streaming import StreamBuffers
+from notchjunction.net.client_connection import ClientConnection
+from notchjunction.net.client_registry import ClientRegistry
 from notchjunction.node.node import Node
 from notchjunction.upgrade import handover, shared_folder, shutdown
 from tests.helpers import Peer, running
@@ -385,3 +387,132 @@
                 assert not received and old.counters.read()["uploads_migrated"] == 1
 
     run(scenario())
+
+
+BODY_END = b"END"
+TAIL_BODY = b"x" * 200_000 + BODY_END
+CHUNKED_END = b"0\r\n\r\n"
+
+
+def stop_accepting(connection: ClientConnection, accepted: int | None, held_back: int) -> None:
+    """Makes a client's socket accept no more bytes, as if the client read no further.
+
+    It stops after the first `accepted` bytes, or else where the last `held_back` bytes of a response begin.
+    """
+    stream = connection._stream
+    write, remaining = stream.write_to_fd, accepted
+
+    def write_some(data: memoryview) -> int:
+        nonlocal remaining
+        if remaining is None and bytes(data).endswith((BODY_END, CHUNKED_END)):
+            remaining = max(0, len(data) - held_back)
+        if remaining == 0:
+            raise BlockingIOError(errno.EAGAIN, "the socket is full")
+        count = write(data[:remaining])
+        remaining = None if remaining is None else remaining - count
+        return count
+
+    stream.write_to_fd = write_some  # type: ignore[method-assign]
+
+
+def response_of(framing: str, body: bytes) -> bytes:
+    head = {"length": b"Content-Length: %d" % len(body), "chunks": b"Transfer-Encoding: chunked"}
+    framed = b"%x\r\n%b\r\n" % (len(body), body) + CHUNKED_END if framing == "chunks" else body
+    return b"HTTP/1.1 200 OK\r\n" + head.get(framing, b"X: y") + b"\r\n\r\n" + framed
+
+
+async def read_body(client: BodyClient) -> bytes:
+    """Read a whole response and return its body."""
+    head = await client._reader.readuntil(b"\r\n\r\n")
+    if b"chunked" in head.lower():
+        return await read_chunked_body(client)
+    size = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    return await client._reader.readexactly(size)
+
+
+class EndpointResponse(NamedTuple):
+    """How an endpoint sends its response."""
+
+    framing: str
+    closes: bool  # its connection, right behind the response
+    body: bytes = TAIL_BODY
+
+
+@pytest.mark.parametrize(
+    ("accepted", "held_back"), [(10, 0), (100_000, 0), (None, 1), (None, 60_000)], ids=str
+)
+@pytest.mark.parametrize(
+    "response",
+    [
+        EndpointResponse("length", closes=False, body=TAIL_BODY[-5000:]),
+        EndpointResponse("length", closes=False),
+        EndpointResponse("length", closes=True),
+        EndpointResponse("chunks", closes=False),
+        EndpointResponse("end", closes=True),
+    ],
+    ids=["small", "length", "closed", "chunks", "end"],
+)
+def test_rest_of_a_response_migrates_whichever_byte_it_stands_at(
+    response: EndpointResponse,
+    accepted: int | None,
+    held_back: int,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a response cut off in an upgrade because its endpoint has sent the last byte.
+
+    Two upgrades follow one another, and the client reads nothing more until the second is over.
+    """
+    upgrades = 2
+    if accepted is not None:
+        accepted = min(accepted, len(response.body) - 1000)
+    deaf_processes = upgrades
+
+    def stop_if_deaf(connection: ClientConnection) -> None:
+        nonlocal deaf_processes
+        if deaf_processes:
+            deaf_processes -= 1
+            is_first = deaf_processes == upgrades - 1
+            stop_accepting(connection, accepted if is_first else 0, held_back)
+
+    async def scenario() -> None:
+        async def send_all(connection: ScriptedConnection) -> None:
+            await connection.read_request()
+            await connection.send(response_of(response.framing, response.body))
+            if not response.closes:
+                await connection.reader.read()
+
+        async with contextlib.AsyncExitStack() as stack:
+            process, address, _ = await stack.enter_async_context(
+                running_with_scripts(send_all, shared=tmp_path)
+            )
+            new_connection = ClientRegistry._new_connection
+
+            def create(registry: ClientRegistry, sock: socket.socket, over_limit: bool) -> ClientConnection:
+                connection = new_connection(registry, sock, over_limit)
+                stop_if_deaf(connection)
+                return connection
+
+            monkeypatch.setattr(ClientRegistry, "_new_connection", create)
+            client = await BodyClient().open(address)
+            client.begin_request()
+            await wait_for_counter(process, "attempts_first")
+            for _ in range(upgrades):
+                successor, _ = await stack.enter_async_context(
+                    running(shared=tmp_path, listen=address, known=False)
+                )
+                await wait_for_successor(process)
+                process.stop()
+                async with asyncio.timeout(5):
+                    await wait_for_counter(successor, "streams_adopted")
+                    await wait_without_clients(process)
+                process = successor
+            async with asyncio.timeout(5):
+                assert await read_body(client) == response.body
+            async with asyncio.timeout(5):
+                while process.counters.read()["streams_open"] or len(process._clients.request_ids):
+                    await asyncio.sleep(0.001)
+            assert not process.counters.read().get("internal_errors")
+            client.writer.close()
+
+    run(scenario())
