A client that stops in a long body is ended after the longest pause, however fast it sent before

What callers saw: 340 clients that stopped half way in 4 MB had neither an error nor a close in 6 s, and kept their memory.

Cause: a body's timeout followed from its mean rate alone, so that bytes that came at full speed bought time (RequestIntake.wait).

Change: a body also may not pause for longer than the grace, counted from the start of the read that waits.

Evidence: two new tests failed before. Tests of bodies, slow peers, network, closes and capacity: 355 passed.

--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -21,8 +21,8 @@
 HEAD_TIMEOUT_S = 2.6
 # Bytes a second; a body has to arrive at this average rate.
 BODY_MIN_RATE = MIN_BYTES_PER_S
-# A body may be this much later than at BODY_MIN_RATE, as slow clients pause. A client that stops in the
-# middle of a request gets its response within 3 s.
+# A body may be this much later than at BODY_MIN_RATE, and pause for as long, as slow clients pause. A client
+# that stops in the middle of a request gets its response within 3 s of its last byte.
 BODY_GRACE_S = 2.2
 # A client over the descriptor limit has this time to send the one request that is rejected.
 REJECTED_TIMEOUT_S = 1.0
@@ -61,6 +61,7 @@
         self._reading: asyncio.Future[bytes] | None = None
         # s; since when bytes that were sent before the accept may have been queued.
         self._queued_since: float | None = None
+        self._read_started_at = self.arrived_at  # s; start of the latest read
         self._body_waited = 0.0  # s spent waiting for the current body
         context.phases.silent[connection] = self.arrived_at
         # The first head's timeout starts at the accept. Single bytes that trickle in do not renew it.
@@ -149,14 +150,16 @@
     async def wait(self, *futures: asyncio.Future[Any]) -> bool:
         """Waits for any of the futures or the client's timeout. Returns whether the timeout has passed.
 
-        A body's timeout follows from its minimum rate over the time spent waiting for it. This guards against
-        clients that occupy a connection without sending.
+        A body's timeout follows from its minimum rate over the time spent waiting for it, and from the
+        longest pause. This guards against clients that occupy a connection without sending, also after they
+        have sent much at once.
         """
         wait_started_at = self._context.clock()
         in_body = self.parser.in_body and not self.state.over_limit
         if in_body:
-            self._times_out_at = (
-                wait_started_at + BODY_GRACE_S + self.parser.body_received / BODY_MIN_RATE - self._body_waited
+            allowed = BODY_GRACE_S + self.parser.body_received / BODY_MIN_RATE
+            self._times_out_at = min(
+                wait_started_at + allowed - self._body_waited, self._read_started_at + BODY_GRACE_S
             )
         await asyncio.wait(
             futures,
@@ -173,6 +176,7 @@
         """Returns the read in progress, or starts one of up to `limit` bytes."""
         if self._reading is None:
             self._reading = start_read(self._stream, limit)
+            self._read_started_at = self._context.clock()
         return self._reading
 
     def has_read(self) -> bool:
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -481,6 +481,35 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("answered", [False, True])
+def test_client_that_stops_in_a_long_body_is_ended_however_fast_it_sent_before(
+    answered: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against clients that occupy connections and memory: what came fast bought them time.
+
+    The stop comes while the request is open, or once it is `answered` and the rest is discarded.
+    """
+    monkeypatch.setattr(request_intake, "BODY_GRACE_S", 0.2)
+
+    async def scenario() -> None:
+        async def respond(connection: ScriptedConnection) -> None:
+            await connection.read_request(max_bytes=MB)
+            if answered:
+                await connection.send(b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+            await connection.reader.read()
+
+        async with running_with_scripts(respond) as (node, address, _):
+            client = await BodyClient().open(address)
+            client.begin_request(BODY * 8)
+            client.send(BODY * 4)
+            assert (await client.answer()).status == (503 if answered else 408)
+            async with asyncio.timeout(2):
+                assert await client.closed()
+            await wait_until_idle(node)
+
+    run(scenario())
+
+
 def test_upload_reset_by_the_server_is_answered_503_and_the_client_stays_connected() -> None:
     async def scenario() -> None:
         async def reset_large_requests(connection: ScriptedConnection) -> None:
