Bodies in tiny chunks are read in small steps, so that one client does not hold up all others

What callers saw: beside one client that sent chunks of one byte at full speed, answers took 232 ms in place of 7 (p50).

Cause: up to 64 KB are parsed in one turn of the event loop; in tiny chunks that is 11,000 chunks at 4 us (MessageReader._read_chunks). Ruled out: the cost of taking each chunk off the buffer (0.39 s for 100,000 chunks before and after); 15 other floods (postmortem).

Change: where the last parts were small in the mean, the next read takes 1 KB, from clients and endpoints.

--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -26,6 +26,13 @@
 MAX_INTERIM_RESPONSES = 16  # interim responses (1xx) ahead of a response; usually there are few
 MAX_RESPONSE_HEADER_FIELDS = 1000  # endpoints are trusted with more than clients
 MAX_TRAILER_LINES = 32  # lines after the last chunk; bounds an endless trailer
+CHUNK_SIZE = re.compile(r"[0-9A-Fa-f]{1,8}")
+# A part of the chunked coding (a size, data, an end) takes as long to parse as thousands of bytes of data. So
+# less is read at once where the last parts, if they were more than this many, had fewer bytes in the mean.
+MIN_SMALL_PARTS = 100
+SMALL_PART_BYTES = 64
+SMALL_PARTS_READ_BYTES = 1024
+MAX_READ_BYTES = 64 * 1024
 MAX_CHUNK_LINE_BYTES = 256  # of a chunk's size line; chunk extensions are rare and short
 
 
@@ -67,6 +74,8 @@
         self._max_buffered_body = max_buffered_body
         self._max_body = max(max_buffered_body, max_body)
         self._search_from = 0
+        self._parsed = 0  # bytes of the buffer that are parsed already; 0 between two calls
+        self._has_small_parts = False  # the bytes parsed last were chunks of a few bytes each
         self._blank_lines = 0
         self._interim_responses = 0
         self._start_line: tuple[str, str, str] | None = None
@@ -96,6 +105,11 @@
         """Whether the head is parsed and the body is still incomplete."""
         return self._in_body
 
+    @property
+    def read_limit(self) -> int:
+        """Number of bytes to read at most before they are parsed, as that holds up other connections."""
+        return SMALL_PARTS_READ_BYTES if self._has_small_parts else MAX_READ_BYTES
+
     @property
     def bytes_to_buffer(self) -> int:
         """Number of bytes of the current body that are still missing until it is complete or streamed."""
@@ -239,70 +253,98 @@
         """Parses what has been received of the body; returns whether that was its end."""
         if self._framing is Framing.LENGTH:
             self._consume(min(self._body_length - self._body_received, len(self._buffer)))
+            self._drop_parsed()
             return self._body_received == self._body_length
         if self._framing is Framing.CHUNKS:
             return self._read_chunks()
         self._consume(len(self._buffer))
+        self._drop_parsed()
         return False
 
     def _consume(self, count: int) -> None:
         if self._body_received + count > self._max_body:
             raise MalformedMessageError(413, "body too large")
         self._body_received += count
-        if count == len(self._buffer) and not self._body:
+        start, end = self._parsed, self._parsed + count
+        if start == 0 and end == len(self._buffer) and not self._body:
             # The usual case of a streamed body: the buffers are swapped, so nothing is copied.
             self._body, self._buffer = self._buffer, self._body
-        else:
-            self._body += self._buffer[:count]
-            del self._buffer[:count]
+            return
+        self._body += self._buffer[start:end]
+        self._parsed = end
+
+    def _drop_parsed(self) -> None:
+        """Drops the parsed bytes from the buffer, all at once: each drop moves all bytes that follow."""
+        del self._buffer[: self._parsed]
+        self._parsed = 0
 
     def _read_line(self) -> str | None:
-        end = self._buffer.find(b"\r\n")
-        if end < 0 or end > MAX_CHUNK_LINE_BYTES:
-            if len(self._buffer) > MAX_CHUNK_LINE_BYTES:
+        end = self._buffer.find(b"\r\n", self._parsed, self._parsed + MAX_CHUNK_LINE_BYTES + 2)
+        if end < 0:
+            if len(self._buffer) - self._parsed > MAX_CHUNK_LINE_BYTES:
                 raise MalformedMessageError(400, "malformed chunk")
             return None
-        line = self._buffer[:end].decode("latin-1")
-        del self._buffer[: end + 2]
+        line = self._buffer[self._parsed : end].decode("latin-1")
+        self._parsed = end + 2
         return line
 
     def _read_chunks(self) -> bool:
-        while True:
-            if self._in_trailer:
-                line = self._read_line()
-                if line is None:
-                    return False
-                if line == "":
-                    return True
-                self._trailer_lines += 1
-                if self._trailer_lines > MAX_TRAILER_LINES:
-                    raise MalformedMessageError(431, "trailer too large")
-            elif self._chunk_remaining < 0:
-                line = self._read_line()
-                if line is None:
-                    return False
-                size = line.partition(";")[0].strip(" \t")
-                if not re.fullmatch(r"[0-9A-Fa-f]{1,8}", size):
-                    raise MalformedMessageError(400, "malformed chunk")
-                self._chunk_remaining = int(size, 16)
-                self._in_trailer = self._chunk_remaining == 0
-                if self._in_trailer:
-                    self._chunk_remaining = -1
-            elif self._chunk_remaining > 0:
-                if self._body_received + self._chunk_remaining > self._max_body:
-                    raise MalformedMessageError(413, "body too large")
-                count = min(self._chunk_remaining, len(self._buffer))
-                self._consume(count)
-                self._chunk_remaining -= count
-                if self._chunk_remaining:
-                    return False
-            else:
-                if len(self._buffer) < 2 and b"\r\n".startswith(self._buffer):
-                    return False
-                if self._buffer[:2] != b"\r\n":
-                    raise MalformedMessageError(400, "malformed chunk")
-                del self._buffer[:2]
-                self._chunk_remaining = -1
+        """Parses chunks as far as they have been received; returns whether the last one has ended."""
+        parts = 0
+        while (ended := self._read_chunk_part()) is None:
+            parts += 1
+        self._has_small_parts = parts > MIN_SMALL_PARTS and parts * SMALL_PART_BYTES > self._parsed
+        self._drop_parsed()
+        return ended
+
+    def _read_chunk_part(self) -> bool | None:
+        """Parses one part: a size, data, the end of a chunk, or a line of the trailer.
+
+        Returns whether the body has ended; None if it has not, and the next part may be there.
+        """
+        if self._in_trailer:
+            return self._read_trailer_line()
+        if self._chunk_remaining < 0:
+            return self._read_chunk_size()
+        if self._chunk_remaining > 0:
+            if self._body_received + self._chunk_remaining > self._max_body:
+                raise MalformedMessageError(413, "body too large")
+            count = min(self._chunk_remaining, len(self._buffer) - self._parsed)
+            self._consume(count)
+            self._chunk_remaining -= count
+            return False if self._chunk_remaining else None
+        end = self._buffer[self._parsed : self._parsed + 2]
+        if len(end) < 2 and b"\r\n".startswith(end):
+            return False
+        if end != b"\r\n":
+            raise MalformedMessageError(400, "malformed chunk")
+        self._parsed += 2
+        self._chunk_remaining = -1
+        return None
+
+    def _read_chunk_size(self) -> bool | None:
+        line = self._read_line()
+        if line is None:
+            return False
+        size = line.partition(";")[0].strip(" \t")
+        if not CHUNK_SIZE.fullmatch(size):
+            raise MalformedMessageError(400, "malformed chunk")
+        self._chunk_remaining = int(size, 16)
+        self._in_trailer = self._chunk_remaining == 0
+        if self._in_trailer:
+            self._chunk_remaining = -1
+        return None
+
+    def _read_trailer_line(self) -> bool | None:
+        line = self._read_line()
+        if line is None:
+            return False
+        if line == "":
+            return True
+        self._trailer_lines += 1
+        if self._trailer_lines > MAX_TRAILER_LINES:
+            raise MalformedMessageError(431, "trailer too large")
+        return None
 
     def _keeps_alive(self, version: str) -> bool:
         options = connection_options(self._headers)
--- a/notchjunction/net/body_streaming.py
+++ b/notchjunction/net/body_streaming.py
@@ -196,7 +196,7 @@
         Raises:
             ConnectionLostError: Neither happened for `STALL_TIMEOUT_S`.
         """
-        reading: asyncio.Future[Any] = self._connection.start_reading(self._streams.piece_size())
+        reading: asyncio.Future[Any] = self._connection.start_reading(self._read_size())
         event_set: asyncio.Future[Any] = asyncio.ensure_future(event.wait())
         try:
             await asyncio.wait(
@@ -207,6 +207,9 @@
         if not reading.done() and not event.is_set():
             raise ConnectionLostError("no bytes received in time")
 
+    def _read_size(self) -> int:
+        return min(self._streams.piece_size(), self._parser.read_limit)
+
     def has_more(self) -> bool:
         """Whether `read_more` returns at once."""
         return self._connection.has_read()
@@ -218,7 +221,7 @@
             ConnectionLostError: The connection ended before the end of the response.
         """
         try:
-            self._parser.feed(await self._connection.read(self._streams.piece_size()))
+            self._parser.feed(await self._connection.read(self._read_size()))
         except ConnectionLostError as error:
             if not error.clean or not self._parser.ends_with_connection():
                 raise
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -236,7 +236,8 @@
     def read(self, limit: int | None = None) -> asyncio.Future[bytes]:
         """Returns the read in progress, or starts one of up to `limit` bytes."""
         if self._reading is None:
-            self._reading = start_read(self._stream, limit or self._read_limit())
+            limit = min(limit or self._read_limit(), self.parser.read_limit)
+            self._reading = start_read(self._stream, limit)
             self._read_started_at = self._context.clock()
         return self._reading
 
--- a/notchjunction/net/upstream_connection.py
+++ b/notchjunction/net/upstream_connection.py
@@ -176,7 +176,7 @@
             if head_at is None and parser.in_body:
                 head_at = now
             try:
-                parser.feed(await self.read())
+                parser.feed(await self.read(parser.read_limit))
                 on_received()
             except ConnectionLostError as error:
                 final = parser.finish() if error.clean else None
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -12,7 +12,13 @@
     Request,
     Response,
 )
-from notchjunction.http1.parser import RequestReader, ResponseReader
+from notchjunction.http1.parser import (
+    MAX_READ_BYTES,
+    SMALL_PARTS_READ_BYTES,
+    MessageReader,
+    RequestReader,
+    ResponseReader,
+)
 
 POST = b"POST /api HTTP/1.1\r\n"
 CHUNKED_HEADER_END = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -149,3 +155,24 @@
     request, response = request_reader.next(), response_reader.next()
     assert request is not None and (request.target, request.body) == ("/api?a=b", b"body")
     assert response is not None and response.headers["retry-after"] == "0.250" and not response.keep_alive
+
+
+def tiny_chunks(count: int) -> bytes:
+    return b"1\r\nx\r\n" * count
+
+
+@pytest.mark.parametrize("reader", [RequestReader(), ResponseReader()])
+def test_less_is_read_at_once_of_tiny_chunks_than_of_large_ones(reader: MessageReader) -> None:
+    """Guards against one client or endpoint with tiny chunks that holds up all others for each read."""
+    start = b"HTTP/1.1 200 OK" if isinstance(reader, ResponseReader) else b"POST /api HTTP/1.1"
+    reader.feed(start + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + b"11000\r\n" + b"x" * 0x11000 + b"\r\n")
+    assert reader.next() is not None and reader.read_limit == MAX_READ_BYTES  # type: ignore[attr-defined]
+    for wire, limit in [
+        (tiny_chunks(1000), SMALL_PARTS_READ_BYTES),
+        (tiny_chunks(10), MAX_READ_BYTES),
+        (tiny_chunks(100) + b"1000\r\n" + b"x" * 0x1000 + b"\r\n", SMALL_PARTS_READ_BYTES),
+        (b"8000\r\n" + b"x" * 0x8000 + b"\r\n", MAX_READ_BYTES),
+    ]:
+        reader.feed(wire)
+        piece, ended = reader.take_piece()
+        assert piece.strip(b"x") == b"" and not ended and reader.read_limit == limit
