--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -117,6 +117,13 @@
         total = min(self._body_length, limit) if self._framing is Framing.LENGTH else limit
         return max(0, total - self.body_received)
 
+    @property
+    def bytes_missing(self) -> int | None:
+        """Number of bytes of the current body that have not been received; None if no length is stated."""
+        if self._framing is not Framing.LENGTH:
+            return None
+        return max(0, self._body_length - self.body_received)
+
     @property
     def body_received(self) -> int:
         """Number of bytes received of the current body."""
--- a/notchjunction/net/client_stream.py
+++ b/notchjunction/net/client_stream.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
+import struct
+import termios
 import time
 from contextlib import suppress
 
 from notchjunction.net.event_loop import max_unread_age
 from notchjunction.net.socket_stream import NodeStream, Unread
 
+UNREAD_COUNT = struct.Struct("i")  # the result of FIONREAD
 # Poll events that report the end of the connection, also while bytes are unread.
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -28,6 +32,16 @@
             self.arrived_at = time.monotonic() - max_unread_age()
         return count
 
+    def unread_bytes(self) -> int:
+        """Returns how many bytes the operating system holds that have not been read; 0 if it cannot tell."""
+        if self.closed():
+            return 0
+        try:
+            count = fcntl.ioctl(self.socket, termios.FIONREAD, bytes(UNREAD_COUNT.size))
+        except OSError:
+            return 0
+        return int(UNREAD_COUNT.unpack(count)[0])
+
     def has_unread(self) -> bool:
         """Whether bytes or the end of the stream are unread, or the operating system cannot tell."""
         return self.unread() is not Unread.NOTHING
--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -13,6 +13,7 @@
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.request_handler import RequestHandler
 from notchjunction.net.request_intake import RequestIntake
+from notchjunction.net.upload_clock import UploadClock
 from notchjunction.net.upstream_connection import CLIENT_CHECK_INTERVAL_S
 from notchjunction.telemetry.flight_recorder import Occurrence
 
@@ -43,6 +44,7 @@
         self._stream = stream
         self._state = intake.state
         self._intake = intake
+        self._clock = UploadClock(handler.time_left)
 
     async def wait_response(self) -> FinalResponse | None:
         """Waits for the response and returns it; None if the client has gone.
@@ -54,19 +56,16 @@
         error: Response | None = None
         while not handler_task.done():
             upload = self.upload
-            if (upload is None or upload.complete) and not self._intake.may_read_ahead():
-                await asyncio.wait({handler_task}, timeout=CLIENT_CHECK_INTERVAL_S)
-                if not handler_task.done() and not self._stream.is_peer_connected():
-                    self._cancel_for_client()
-                    break
-            elif upload is None or upload.complete:
-                # Reading continues however much was sent ahead, because the client's end comes after it.
-                futures: set[asyncio.Future[FinalResponse | None] | asyncio.Future[bytes]]
-                futures = {handler_task, self._intake.read()}
-                await asyncio.wait(futures, return_when=asyncio.FIRST_COMPLETED)
+            if upload is None or upload.complete:
+                is_client_gone = await self._wait_complete(handler_task)
+            elif self._is_overdue():
+                error = Response(503)  # its last byte was never sent on, so it has not run
+                break
             elif upload.has_room():
-                error = await self._wait_for_body(handler_task)
-            elif not await self._wait_for_room(handler_task, upload):
+                error, is_client_gone = await self._wait_for_body(handler_task), False
+            else:
+                is_client_gone = not await self._wait_for_room(handler_task, upload)
+            if is_client_gone:
                 self._cancel_for_client()
                 break
             if self._intake.has_read() and not handler_task.done():
@@ -76,8 +75,9 @@
                     self._cancel_for_client()
                     break
             if error is not None:
-                self.handler.cancel()
                 break
+        if error is not None:
+            self.handler.cancel()
         return self._select_response(await handler_task, error)
 
     def _select_response(
@@ -90,6 +90,26 @@
             response.close()
         return response if error is None else error
 
+    async def _wait_complete(self, handler_task: asyncio.Task[FinalResponse | None]) -> bool:
+        """Waits for the response to a request that is read whole. Returns whether the client has gone."""
+        if self._intake.may_read_ahead():
+            # Reading continues however much was sent ahead, because the client's end comes after it.
+            futures: set[asyncio.Future[FinalResponse | None] | asyncio.Future[bytes]]
+            futures = {handler_task, self._intake.read()}
+            await asyncio.wait(futures, return_when=asyncio.FIRST_COMPLETED)
+            return False
+        await asyncio.wait({handler_task}, timeout=CLIENT_CHECK_INTERVAL_S)
+        return not handler_task.done() and not self._stream.is_peer_connected()
+
+    def _is_overdue(self) -> bool:
+        """Whether the client's time may be over although its body has not been read to the end.
+
+        Guards against a response seconds after the client's deadline, where an endpoint takes a body slowly.
+        """
+        now = self._context.clock()
+        self._clock.update(now, self._stream.unread_bytes(), self._intake.parser.bytes_missing)
+        return self._clock.has_expired(now)
+
     async def _wait_for_body(self, handler_task: asyncio.Task[FinalResponse | None]) -> Response | None:
         """Waits for the response or more of the body. Returns the error response if the body is too slow."""
         timed_out = await self._intake.wait(
@@ -124,7 +144,7 @@
             if self.upload is not None and not self.upload.complete:
                 self.upload.put(*self._intake.parser.take_piece())
                 if self.upload.complete:
-                    self.handler.report_body_complete()
+                    self.handler.report_body_complete(self._clock.elapsed(self._context.clock()))
         except MalformedMessageError as malformed:
             return client_error(self._context, self._state, malformed.status)
         if self._intake.is_over_discard_limit():
--- a/notchjunction/net/request_handler.py
+++ b/notchjunction/net/request_handler.py
@@ -115,7 +115,8 @@
         self._answered: set[int] = set()  # attempts whose endpoints have sent a response, or its beginning
         self._responses: dict[int, Response] = {}
         self._failed = False
-        self._response_timeout = max(0.0, spec.time_left) + RESPONSE_GRACE_S
+        self.time_left = max(0.0, spec.time_left)  # s; counts from the last byte of the request
+        self._response_timeout = self.time_left + RESPONSE_GRACE_S
         self.request_id = request.headers.get(protocol.REQUEST_ID, "")
         deadline = engine.now() + spec.time_left if spec.complete else math.inf
         self._upload_expires_at = math.inf  # s; known once the last byte is received
@@ -143,14 +144,18 @@
                 download.close(ConnectionLostError("not passed on"))
             return internal_error(self._counters)
 
-    def report_body_complete(self) -> None:
-        """Reports that the last byte of the body has been received; the timeout starts now."""
-        self._upload_expires_at = self._engine.now() + self._response_timeout - RESPONSE_GRACE_S
+    def report_body_complete(self, elapsed: float = 0.0) -> None:
+        """Reports that the last byte of the body has been received; the timeout starts now.
+
+        `elapsed` is the time (s) for which it may have waited to be read, which counts.
+        """
+        time_left = max(0.0, self.time_left - elapsed)
+        self._upload_expires_at = self._engine.now() + time_left
         self.ledger.deadline_at = self._upload_expires_at
         if self._timeout is not None:
-            self._timeout.reschedule(asyncio.get_running_loop().time() + self._response_timeout)
+            self._timeout.reschedule(asyncio.get_running_loop().time() + time_left + RESPONSE_GRACE_S)
         try:
-            self._engine.report_body_complete(self._handle, self._time_to_shutdown())
+            self._engine.report_body_complete(self._handle, min(time_left, self._time_to_shutdown()))
         except Exception as error:
             self._fail(error)
 
--- /dev/null
+++ b/tests/test_upload_clock.py
@@ -0,0 +1,64 @@
+"""The deadline of a request counts from its client's last byte, also where the node reads that byte later."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from notchjunction.net.upload_clock import MAX_CLIENT_BUFFER_BYTES, MIN_BACKLOG_BYTES, UploadClock
+from tests.test_large_bodies import BODY, MB, BodyClient, ScriptedConnection, running_with_scripts
+from tests.test_net import run
+
+
+@pytest.mark.parametrize(
+    ("unread", "missing", "may_be_sent"),
+    [
+        (100, 100, True),
+        (99, 100, False),
+        (MIN_BACKLOG_BYTES, MIN_BACKLOG_BYTES + MAX_CLIENT_BUFFER_BYTES, True),
+        (MIN_BACKLOG_BYTES, MIN_BACKLOG_BYTES + MAX_CLIENT_BUFFER_BYTES + 1, False),
+        (MIN_BACKLOG_BYTES, None, True),
+        (MIN_BACKLOG_BYTES - 1, None, False),
+    ],
+)
+def test_clients_time_counts_while_its_last_byte_may_wait_unread(
+    unread: int, missing: int | None, may_be_sent: bool
+) -> None:
+    clock = UploadClock(time_left=2.0)
+    clock.update(10.0, unread, missing)
+    clock.update(11.0, unread, missing)
+    assert clock.elapsed(11.0) == (1.0 if may_be_sent else 0.0)
+    assert not clock.has_expired(11.9) and clock.has_expired(12.0) is may_be_sent
+    clock.update(12.0, 1, 2)  # less than a backlog, but some bytes: the client has not been waited for
+    assert clock.has_expired(12.0) is may_be_sent
+    clock.update(12.0, 0, 1)  # the client still sends
+    assert clock.elapsed(13.0) == 0.0 and not clock.has_expired(99.0)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_response_is_in_time_where_the_endpoint_takes_a_long_body_slowly(chunked: bool) -> None:
+    """Guards against a response seconds after the deadline of a client that has sent its whole body."""
+
+    async def scenario() -> None:
+        async def read_a_part(connection: ScriptedConnection) -> None:
+            connection.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await connection.reader.readexactly(1000)
+            await asyncio.sleep(3.0)
+
+        async with running_with_scripts(read_a_part) as (node, address, _):
+            client = await BodyClient().open(address)
+            loop = asyncio.get_running_loop()
+            client.begin_request(BODY * 8, chunked=chunked, deadline_ms=500)
+            client.send(b"%x\r\n%b\r\n0\r\n\r\n" % (8 * MB, BODY * 8) if chunked else BODY * 8)
+            sent_at = loop.time()
+            assert (await client.answer()).status == 503
+            # A response up to half a second after its request's time is late, and not lost.
+            assert loop.time() - sent_at < 0.5 + 0.5
+            client.writer.close()
+            while node._clients.connections:
+                await asyncio.sleep(0.002)
+            assert not node.counters.read().get("internal_errors")
+
+    run(scenario())
