An attempt keeps the group and zone that it was sent to, for the decision on a repeat

What could happen: a request with a key ran twice where the list gave its endpoint's name to a process of another group.

Cause: the retry rules read group and zone of the earlier attempt from its endpoint's record, which a list change replaces.

Change: Attempt.sent_to is the entry at the moment of the send, and repeatable_until compares that.

Evidence: two new tests failed before.

--- a/notchjunction/balancing/records.py
+++ b/notchjunction/balancing/records.py
@@ -52,6 +52,11 @@
     response_started: bool = False  # the rest is limited by how fast the client reads
     may_have_run: bool = True
     cancelled_for_retry: bool = False  # cancelled by this node, to retry at another endpoint
+    # The endpoint as the list had it when the request was sent; it may have another group since.
+    sent_to: EndpointEntry = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.sent_to = self.endpoint.entry
 
 
 @dataclass(slots=True, eq=False)
--- a/notchjunction/balancing/retry_policy.py
+++ b/notchjunction/balancing/retry_policy.py
@@ -5,7 +5,13 @@
 import math
 from collections.abc import Iterable, Sequence
 
-from notchjunction.balancing.interface import AttemptResult, DeduplicationScope, Idempotency, RequestClass
+from notchjunction.balancing.interface import (
+    AttemptResult,
+    DeduplicationScope,
+    EndpointEntry,
+    Idempotency,
+    RequestClass,
+)
 from notchjunction.balancing.recent_events import RecentEvents
 from notchjunction.balancing.records import Attempt, Endpoint
 
@@ -63,7 +69,7 @@
         return math.inf
     if request_class.idempotency is Idempotency.NON_IDEMPOTENT:
         return -math.inf
-    if not all(_are_deduplicated(request_class, attempt.endpoint, endpoint) for attempt in possibly_run):
+    if not all(_are_deduplicated(request_class, attempt.sent_to, endpoint.entry) for attempt in possibly_run):
         return -math.inf
     return possibly_run[0].sent_at + request_class.deduplication_window - safety_margin
 
@@ -77,11 +83,10 @@
     return is_repeatable or not any(attempt.may_have_run for attempt in attempts)
 
 
-def _are_deduplicated(request_class: RequestClass, first: Endpoint, second: Endpoint) -> bool:
+def _are_deduplicated(request_class: RequestClass, first: EndpointEntry, second: EndpointEntry) -> bool:
     """Return whether the second endpoint drops a repeat of a request that the first has run."""
-    same_zone = first.entry.zone == second.entry.zone
-    shares_deduplication = same_zone and (
+    shares_deduplication = first.zone == second.zone and (
         request_class.deduplication_scope is DeduplicationScope.ZONE
-        or first.entry.deduplication_group == second.entry.deduplication_group
+        or first.deduplication_group == second.deduplication_group
     )
     return shares_deduplication or request_class.deduplication_scope is DeduplicationScope.ALL
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -151,6 +151,18 @@
     assert repeatable_until(KEYED, earlier, endpoint, 0.0) == SENT_AT + 5.0
 
 
+@pytest.mark.parametrize(("zone", "group"), [(1, 0), (0, 1)])
+def test_endpoint_that_changes_its_group_leaves_its_earlier_runs_there(zone: int, group: int) -> None:
+    """Guards against a second run where a new process is listed as the endpoint that has gone."""
+    scope = DeduplicationScope.ZONE if zone else DeduplicationScope.GROUP
+    request_class = replace(KEYED, deduplication_scope=scope)
+    endpoint = endpoint_record()
+    attempt = attempt_at(endpoint)
+    endpoint.entry = endpoint_record(zone=zone, group=group).entry
+    assert repeatable_until(request_class, [attempt], endpoint, 0.0) == -inf
+    assert repeatable_until(request_class, [attempt], endpoint_record(1), 0.0) == SENT_AT + 5.0
+
+
 def test_one_earlier_run_outside_the_deduplication_group_forbids_a_repeat() -> None:
     endpoint, other_endpoint = endpoint_record(1, group=1), endpoint_record(2, group=2)
     assert repeatable_until(KEYED, [attempt_at(endpoint), attempt_at(other_endpoint)], endpoint, 0.5) == -inf
