--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -107,7 +107,8 @@
         Guards against a response seconds after the client's deadline, where an endpoint takes a body slowly.
         """
         now = self._context.clock()
-        self._clock.update(now, self._stream.unread_bytes(), self._intake.parser.bytes_missing)
+        parser = self._intake.parser
+        self._clock.update(now, parser.body_received, self._stream.unread_bytes(), parser.bytes_missing)
         return self._clock.has_expired(now)
 
     async def _wait_for_body(self, handler_task: asyncio.Task[FinalResponse | None]) -> Response | None:
--- a/notchjunction/net/upload_clock.py
+++ b/notchjunction/net/upload_clock.py
@@ -2,7 +2,8 @@
 
 A client's time counts from its last byte. Where an endpoint takes a body slowly, the node reads it as slowly,
 and the rest waits in the operating systems of the node and of the client. So the last byte may have been sent
-long before the node reads it.
+long before the node reads it. Where the length of the body is not known, it counts as sent while bytes wait
+and no further ones arrive.
 """
 
 from __future__ import annotations
@@ -20,20 +21,27 @@
         """Starts with a body that is not whole; `time_left` (s) counts from the client's last byte."""
         self._time_left = time_left
         self._sent_since: float | None = None
+        self._arrived = 0  # bytes of the body, read or not
 
-    def update(self, now: float, unread: int, missing: int | None) -> None:
+    def update(self, now: float, received: int, unread: int, missing: int | None) -> None:
         """Records what is known now.
 
         Args:
             now: The present moment.
+            received: Bytes of the body that have been read.
             unread: Bytes of the body that the node's operating system holds.
             missing: Bytes that have not been read of it; None if its length is not known.
         """
-        if unread == 0 or (missing is not None and missing - unread > MAX_CLIENT_BUFFER_BYTES):
-            self._sent_since = None  # the client still sends
-        elif self._sent_since is None and (
-            unread >= MIN_BACKLOG_BYTES or (missing is not None and unread >= missing)
-        ):
+        before, self._arrived = self._arrived, received + unread
+        if missing is None:
+            is_still_sent = unread < MIN_BACKLOG_BYTES or self._arrived > before
+            may_be_sent = not is_still_sent
+        else:
+            is_still_sent = unread == 0 or missing - unread > MAX_CLIENT_BUFFER_BYTES
+            may_be_sent = unread >= min(MIN_BACKLOG_BYTES, missing)
+        if is_still_sent:
+            self._sent_since = None
+        elif may_be_sent and self._sent_since is None:
             self._sent_since = now
 
     def elapsed(self, now: float) -> float:
--- a/notchjunction/safety/request_ids.py
+++ b/notchjunction/safety/request_ids.py
@@ -73,7 +73,7 @@
             may_run: Whether an endpoint may run the request although no complete response was delivered. The
                 id then stays taken for the time that the request was allowed.
         """
-        time_allowed = self._open.pop(request_id)
+        time_allowed = self._open.pop(request_id, 0.0)
         return self._hold(request_id, now, time_allowed if may_run else 0.0)
 
     def opened_elsewhere(self, process: Hashable, request_id: str, time_allowed: float) -> None:
