What a rejected client still sends is not read byte by byte, which held up the whole node

Seen by callers: a client whose request with a body is rejected (unknown class, bad deadline, id in use) and that goes on sending kept the event loop busy for 14 s a megabyte. All other answers, timers, the admin API and SIGTERM waited.

Cause: the read after the last response took as many bytes as the parser still wanted to buffer of the body, which is none for a streamed one, so 1; and a loop of reads whose bytes are there gives no turn to others.

Change: what is discarded is read whatever the parser waits for, and the loop turns after each read.

--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -13,6 +13,7 @@
 from notchjunction.net.client_context import ClientContext
 from notchjunction.net.client_state import ConnectionState, ManagedConnection
 from notchjunction.net.client_stream import ClientStream
+from notchjunction.net.socket_stream import discard_unread
 from notchjunction.net.upstream_connection import READ_CHUNK_BYTES, start_read
 from notchjunction.net.write_stall import MIN_BYTES_PER_S
 from notchjunction.safety.preconditions import ConnectionFacts, may_close
@@ -37,6 +38,8 @@
 # A body waits this long for memory: a client at the minimum rate has sent what is buffered by then, and frees
 # its room. A client is answered within 3 s, whether or not there is room.
 MEMORY_TIMEOUT_S = 1.5
+# Bytes read at once of what is discarded.
+DISCARD_READ_BYTES = 1024
 # Limit of the bytes discarded beyond those. A client that sends more gets 413, as reading on has a cost.
 MAX_DISCARDED_BYTES = 1024 * 1024
 
@@ -281,8 +284,13 @@
         return self.bytes_discarded > MAX_DISCARDED_BYTES
 
     async def discard(self, limit: int) -> None:
-        """Reads and discards up to `limit` bytes; the read that crosses the limit is discarded whole."""
+        """Reads and discards up to `limit` bytes, or somewhat more if many arrive at once."""
         remaining = limit
         while remaining > 0:
-            remaining -= len(await self.read())
+            # Whatever the parser waits for: guards against reads of single bytes in the middle of a body.
+            reading = self._reading or start_read(self._stream, DISCARD_READ_BYTES)
             self._reading = None
+            remaining -= len(await reading)
+            # Without the stream's buffers, which all lingering connections would fill in the same moment.
+            remaining -= discard_unread(self._stream.socket, remaining)
+            await asyncio.sleep(0)  # guards against one client that sends fast and starves all others
--- a/notchjunction/net/socket_stream.py
+++ b/notchjunction/net/socket_stream.py
@@ -152,12 +152,16 @@
     discard_unread(sock)
 
 
-def discard_unread(sock: socket.socket) -> None:
-    """Reads and discards unread bytes.
+def discard_unread(sock: socket.socket, max_bytes: int = MAX_DISCARDED_BYTES) -> int:
+    """Reads and discards unread bytes, up to `max_bytes` and a chunk more; returns how many.
 
     A close with unread bytes sends a reset, which may destroy a response in transit.
     """
+    discarded = 0
     with suppress(OSError):
-        for _ in range(MAX_DISCARDED_BYTES // DISCARD_CHUNK_BYTES):
-            if not sock.recv(DISCARD_CHUNK_BYTES, socket.MSG_DONTWAIT):
-                return
+        while discarded < max_bytes:
+            received = len(sock.recv(DISCARD_CHUNK_BYTES, socket.MSG_DONTWAIT))
+            if not received:
+                break
+            discarded += received
+    return discarded
