--- a/notchjunction/__main__.py
+++ b/notchjunction/__main__.py
@@ -4,6 +4,8 @@
 
 import signal
 
+from notchjunction.net.tls_stub import leave_out_tls
+
 
 def defer_signals() -> None:
     """Ignores SIGUSR1 and blocks SIGHUP until the node handles them.
@@ -17,6 +19,7 @@
 
 if __name__ == "__main__":
     defer_signals()  # before the imports below, which take most of the start
+    leave_out_tls()  # before the imports below, which would load it
 
 # ruff: noqa: E402
 import argparse
