The memory limit has one owner for all that clients and endpoints make a node hold

Cause: the budget counted bodies up to 64 KB and what was read ahead. Connections, open requests, heads, pieces of streams, responses, bodies of clients over the descriptor limit and what is read of a body that is thrown away were not counted; 8 MB were assumed for them whatever the limit. Bodies without room were refused, and refused slow senders kept their connections.

Change: MemoryBudget divides the limit into connections (a lower limit of clients), open requests, buffered messages and pieces of streams; whoever holds something takes it there first. Without room to buffer it, a body or a response is streamed in small pieces. Uploads get a third of the descriptors and six tenths of the open requests at most. Answered clients that still send are ended after 0.5 s when descriptors are short. Headers that are neither used nor forwarded are dropped early. New: event "memory limit reached", uploads_over_limit, memory_resident, client_connections_max.

The unit test of the budget is adapted to its parts: the same order of reservations, share of processes and minimum are asserted.

--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -4,7 +4,7 @@
 
 import re
 from base64 import b64decode, b64encode
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from enum import Enum, auto
 from typing import Any
 
@@ -61,18 +61,23 @@
 
     A body of up to `max_buffered_body` bytes is returned with its message. A larger one is streamed: `next`
     returns the message with the beginning of the body, and `take_piece` the rest. A body of more than
-    `max_body` bytes is an error. All methods that parse raise MalformedMessageError.
+    `max_body` bytes is an error. All methods that parse raise MalformedMessageError. Headers that are
+    not in `kept_headers`, if it is given, are dropped once they have been checked.
     """
 
     HEADER_VALUE = FIELD_VALUE
     MAX_HEADER_FIELDS = MAX_HEADER_FIELDS
 
     def __init__(
-        self, max_buffered_body: int = MAX_BUFFERED_BODY_BYTES, max_body: int = MAX_BODY_BYTES
+        self,
+        max_buffered_body: int = MAX_BUFFERED_BODY_BYTES,
+        max_body: int = MAX_BODY_BYTES,
+        kept_headers: Collection[str] | None = None,
     ) -> None:
         self._buffer = bytearray()
         self._max_buffered_body = max_buffered_body
         self._max_body = max(max_buffered_body, max_body)
+        self._kept_headers = kept_headers
         self._search_from = 0
         self._parsed = 0  # bytes of the buffer that are parsed already; 0 between two calls
         self._has_small_parts = False  # the bytes parsed last were chunks of a few bytes each
@@ -209,17 +214,22 @@
             raise MalformedMessageError(400, "no start line")
         self._headers = {}
         for line in lines[1:]:
-            name, colon, value = line.partition(":")
-            if not colon or not TOKEN.fullmatch(name) or not self.HEADER_VALUE.fullmatch(value):
-                raise MalformedMessageError(400, "malformed header")
-            name, value = name.lower(), value.strip(" \t")
-            if name in self._headers and name in ("content-length", "transfer-encoding", "host"):
-                raise MalformedMessageError(400, f"two headers {name}")
-            self._headers[name] = f"{self._headers[name]}, {value}" if name in self._headers else value
+            self._add_header(line)
         self._start_line = (start[0], start[1], start[2] if len(start) > 2 else "")
         self._blank_lines = 0
         return True
 
+    def _add_header(self, line: str) -> None:
+        """Checks one line of the head, and stores its header if it is kept."""
+        name, colon, value = line.partition(":")
+        if not colon or not TOKEN.fullmatch(name) or not self.HEADER_VALUE.fullmatch(value):
+            raise MalformedMessageError(400, "malformed header")
+        name, value = name.lower(), value.strip(" \t")
+        if name in self._headers and name in ("content-length", "transfer-encoding", "host"):
+            raise MalformedMessageError(400, f"two headers {name}")
+        if self._kept_headers is None or name in self._kept_headers:
+            self._headers[name] = f"{self._headers[name]}, {value}" if name in self._headers else value
+
     def _set_framing(self, default: Framing) -> None:
         """Determines the framing of the body from the head; `default` applies if the head states none."""
         self._body = bytearray()
@@ -437,8 +447,12 @@
             return self.start_streaming() if len(self._body) > self._max_buffered_body else None
         return None
 
+    def can_stream(self) -> bool:
+        """Whether `start_streaming` is possible, however short the body may be: part of it is there."""
+        return self._in_body and len(self._body) > 0 and self._max_body > self._max_buffered_body
+
     def can_stream_early(self) -> bool:
-        """Whether `start_streaming` is possible.
+        """Whether `start_streaming` is worth it before the body is complete.
 
         The body's length has to be stated and large, or part of it is there and it may turn out to be large.
         """
--- a/notchjunction/net/body_streaming.py
+++ b/notchjunction/net/body_streaming.py
@@ -11,6 +11,7 @@
 
 from notchjunction.http1.messages import MalformedMessageError, Response
 from notchjunction.http1.parser import ResponseReader
+from notchjunction.net.memory_budget import MemoryBudget
 from notchjunction.net.upstream_connection import (
     READ_CHUNK_BYTES,
     AttemptWithheldError,
@@ -19,7 +20,7 @@
 )
 from notchjunction.net.write_stall import STALL_TIMEOUT_S
 
-# Bytes of a piece by the number of open streams: (streams at most, bytes).
+# Without a memory limit, bytes of a piece by the number of open streams: (streams at most, bytes).
 PIECE_SIZES = ((32, READ_CHUNK_BYTES), (128, 16 * 1024))
 # Bytes of a piece with more streams; the memory used then depends only on the number of descriptors.
 MIN_PIECE_BYTES = 4 * 1024
@@ -28,11 +29,15 @@
 class StreamBuffers:
     """Counts the open streams, and limits what each may buffer."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryBudget | None = None) -> None:
         self.active = 0
+        self.uploads = 0  # of them
+        self._memory = memory or MemoryBudget()
 
     def piece_size(self) -> int:
         """Returns the size of a piece in bytes at the present number of open streams."""
+        if self._memory.is_limited:
+            return self._memory.piece_size(self.active)
         return next(
             (size for max_streams, size in PIECE_SIZES if self.active <= max_streams), MIN_PIECE_BYTES
         )
@@ -67,6 +72,7 @@
         self._open = True
         self._truncated = False  # closed before all of it was handed out
         streams.active += 1
+        streams.uploads += 1
 
     def has_room(self) -> bool:
         """Whether there is room for another piece; there is none while the upstream reads nothing."""
@@ -124,6 +130,7 @@
             if not self.consumed:
                 self._drop_beginning()
             self._streams.active -= 1
+            self._streams.uploads -= 1
             self._truncated = not self.complete or bool(self._pieces)
             self._pieces.clear()
             self._changed.set()
--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -19,10 +19,12 @@
 from notchjunction.net.client_migration import ConnectionMigrator
 from notchjunction.net.client_state import ConnectionState
 from notchjunction.net.client_stream import ClientStream
+from notchjunction.net.memory_budget import RequestMemory
 from notchjunction.net.open_request import FinalResponse, OpenRequest, client_error
 from notchjunction.net.request_handler import (
     QuotaPermits,
     RequestHandler,
+    RequestResources,
     forwarded_response,
     internal_error,
     request_spec_of,
@@ -36,6 +38,11 @@
 
 # Statuses of responses to requests that did not run.
 REJECTION_STATUSES = (429, 503)
+# A complete request waits this long for memory, which others free soon.
+REQUEST_MEMORY_TIMEOUT_S = 0.3
+# The same for a body that is streamed: its client sends meanwhile what the operating system holds. A client
+# is answered within 3 s, whether or not there is room.
+UPLOAD_MEMORY_TIMEOUT_S = 1.5
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -62,6 +69,7 @@
         self._handler: RequestHandler | None = None  # of the open request
         self._beginning = b""  # of a streamed body that no upload has taken
         self._discarding = False  # the response was sent before the body ended; the rest is read
+        self._memory = RequestMemory(context.memory)  # of the open request
 
     def note_queued(self, since: float) -> None:
         """Records that the connection, and bytes received by now, may have been queued since then (s)."""
@@ -123,9 +131,12 @@
         """Responds to one request. Returns whether the connection can be used again."""
         response = self._direct_response(request)
         if response is None:
-            accepted = await self._accept(request)
-            if isinstance(accepted, RequestSpec):
-                return await self._respond_balanced(request, accepted)
+            try:
+                accepted = await self._accept(request)
+                if isinstance(accepted, RequestSpec):
+                    return await self._respond_balanced(request, accepted)
+            finally:
+                self._memory.close()
             response = accepted
         return await self._send_response(request, HandledRequest(None, response))
 
@@ -196,6 +207,7 @@
                 handler.report_violations(handler.ledger.connection_closed())
             self._stream.close()
             self._intake.close()
+            self._memory.close()
             self._context.phases.leave(self)
             self._context.descriptors.release_for_client()
             self._context.counters.add("client_connections_closed")
@@ -218,6 +230,12 @@
             self._stream.write(encode_response(self._client_error(408)))
             self._closer.end_sending_and_close_later()
 
+    def stop_discarding(self) -> None:
+        """Closes the sending side if the request is answered and only the rest of its body is read."""
+        self._context.phases.discarding.pop(self, None)
+        if self._discarding:
+            self._closer.end_sending_and_close_later()
+
     def close_if_idle(self) -> bool:
         """Closes the connection at once if no request is open on it. Returns whether it did."""
         if not self._closer.end_sending_and_discard():
@@ -252,13 +270,12 @@
         if refusal is Refusal.CONNECTION_CLOSING:
             # Guards against a request that arrives as its connection is closed: no response could be sent.
             return None
-        if refusal is None and (self._state.over_limit or self._state.no_room):
-            # Guards against more bytes of requests than fit into the node's memory limit.
-            if self._state.no_room:
-                self._context.counters.add("requests_without_memory")
+        if refusal is None and (self._state.over_limit or not await self._reserve_memory(request)):
             self._note_accepted(request_id, spec, waited)
             self._context.counters.add("responses_rejected")
             return Response(503)
+        if self._state.closing:
+            return None  # closed while it waited for memory
         if refusal is not None or not await self._context.take_id(request_id, spec):
             # Guards against responses confused between requests of one id, here and at endpoints.
             return self._client_error(409)
@@ -267,6 +284,22 @@
         self._note_accepted(request_id, spec, waited)
         return spec
 
+    async def _reserve_memory(self, request: Request) -> bool:
+        """Reserves what the open request will use; returns False if there is no room.
+
+        Guards against more requests than fit into the node's memory limit, and against slow uploads that
+        leave no room for other requests.
+        """
+        is_upload = request.more_body
+        if is_upload and self._context.streams.uploads >= self._context.max_uploads:
+            self._context.counters.add("uploads_over_limit")
+            return False
+        timeout = UPLOAD_MEMORY_TIMEOUT_S if is_upload else REQUEST_MEMORY_TIMEOUT_S
+        if await self._memory.open(timeout):
+            return True
+        self._context.memory_shortage.report("upload" if is_upload else "request")
+        return False
+
     def _note_accepted(self, request_id: str, spec: RequestSpec, waited: float) -> None:
         self._context.counters.add("requests_received")
         self._context.counters.recorder.note(
@@ -284,7 +317,9 @@
                     self._context.counters.add("responses_rejected")
                     return HandledRequest(None, admitted)
                 permits, spec = admitted
-            self._handler = handler = self._context.start_request(spec, request, upload, permits)
+            self._handler = handler = self._context.start_request(
+                spec, request, RequestResources(upload, permits, self._memory)
+            )
             self._open_request = OpenRequest(self._context, self._stream, self._intake, handler, upload)
             try:
                 return HandledRequest(handler, await self._open_request.wait_response())
@@ -327,6 +362,7 @@
             del wire
             head = replace(head, body=b"")
             download.drop_beginning()
+            self._memory.release_buffered()
             return await self._writer.write_body(download, framing)
         except (ConnectionLostError, MalformedMessageError) as error:
             download.close(error)
@@ -344,6 +380,7 @@
         """
         self._discarding = True
         self._beginning = b""
+        self._context.phases.discarding[self] = self._context.clock()
         while not self._is_body_over():
             if self._state.closing:
                 return True
@@ -362,6 +399,7 @@
             elif timed_out:
                 self._closer.end_sending()
         self._discarding = False
+        self._context.phases.discarding.pop(self, None)
         return False
 
     def _is_body_over(self) -> bool:
@@ -397,6 +435,7 @@
         """
         self._state.request_open = True
         self._context.phases.leave(self)
+        self._memory.adopt()
         delivered = False
         try:
             migrated = MigratedResponse.from_wire(wire)
@@ -405,6 +444,7 @@
             delivered = True
         finally:
             download.close()
+            self._memory.close()
             if self._state.request_id:
                 self._free_id(may_run=not delivered)
         await self._serve_further(keep)
--- a/notchjunction/net/client_context.py
+++ b/notchjunction/net/client_context.py
@@ -9,17 +9,18 @@
 
 from notchjunction.balancing.engine import RequestSpec
 from notchjunction.http1.messages import Request, Response
-from notchjunction.net.body_streaming import StreamBuffers, Upload
+from notchjunction.net.body_streaming import StreamBuffers
 from notchjunction.net.client_state import ConnectionPhases
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.memory_budget import MemoryBudget
-from notchjunction.net.request_handler import QuotaPermits, RequestHandler
+from notchjunction.net.memory_shortage import MemoryShortage
+from notchjunction.net.request_handler import QuotaPermits, RequestHandler, RequestResources
 from notchjunction.safety.request_ids import RequestIds
 from notchjunction.telemetry.counters import Counters
 
 # Admission under the fleet's quotas, before the balancer: a rejection, or the permits and the request.
 Admit = Callable[[RequestSpec], Awaitable[Response | tuple[QuotaPermits | None, RequestSpec]]]
-StartRequest = Callable[[RequestSpec, Request, Upload | None, QuotaPermits | None], RequestHandler]
+StartRequest = Callable[[RequestSpec, Request, RequestResources], RequestHandler]
 
 
 class StreamMigrator(Protocol):
@@ -64,6 +65,8 @@
     descriptors: Descriptors
     streams: StreamBuffers
     memory: MemoryBudget
+    memory_shortage: MemoryShortage
+    kept_headers: Collection[str] | None  # of requests, the others are dropped; None: all are kept
     phases: ConnectionPhases
     request_ids: RequestIds
     draining: bool  # readiness checks are answered with 503
@@ -71,6 +74,11 @@
     migrate_stream: StreamMigrator | None
     migrating: asyncio.Event  # set while open responses migrate to another process
 
+    @property
+    def max_uploads(self) -> float:
+        """How many uploads may be open at once, which leave room for other requests."""
+        ...
+
     async def take_id(self, request_id: str, spec: RequestSpec) -> bool:
         """Takes the id of a request for as long as it is open; returns False if it is taken."""
 
--- a/notchjunction/net/client_registry.py
+++ b/notchjunction/net/client_registry.py
@@ -20,6 +20,7 @@
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.memory_budget import MemoryBudget
+from notchjunction.net.memory_shortage import MemoryShortage
 from notchjunction.net.upstream_connection import MAX_BUFFER_BYTES, READ_CHUNK_BYTES
 from notchjunction.safety.request_ids import RequestIds
 from notchjunction.telemetry.counters import Counters
@@ -45,6 +46,7 @@
     counters: Counters
     streams: StreamBuffers
     memory: MemoryBudget = field(default_factory=MemoryBudget)
+    kept_headers: Collection[str] | None = None  # of requests, the others are dropped; None: all are kept
     admit: Admit | None = None
 
 
@@ -56,6 +58,8 @@
         self.admit = services.admit
         self.streams = services.streams
         self.memory = services.memory
+        self.memory_shortage = MemoryShortage(services.memory, services.counters, services.clock)
+        self.kept_headers = services.kept_headers
         self.start_request = services.start_request
         self.ready = services.ready
         self.request_classes = services.request_classes
@@ -131,6 +135,11 @@
             connection.close()
             del self.connections[connection]
 
+    @property
+    def max_uploads(self) -> float:
+        """How many uploads may be open at once, which leave room for other requests."""
+        return min(self.memory.max_slow_requests, self.descriptors.max_slow_requests)
+
     async def take_id(self, request_id: str, spec: RequestSpec) -> bool:
         """Takes the id of a request for as long as it is open; returns False if it is taken."""
         if self.request_ids.is_taken(request_id, self.clock()):
--- a/notchjunction/net/client_state.py
+++ b/notchjunction/net/client_state.py
@@ -18,6 +18,9 @@
     def reject_partial_head(self) -> None:
         """Responds 408 to an incomplete request head and closes the sending side, unless bytes are unread."""
 
+    def stop_discarding(self) -> None:
+        """Closes the sending side if the request is answered and only the rest of its body is read."""
+
 
 class ConnectionPhases:
     """Connections by phase, each with the time (s, the node's clock) at which it entered the phase.
@@ -30,6 +33,8 @@
         self.idle: dict[ManagedConnection, float] = {}  # between two requests
         # Part of a head has been received, and no complete one is pending.
         self.heads: dict[ManagedConnection, float] = {}
+        # The request is answered, and the rest of its body is read and discarded.
+        self.discarding: dict[ManagedConnection, float] = {}
         self.lingering: dict[ManagedConnection, float] = {}  # half-closed, read from until the linger timeout
 
     def leave(self, connection: ManagedConnection) -> None:
@@ -37,6 +42,7 @@
         self.silent.pop(connection, None)
         self.idle.pop(connection, None)
         self.heads.pop(connection, None)
+        self.discarding.pop(connection, None)
         self.lingering.pop(connection, None)
 
 
@@ -46,7 +52,6 @@
 
     over_limit: bool  # accepted past the descriptor limit: its one request is answered with 503
     request_open: bool = False  # a request has been read and has no complete response yet
-    no_room: bool = False  # there is no memory for the body of the open request
     request_id: str = ""  # of the open request, if the balancer has accepted it
     closing: bool = False  # the sending side is closed
     bad_request: bool = False  # the client sent an invalid request: no more requests are read
--- a/notchjunction/net/descriptor_pressure.py
+++ b/notchjunction/net/descriptor_pressure.py
@@ -24,6 +24,8 @@
 MIN_IDLE_PAST_MARGIN_S = 0.25
 # With an incomplete head, since its first byte.
 MIN_HEAD_PAST_MARGIN_S = 1.0
+# With an answered request of which the rest is read: longer than most round trips.
+MIN_DISCARDING_S = 0.5
 # Incomplete heads are rejected to free descriptors only while fewer connections are lingering.
 MAX_LINGERING_FOR_REJECTED_HEADS = 16
 # Connections of a phase that are checked in order to close one; those longest in it rarely have unread bytes.
@@ -68,6 +70,7 @@
 
     def _make_room(self) -> bool:
         """Closes an idle client, or an idle upstream connection if clients are within their share."""
+        self._stop_discarding()
         return self.close_oldest() or (
             not self._descriptors.clients_over_share() and self._close_idle_upstream()
         )
@@ -97,6 +100,17 @@
                 return
             connection.reject_partial_head()
 
+    def _stop_discarding(self) -> None:
+        """Ends connections whose answered request is still being read; they are closed as they linger.
+
+        Guards against slow senders that keep their descriptors for as long as their bodies last.
+        """
+        answered_by = self._clock() - MIN_DISCARDING_S
+        for connection, since in list(islice(self._phases.discarding.items(), MAX_CANDIDATES)):
+            if since > answered_by:
+                return
+            connection.stop_discarding()
+
     def close_oldest(self) -> bool:
         """Closes a lingering client, else the longest idle one, else a silent one. Returns whether it did."""
         return self._close_one(
--- a/notchjunction/net/descriptors.py
+++ b/notchjunction/net/descriptors.py
@@ -7,6 +7,7 @@
 BASE_DESCRIPTORS = 16  # of the program itself: standard streams, event loop, listener, discovery, and slack
 MARGIN_SHARE = 0.1  # of the limit, left unused: the operating system frees closed sockets with a delay
 MIN_UPSTREAM_SHARE = 1 / 3  # that clients never get: without upstream connections no client is served
+MAX_SLOW_SHARE = 1 / 3  # of the limit; the protocol's clients hold no more descriptors for their requests
 
 # Errors of a call for which the operating system has no descriptor or no memory.
 SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -19,20 +20,26 @@
     def __init__(self, limit: int, reserved: int = 0) -> None:
         self._margin = int(limit * MARGIN_SHARE)
         self._max = max(8, limit - self._margin - BASE_DESCRIPTORS - reserved)
-        self._max_clients = self._max - int(self._max * MIN_UPSTREAM_SHARE)
+        self.max_clients = self._max - int(self._max * MIN_UPSTREAM_SHARE)
+        # How many requests may be open whose clients decide how long they last: each takes two descriptors.
+        self.max_slow_requests = max(1, int(limit * MAX_SLOW_SHARE))
         self.in_use = 0
         self.clients = 0
         # Used by another process of the same node, while there is one: the limit is for the whole node.
         self.other_process = 0
         self.other_process_clients = 0
 
+    def limit_clients(self, max_clients: int) -> None:
+        """Sets how many clients the memory limit allows, if the descriptors allow more."""
+        self.max_clients = min(self._max - int(self._max * MIN_UPSTREAM_SHARE), max_clients)
+
     def full(self) -> bool:
         """Whether all descriptors up to the margin are used."""
         return self.in_use + self.other_process >= self._max
 
     def clients_over_share(self) -> bool:
         """Whether clients use up their share."""
-        return self.clients + self.other_process_clients >= self._max_clients
+        return self.clients + self.other_process_clients >= self.max_clients
 
     def full_for_clients(self) -> bool:
         """Whether there is no descriptor for another client, short of the margin."""
@@ -41,8 +48,9 @@
     def exhausted(self) -> bool:
         """Whether half of the margin is used as well, in total or by clients."""
         extra = self._margin // 2
+        extra_clients = min(extra, max(1, int(self.max_clients * MARGIN_SHARE)))
         in_use, clients = self.in_use + self.other_process, self.clients + self.other_process_clients
-        return in_use >= self._max + extra or clients >= self._max_clients + extra
+        return in_use >= self._max + extra or clients >= self.max_clients + extra_clients
 
     def take(self) -> None:
         """Counts a descriptor as used."""
--- a/notchjunction/net/request_handler.py
+++ b/notchjunction/net/request_handler.py
@@ -6,7 +6,7 @@
 import math
 import re
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Protocol
 
@@ -27,7 +27,11 @@
 from notchjunction.http1.messages import Request, Response
 from notchjunction.net.body_streaming import Download, Upload
 from notchjunction.net.upstream import AttemptSpec, ExchangeResult, UpstreamPool
-from notchjunction.net.upstream_connection import ConnectionLostError
+from notchjunction.net.upstream_connection import (
+    UNLIMITED_MEMORY,
+    ConnectionLostError,
+    ResponseMemory,
+)
 from notchjunction.safety.invariants import RequestLedger, Violation
 from notchjunction.safety.preconditions import MAX_PROCESS_DELAY_S
 from notchjunction.telemetry.counters import Counters
@@ -85,6 +89,15 @@
         """Ends the acquisition of permits; attempts in flight keep theirs until they end."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestResources:
+    """What a request uses; closed by the code that accepted it."""
+
+    upload: Upload | None = None  # the rest of its body, if it is streamed
+    permits: QuotaPermits | None = None  # under the fleet's quotas
+    memory: ResponseMemory = UNLIMITED_MEMORY
+
+
 class RequestHandler:
     """Handles one request from its submission to the engine to its final response."""
 
@@ -95,17 +108,18 @@
         counters: Counters,
         spec: RequestSpec,
         request: Request,
-        upload: Upload | None = None,
+        resources: RequestResources | None = None,
         time_to_shutdown: Callable[[], float] = lambda: math.inf,
-        permits: QuotaPermits | None = None,
     ) -> None:
+        resources = resources or RequestResources()
         self._engine = engine
         self._upstreams = upstreams
         self._counters = counters
         self._request = request
-        self._upload = upload
+        self._upload = resources.upload
+        self._memory = resources.memory
         self._time_to_shutdown = time_to_shutdown  # s until the node shuts down
-        self._permits = permits  # under the fleet's quotas; closed by the code that admitted the request
+        self._permits = resources.permits
         self._client_connected: Callable[[], bool] = lambda: True
         self._downloads: dict[int, Download] = {}
         self._completion: asyncio.Task[None] | None = None
@@ -224,6 +238,7 @@
             command.endpoint,
             command.expires_at,
             upload=self._upload,
+            memory=self._memory,
             upload_expires_at=lambda: self._upload_expires_at,
             on_response_start=partial(self._response_started, attempt),
             acquire_quota=partial(permits.acquire, attempt) if permits is not None else None,
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -35,9 +35,6 @@
 MIN_READ_AHEAD_BYTES = 4 * 1024
 # Bodies up to this many missing bytes need no reservation: most requests are far smaller than the limit.
 MIN_RESERVED_BYTES = 4 * 1024
-# A body waits this long for memory: a client at the minimum rate has sent what is buffered by then, and frees
-# its room. A client is answered within 3 s, whether or not there is room.
-MEMORY_TIMEOUT_S = 1.5
 # Bytes read at once of what is discarded.
 DISCARD_READ_BYTES = 1024
 # Limit of the bytes discarded beyond those. A client that sends more gets 413, as reading on has a cost.
@@ -59,7 +56,7 @@
         stream: ClientStream,
         state: ConnectionState,
     ) -> None:
-        self.parser = RequestReader()
+        self.parser = RequestReader(kept_headers=context.kept_headers)
         # s; when the request's last byte arrived; its first byte, if it arrived while another one was open.
         self.arrived_at = context.clock()
         self.bytes_discarded = 0  # beyond the read-ahead limit; later bytes cannot be parsed
@@ -74,7 +71,7 @@
         self._read_started_at = self.arrived_at  # s; start of the latest read
         self._body_waited = 0.0  # s spent waiting for the current body
         self._reserved = 0  # bytes of memory for the body of the current request
-        self._ahead = 0  # bytes of further requests, which count as reserved, too
+        self._unparsed = 0  # bytes of heads and of further requests, which count as reserved, too
         context.phases.silent[connection] = self.arrived_at
         # The first head's timeout starts at the accept. Single bytes that trickle in do not renew it.
         self._times_out_at = self.arrived_at + (REJECTED_TIMEOUT_S if state.over_limit else HEAD_TIMEOUT_S)
@@ -96,19 +93,19 @@
         unread = self.has_read() or self._stream.has_unread()
         return ConnectionFacts(self.state.request_open, self.parser.started, unread, closing)
 
-    def _count_ahead(self) -> None:
-        """Counts the bytes of further requests that have been read."""
-        before, self._ahead = self._ahead, self.parser.unread
-        if self._ahead > before:
-            self._context.memory.add(self._ahead - before)
-        elif self._ahead < before:
-            self._context.memory.release(before - self._ahead)
+    def _count_unparsed(self) -> None:
+        """Counts the bytes that have been read of heads and of further requests."""
+        before, self._unparsed = self._unparsed, 0 if self.parser.in_body else self.parser.unread
+        if self._unparsed > before:
+            self._context.memory.buffers.add(self._unparsed - before)
+        elif self._unparsed < before:
+            self._context.memory.buffers.release(before - self._unparsed)
 
     def close(self) -> None:
         """Gives back all memory that is reserved, as the connection has ended."""
         self.release_memory()
-        ahead, self._ahead = self._ahead, 0
-        self._context.memory.release(ahead)
+        unparsed, self._unparsed = self._unparsed, 0
+        self._context.memory.buffers.release(unparsed)
 
     def has_more(self) -> bool:
         """Whether bytes of a further request have arrived, read or not.
@@ -121,9 +118,8 @@
         """Starts the idle phase between two requests, unless part of the next one has been read."""
         now = self._context.clock()
         self._body_waited = 0.0
-        self.state.no_room = False
         self.release_memory()
-        self._count_ahead()
+        self._count_unparsed()
         if self.parser.started:
             self._times_out_at = now + HEAD_TIMEOUT_S
         else:
@@ -156,13 +152,14 @@
             if timed_out:
                 return None
             self._track_head_phase()
-            if self.parser.in_body and not await self._reserve_body():
+            self._count_unparsed()
+            self._check_head_memory()
+            if self.parser.expects_continue():
+                await send_continue()
+            if self.parser.in_body and not self._reserve_body():
                 self.parser.stream_early()
-                self.state.no_room = True
                 continue
             reading = self.read()
-            if self.parser.expects_continue():
-                await send_continue()
             timed_out = await self.wait(reading)
             if self.state.closing:
                 return None
@@ -172,35 +169,41 @@
             elif timed_out and not self.parser.started:
                 # Guards against a close that loses a request which arrived as the timeout passed.
                 timed_out = may_close(self.closing_facts()) is None
-        self._count_ahead()
+        self._count_unparsed()
         return request
 
-    async def _reserve_body(self) -> bool:
-        """Reserves memory for the current body; returns False if there is none for it.
+    def _check_head_memory(self) -> None:
+        """Rejects a long head that is incomplete while memory is used up.
 
-        The client's time does not count meanwhile, as the node does not read.
+        Raises:
+            MalformedMessageError: The head, and what was sent ahead of it, takes more memory than there is.
         """
-        if self._reserved or self.state.over_limit:
-            return True
+        buffers = self._context.memory.buffers
+        if self._unparsed > MIN_READ_AHEAD_BYTES and buffers.reserved > buffers.size:
+            self._context.memory_shortage.report("request head")
+            raise MalformedMessageError(503, "no memory for the head")
+
+    def _reserve_body(self) -> bool:
+        """Reserves memory to buffer the current body. Returns False if there is none: it is streamed then."""
         size = self.parser.bytes_to_buffer
-        if size > MIN_RESERVED_BYTES and not await self._context.memory.reserve(size, MEMORY_TIMEOUT_S):
-            return False
-        if size > MIN_RESERVED_BYTES:
+        if self._reserved or size <= MIN_RESERVED_BYTES:
+            return True
+        if not self.state.over_limit and self._context.memory.buffers.try_reserve(size):
             self._reserved = size
-        return True
+        return self._reserved > 0
 
     def release_memory(self) -> None:
         """Gives back what is reserved for the request that has ended, or for the part that is dropped."""
         reserved, self._reserved = self._reserved, 0
         if reserved:
-            self._context.memory.release(reserved)
+            self._context.memory.buffers.release(reserved)
 
     def _read_limit(self) -> int:
         """Returns how many bytes to read: no more of a body than are buffered before it is streamed."""
         limit = self._context.memory.read_size(self._context.descriptors.clients)
-        if self.parser.in_body:
+        if self.parser.in_body and not self.parser.streaming:
             return min(limit, max(1, self.parser.bytes_to_buffer))
-        return limit
+        return min(limit, self.parser.read_limit)
 
     def may_read_ahead(self) -> bool:
         """Whether bytes of further requests are read while a request is open, although memory is short."""
@@ -240,8 +243,7 @@
     def read(self, limit: int | None = None) -> asyncio.Future[bytes]:
         """Returns the read in progress, or starts one of up to `limit` bytes."""
         if self._reading is None:
-            limit = min(limit or self._read_limit(), self.parser.read_limit)
-            self._reading = start_read(self._stream, limit)
+            self._reading = start_read(self._stream, min(limit or MAX_READ_AHEAD_BYTES, self._read_limit()))
             self._read_started_at = self._context.clock()
         return self._reading
 
@@ -277,7 +279,7 @@
         else:
             self.parser.feed(piece)
             if self.state.request_open and not self.parser.streaming:
-                self._count_ahead()
+                self._count_unparsed()
 
     def is_over_discard_limit(self) -> bool:
         """Whether the client has sent too many bytes ahead for reading to continue."""
--- a/notchjunction/net/upstream.py
+++ b/notchjunction/net/upstream.py
@@ -29,10 +29,12 @@
 from notchjunction.net.body_streaming import Download, StreamBuffers, Upload
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.upstream_connection import (
+    UNLIMITED_MEMORY,
     AttemptWithheldError,
     ConnectionLostError,
     NoDescriptorError,
     RequestNotSentError,
+    ResponseMemory,
     UpstreamConnection,
     create_connection,
 )
@@ -52,6 +54,8 @@
 # How long a connection is idle before it is reused; a surplus second response has arrived by then. With r
 # requests a second to an endpoint this costs about r times 0.03 more connections to it.
 MIN_IDLE_BEFORE_REUSE_S = 0.03
+# The others are dropped: some endpoints send very many.
+KEPT_RESPONSE_HEADERS = protocol.FORWARDED_RESPONSE_HEADERS | protocol.USED_RESPONSE_HEADERS
 PROBE_TIMEOUT_S = 0.5  # a later response says little about the present load
 SECOND_CONNECT_SHARE = 0.3  # of the connect timeout, after which a second connection is attempted in parallel
 LATE_CONNECT_TIMEOUT_S = 2.0  # until a connection that no request waits for is abandoned; above most delays
@@ -73,6 +77,7 @@
     endpoint: str
     expires_at: float  # s on the pool's clock, when its timeout ends
     upload: Upload | None = None  # the rest of the body, if the request has only its beginning
+    memory: ResponseMemory = UNLIMITED_MEMORY  # for the response
     # With an upload: s on the pool's clock when the timeout ends; known once the last byte is received.
     upload_expires_at: Callable[[], float] = lambda: math.inf
     on_response_start: Callable[[Download], None] | None = None  # called for a large response
@@ -229,7 +234,8 @@
         writing = written = keep = False
         response: Response | None = None
         parser = ResponseReader(
-            max_body=MAX_BUFFERED_BODY_BYTES if on_response_start is None else MAX_BODY_BYTES
+            max_body=MAX_BUFFERED_BODY_BYTES if on_response_start is None else MAX_BODY_BYTES,
+            kept_headers=KEPT_RESPONSE_HEADERS,
         )
         first_bytes_after: float | None = None
         loop = asyncio.get_running_loop()
@@ -258,6 +264,7 @@
                     all_written,
                     is_wanted=attempt.is_still_wanted,
                     time_left=time_left,
+                    memory=attempt.memory,
                 )
             if parser.unread and not response.more_body:
                 self._count_unsolicited()
--- a/notchjunction/net/upstream_connection.py
+++ b/notchjunction/net/upstream_connection.py
@@ -19,6 +19,7 @@
 from notchjunction.http1.parser import ResponseReader
 from notchjunction.net.socket_stream import NodeStream, Unread
 from notchjunction.net.write_stall import WriteStallDetector
+from notchjunction.safety.preconditions import MAX_PROCESS_DELAY_S
 
 READ_CHUNK_BYTES = 64 * 1024  # read at once
 CLIENT_CHECK_INTERVAL_S = 0.05  # between checks whether a client still exists while its bytes can't be sent
@@ -27,8 +28,8 @@
 RESPONSE_HOLD_S = 0.3
 # The same while nothing further arrives. No client may have to wait 2 s for bytes that the node has.
 MAX_RESPONSE_HOLD_S = 1.0
-# A held response starts this long before its attempt times out; the event loop and timers may be late.
-RESPONSE_START_MARGIN_S = 0.1
+# A held response starts this long before its attempt times out, as the process may be held up by then.
+RESPONSE_START_MARGIN_S = MAX_PROCESS_DELAY_S + 0.05
 # In each direction: a message and part of the next one.
 MAX_BUFFER_BYTES = 2 * (MAX_BUFFERED_BODY_BYTES + MAX_HEAD_BYTES)
 
@@ -71,6 +72,33 @@
         self.clean = clean  # whether the peer closed the connection normally, without a reset
 
 
+class ResponseMemory(Protocol):
+    """The memory for a response while it is buffered."""
+
+    def buffer(self, size: int) -> bool:
+        """Reserves room for bytes of the response. Returns whether there is some now."""
+        ...
+
+    def read_size(self) -> int:
+        """Returns how many bytes to read at once."""
+        ...
+
+
+class UnlimitedMemory:
+    """Room for any response."""
+
+    def buffer(self, size: int) -> bool:
+        """Returns True."""
+        return True
+
+    def read_size(self) -> int:
+        """Returns the size of an ordinary read."""
+        return READ_CHUNK_BYTES
+
+
+UNLIMITED_MEMORY = UnlimitedMemory()
+
+
 class Body(Protocol):
     """The streamed rest of a request's body."""
 
@@ -140,6 +168,7 @@
         on_received: Callable[[], None] = lambda: None,
         is_wanted: Callable[[], bool] = lambda: True,
         time_left: Callable[[], float] = lambda: math.inf,
+        memory: ResponseMemory = UNLIMITED_MEMORY,
     ) -> Response:
         """Sends the request and waits for the response, or for the beginning of a large one.
 
@@ -151,6 +180,7 @@
             on_received: Called after each piece of the response is received.
             is_wanted: Polled while bytes wait to be written and the body has been received completely.
             time_left: Returns the time in s until the exchange times out, once the request is written.
+            memory: For the response while it is buffered. Without room it is streamed at once.
 
         Raises:
             RequestNotSentError: The request was not written completely.
@@ -175,10 +205,14 @@
         except StreamClosedError as error:
             raise RequestNotSentError(_reason_of(error)) from error
         on_written()
-        return await self._read_response(parser, on_received, time_left)
+        return await self._read_response(parser, on_received, time_left, memory)
 
     async def _read_response(
-        self, parser: ResponseReader, on_received: Callable[[], None], time_left: Callable[[], float]
+        self,
+        parser: ResponseReader,
+        on_received: Callable[[], None],
+        time_left: Callable[[], float],
+        memory: ResponseMemory,
     ) -> Response:
         """Reads the response, or the beginning of a large one.
 
@@ -190,17 +224,23 @@
         """
         clock = asyncio.get_running_loop().time
         head_at: float | None = None
+        has_room = False
         while (response := parser.next()) is None:
             if head_at is None and parser.in_body:
                 head_at = clock()
+            if not has_room and parser.can_stream():
+                has_room = memory.buffer(parser.bytes_to_buffer)
+                if not has_room:
+                    return parser.start_streaming()
+            read_size = min(parser.read_limit, memory.read_size())
             if head_at is not None and parser.can_stream_early():
                 held = clock() - head_at
                 max_wait = min(MAX_RESPONSE_HOLD_S - held, time_left() - RESPONSE_START_MARGIN_S)
                 is_hold_over = held >= RESPONSE_HOLD_S or max_wait <= 0
-                if is_hold_over or not await self._wait_received(parser.read_limit, max_wait):
+                if is_hold_over or not await self._wait_received(read_size, max_wait):
                     return parser.start_streaming()
             try:
-                parser.feed(await self.read(parser.read_limit))
+                parser.feed(await self.read(read_size))
                 on_received()
             except ConnectionLostError as error:
                 final = parser.finish() if error.clean else None
--- a/notchjunction/node/node.py
+++ b/notchjunction/node/node.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+from notchjunction import protocol
 from notchjunction.addresses import Address, text_of
 from notchjunction.balancing.engine import (
     BalancerEngine,
@@ -33,13 +34,13 @@
 from notchjunction.http1.messages import Request
 from notchjunction.net import admin, gossip_socket
 from notchjunction.net.admin import AdminListener
-from notchjunction.net.body_streaming import StreamBuffers, Upload
+from notchjunction.net.body_streaming import StreamBuffers
 from notchjunction.net.client_listener import ClientListener
 from notchjunction.net.client_registry import LINGER_FINAL_S, ClientRegistry, ClientServices
 from notchjunction.net.descriptors import BASE_DESCRIPTORS, Descriptors
 from notchjunction.net.discovery_client import DiscoveryClient
 from notchjunction.net.memory_budget import MemoryBudget, resident_bytes
-from notchjunction.net.request_handler import QuotaPermits, RequestHandler
+from notchjunction.net.request_handler import RequestHandler, RequestResources
 from notchjunction.net.upstream import UpstreamPool
 from notchjunction.node.background_tasks import BackgroundTasks
 from notchjunction.node.gauges import register_gauges, register_gossip_gauges
@@ -91,8 +92,9 @@
         reserved += gossip_socket.DESCRIPTORS if config.gossip else 0
         reserved += gossip_socket.DESCRIPTORS if config.fleet is not None else 0
         self._descriptors = descriptors = Descriptors(config.max_descriptors, reserved)
-        streams = StreamBuffers()
-        self._memory = MemoryBudget(config.max_memory, resident_bytes())
+        self._memory = MemoryBudget(config.max_memory, resident_bytes(), descriptors.max_clients)
+        descriptors.limit_clients(self._memory.max_clients)
+        streams = StreamBuffers(self._memory)
         self._list_watch = ListWatch(
             config.balancer.poll_interval,
             config.list_is_pushed,
@@ -122,6 +124,9 @@
             counters=counters,
             streams=streams,
             memory=self._memory,
+            kept_headers=protocol.FORWARDED_REQUEST_HEADERS
+            | protocol.USED_REQUEST_HEADERS
+            | {config.key_header},
             admit=self._fleet.admit if self._fleet is not None else None,
         )
         self._clients = ClientRegistry(services)
@@ -155,6 +160,8 @@
             register_gossip_gauges(counters, self._engine)
         register_gauges(counters, self._engine, self._discovery, descriptors, streams)
         counters.gauge("memory_reserved", lambda: self._memory.reserved)
+        counters.gauge("memory_resident", resident_bytes)
+        counters.gauge("client_connections_max", lambda: descriptors.max_clients)
 
     def _create_fleet_transport(self, config: NodeConfig) -> FleetTransport:
         # Imported here so that a node without a fleet does not load the fleet's modules into memory.
@@ -348,6 +355,7 @@
         assert self._handover is not None
         self._engine.set_process_count(1 + self._handover.peer_count)
         self._memory.set_process_count(1 + self._handover.peer_count)
+        self._descriptors.limit_clients(self._memory.max_clients)
 
     def adopt_stream(self, state: Mapping[str, Any], client: socket.socket, upstream: socket.socket) -> None:
         """Continues a response that another process of the node began to forward."""
@@ -577,7 +585,7 @@
         return self._handover is not None and self._handover.has_successor
 
     def _start_request(
-        self, spec: RequestSpec, request: Request, upload: Upload | None, permits: QuotaPermits | None
+        self, spec: RequestSpec, request: Request, resources: RequestResources
     ) -> RequestHandler:
         # Guards against a request that the end of the process would leave unanswered.
         spec = replace(spec, time_left=min(spec.time_left, self._shutdown_deadline - self.now()))
@@ -587,7 +595,7 @@
             )
         time_left = lambda: self._shutdown_deadline - self.now()  # noqa: E731
         return RequestHandler(
-            self._engine, self._upstreams, self.counters, spec, request, upload, time_left, permits
+            self._engine, self._upstreams, self.counters, spec, request, resources, time_left
         )
 
     # Timers.
@@ -667,6 +675,8 @@
     def _apply_list(self, update: EndpointList, kind: ListUpdate) -> None:
         kind = ListUpdate.CHANGES if len(self._endpoints) else kind
         changes = self._endpoints.apply(update)
+        self._memory.set_endpoint_count(len(self._endpoints))
+        self._descriptors.limit_clients(self._memory.max_clients)
         ready = self._update_upstreams()
         self._engine.apply_list_update(kind, changes.endpoints)
         self.counters.recorder.note(
--- a/notchjunction/protocol.py
+++ b/notchjunction/protocol.py
@@ -38,5 +38,13 @@
         "content-type",
     )
 )
+# Request headers that a node uses itself.
+USED_REQUEST_HEADERS = frozenset(
+    (DEADLINE_MS, "connection", "content-length", "expect", "host", "transfer-encoding")
+)
 # Response headers that are forwarded to the client.
 FORWARDED_RESPONSE_HEADERS = frozenset(("content-type",))
+# Response headers that a node uses itself.
+USED_RESPONSE_HEADERS = frozenset(
+    (ENDPOINT_LOAD, DECLINED, "connection", "content-length", "transfer-encoding")
+)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -15,10 +15,12 @@
     COPIES,
     MAX_READ_BYTES,
     MIB,
-    MIN_BUDGET_BYTES,
     MIN_READ_BYTES,
+    REQUEST_SHARE,
+    STREAM_SHARE,
     WORK_BYTES,
     MemoryBudget,
+    MemoryPool,
 )
 from tests.helpers import Peer, Program, configuration, rows, wire_of
 from tests.test_large_bodies import BODY, MB, ScriptedConnection, ScriptedServer
@@ -30,13 +32,15 @@
 KIB = 1024
 
 
-def budget_of(budget_bytes: int) -> MemoryBudget:
-    return MemoryBudget(WORK_BYTES + COPIES * budget_bytes)
+def budget_of(buffer_bytes: int) -> MemoryBudget:
+    """Return a budget with a pool of that size for buffered bytes."""
+    share = (1 - REQUEST_SHARE) * (1 - STREAM_SHARE)
+    return MemoryBudget(WORK_BYTES + COPIES * buffer_bytes / share)
 
 
 def test_reservations_wait_for_room_in_their_order_and_not_for_longer_than_their_timeout() -> None:
     async def scenario() -> None:
-        budget = budget_of(10 * MIB)
+        budget = MemoryPool(10 * MIB)
         assert await budget.reserve(8 * MIB, 0.0)
         second = asyncio.create_task(budget.reserve(4 * MIB, 5.0))
         third = asyncio.create_task(budget.reserve(1 * MIB, 5.0))
@@ -51,7 +55,7 @@
 
 def test_cancelled_reservation_holds_no_room_and_blocks_no_other() -> None:
     async def scenario() -> None:
-        budget = budget_of(10 * MIB)
+        budget = MemoryPool(10 * MIB)
         assert await budget.reserve(8 * MIB, 0.0)
         large = asyncio.create_task(budget.reserve(9 * MIB, 5.0))
         small = asyncio.create_task(budget.reserve(1 * MIB, 5.0))
@@ -67,15 +71,15 @@
 def test_budget_is_shared_by_the_processes_of_a_node_and_has_a_minimum() -> None:
     limit = 100 * MIB
     budget = MemoryBudget(limit, resident=20 * MIB)
-    budget.add(int((limit - 20 * MIB - WORK_BYTES) / COPIES / 2))
+    whole = budget.buffers.size
+    budget.buffers.add(1 + int(whole / 2))
     assert not budget.allows_read_ahead
-    budget.release(MIB)
+    budget.buffers.release(MIB)
     assert budget.allows_read_ahead
     budget.set_process_count(2)
-    assert not budget.allows_read_ahead
+    assert budget.buffers.size < whole / 2 and not budget.allows_read_ahead
     smallest = MemoryBudget(1.0, resident=20 * MIB)
-    smallest.add(MIN_BUDGET_BYTES // 2 - 1)
-    assert smallest.allows_read_ahead
+    assert smallest.buffers.size > 0 and smallest.max_clients >= 1 and smallest.max_slow_requests >= 1
 
 
 def test_all_connections_together_read_no_more_at_once_than_the_budget_allows() -> None:
