The soak draws small memory limits, crowds of slow clients and long answers in lumps

Change: a run has a limit of 32, 64 or 192 MB (96 or 192 with upgrades), and the oracle judges the memory of each node's processes. Two new faults, drawn from a generator of their own so that older seeds keep theirs: crowds that send slowly or stop midway, and responses in lumps with pauses; a long response that a node ends while its backend sends it, and whose client gets no other, is lost. The shim leaves OpenSSL out as the program does.

--- a/notchjunction/soak/backend.py
+++ b/notchjunction/soak/backend.py
@@ -17,7 +17,7 @@
 from notchjunction.addresses import Address
 from notchjunction.http1.messages import MalformedMessageError, Request
 from notchjunction.http1.parser import RequestReader
-from notchjunction.soak.events import Attempt, BackendStart, Disposition, Journal
+from notchjunction.soak.events import Attempt, BackendStart, CutResponse, Disposition, Journal
 
 HOST = "127.0.0.1"
 LINGER_RESET = struct.pack("ii", 1, 0)  # value of SO_LINGER with which a close sends a reset
@@ -28,6 +28,8 @@
 SLOW_RESET_DELAY_S = 0.8  # after the backend's service time
 DRIP_CHUNKS = 5  # of a slow response
 DRIP_PAUSE_S = 0.02  # between the chunks of a slow response
+LUMPS = 4  # of a long response with pauses
+MIN_LUMP_PAUSE_S, MAX_LUMP_PAUSE_S = 0.2, 0.8  # between the lumps
 LARGE_BODY_SIZE = 200 * 1024  # bytes; large enough that a node forwards the response in chunks
 
 
@@ -54,6 +56,7 @@
     INTERIM = auto()  # interim responses come first
     LONG_RESET = auto()  # a large response without a length, in chunks, reset midway
     SLOW_RESET = auto()  # the connection is reset long after the request was read
+    LUMPS = auto()  # a large body that comes in lumps with long pauses
 
 
 # Troubles with which a client can't get a complete response.
@@ -180,6 +183,7 @@
         self._transport: asyncio.Transport | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._pending_request: str | None = None  # id of a request without a complete response yet
+        self._long_response_at: float | None = None  # when the head of a response in lumps was sent
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection and starts its idle timer."""
@@ -191,6 +195,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Removes the connection."""
         self._backend.connections.discard(self)
+        if self._long_response_at is not None and self._pending_request is not None:
+            self._backend.journal.cut_responses.append(
+                CutResponse(asyncio.get_running_loop().time(), self._long_response_at, self._pending_request)
+            )
         if self._idle_timer is not None:
             self._idle_timer.cancel()
 
@@ -215,6 +223,7 @@
             return
         if self._pending_request is not None:
             self._backend.journal.truncated_by_backend.add(self._pending_request)
+        self._long_response_at = None
         with suppress(OSError):
             sock = self._transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
@@ -261,18 +270,21 @@
         if self._transport is None or self._transport.is_closing():
             return
         body = f"{request_id}@{self._backend.name}#{self._backend.random.randrange(1 << 30)}".encode()
-        if trouble is Trouble.LARGE:
+        if trouble in (Trouble.LARGE, Trouble.LUMPS):
             body += b"." * LARGE_BODY_SIZE
         wire = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         complete = trouble not in INCOMPLETE
         if complete:
             self._backend.journal.response_bodies.setdefault(request_id, set()).add(body)
-        if complete and trouble is not Trouble.DRIP:
+        if trouble is Trouble.LUMPS:
+            self._backend.journal.long_responses.add(request_id)
+        elif complete and trouble is not Trouble.DRIP:
             self._pending_request = None
         else:
             self._backend.journal.truncated_by_backend.add(request_id)
         RESPONDERS.get(trouble, BackendConnection._send_complete)(self, wire, body)
-        self._restart_idle_timer()
+        if self._long_response_at is None:
+            self._restart_idle_timer()
 
     def _send_complete(self, wire: bytes, _: bytes) -> None:
         self._write(wire)
@@ -331,6 +343,20 @@
     def _reset_slowly(self, _: bytes, __: bytes) -> None:
         self._call_later(SLOW_RESET_DELAY_S, self.abort)
 
+    def _send_lumps(self, wire: bytes, _: bytes) -> None:
+        self._long_response_at = asyncio.get_running_loop().time()
+        step = len(wire) // LUMPS + 1
+        delay = 0.0
+        for at in range(0, len(wire) - step, step):
+            self._call_later(delay, self._write, wire[at : at + step])
+            delay += self._backend.random.uniform(MIN_LUMP_PAUSE_S, MAX_LUMP_PAUSE_S)
+        self._call_later(delay, self._send_last_lump, wire[step * (LUMPS - 1) :])
+
+    def _send_last_lump(self, lump: bytes) -> None:
+        self._long_response_at = self._pending_request = None
+        self._write(lump)
+        self._restart_idle_timer()
+
     def _send_closing(self, wire: bytes, _: bytes) -> None:
         self._write(wire.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
         self._close()
@@ -377,4 +403,5 @@
     Trouble.LONG_RESET: BackendConnection._reset_long,
     Trouble.SLOW_RESET: BackendConnection._reset_slowly,
     Trouble.CLOSING: BackendConnection._send_closing,
+    Trouble.LUMPS: BackendConnection._send_lumps,
 }
--- a/notchjunction/soak/client.py
+++ b/notchjunction/soak/client.py
@@ -18,7 +18,7 @@
 
 from notchjunction.http1.messages import MalformedMessageError
 from notchjunction.http1.parser import ResponseReader
-from notchjunction.soak.events import Effect, Exchange, Journal
+from notchjunction.soak.events import LONG_RESPONSE_S, Effect, Exchange, Journal
 from notchjunction.soak.node import SoakNode
 
 # A client waits this long past the deadline of its request; longer than the slack that the oracle allows.
@@ -219,8 +219,7 @@
             for exchange in exchanges:
                 exchange.sent_at = loop.time()
                 with recording_end(exchange):
-                    async with asyncio.timeout(deadline + RESPONSE_GRACE_S):
-                        await self._read_response(connection, exchange, responses)
+                    await self._read_response_in_time(connection, exchange, responses)
                 if exchange.status is None or exchange.closing:
                     break
         finally:
@@ -266,14 +265,35 @@
                 if style in CANCELLING_STYLES:
                     reusable = await self._read_or_cancel(connection, exchange, style)
                 else:
-                    async with asyncio.timeout(exchange.deadline_seconds + RESPONSE_GRACE_S):
-                        reusable = await self._read_response(connection, exchange)
+                    reusable = await self._read_response_in_time(connection, exchange)
         finally:
             if reusable and connection.is_open():
                 self._idle[connection.node.name].append(connection)
             else:
                 connection.writer.close()
 
+    async def _read_response_in_time(
+        self, connection: ClientConnection, exchange: Exchange, responses: ResponseReader | None = None
+    ) -> bool:
+        """Reads the response; of a long one, the first bytes are due by the deadline.
+
+        Returns whether the connection can be reused.
+
+        Raises:
+            TimeoutError: it did not arrive in time.
+        """
+        loop = asyncio.get_running_loop()
+        reading = loop.create_task(self._read_response(connection, exchange, responses))
+        try:
+            await asyncio.wait({reading}, timeout=exchange.deadline_seconds + RESPONSE_GRACE_S)
+            if exchange.response_begun and exchange.request in self._journal.long_responses:
+                await asyncio.wait({reading}, timeout=LONG_RESPONSE_S)
+            if not reading.done():
+                raise TimeoutError
+            return reading.result()
+        finally:
+            reading.cancel()
+
     async def _read_or_cancel(
         self, connection: ClientConnection, exchange: Exchange, style: WritingStyle
     ) -> bool:
@@ -362,7 +382,8 @@
             chunk = await connection.reader.read(65536)
             if not chunk:
                 raise ConnectionResetError
-            exchange.response_begun = True
+            if not exchange.response_begun:
+                exchange.response_begun, exchange.begun_at = True, asyncio.get_running_loop().time()
             responses.feed(chunk)
         exchange.ended_at = asyncio.get_running_loop().time()
         exchange.status, exchange.body = response.status, response.body
--- a/notchjunction/soak/node.py
+++ b/notchjunction/soak/node.py
@@ -227,6 +227,12 @@
         self.ready = False
         self._record_exit(self._process.returncode)
 
+    def memory_mb(self) -> float:
+        """Returns the memory that the node's processes use now together; of a single one, the most so far."""
+        running = [process for process in (self._process, self._other_process) if process is not None]
+        field = "VmHWM:" if len(running) == 1 else "VmRSS:"
+        return sum(_memory_mb(process.pid, field) for process in running)
+
     def log_lines(self) -> list[str]:
         """Returns the lines of the node's log, to which all its processes write."""
         return self._log.read_text(errors="replace").splitlines() if self._log.exists() else []
@@ -243,3 +249,13 @@
     async def _wait_until_exited(self, process: subprocess.Popen[bytes]) -> None:
         while process.poll() is None:
             await asyncio.sleep(EXIT_POLL_INTERVAL_S)
+
+
+def _memory_mb(process_id: int, field: str) -> float:
+    """Returns a field of the process's status in MB; 0 if it has exited."""
+    try:
+        status = Path(f"/proc/{process_id}/status").read_text()
+    except OSError:
+        return 0.0
+    _, found, rest = status.partition(field)
+    return int(rest.split()[0]) / 1024 if found else 0.0
--- a/notchjunction/soak/plan.py
+++ b/notchjunction/soak/plan.py
@@ -41,6 +41,8 @@
     CLIENTS_LEAVE = auto()  # a share `size` of the waiting clients closes at once
     BURST = auto()  # `size` times the traffic
     CROWD = auto()  # idle client connections use up a node's descriptors
+    SLOW_CROWD = auto()  # clients for a share `size` of a node's descriptors send slowly, or stop midway
+    BACKENDS_LUMPY = auto()  # a share `size` of the responses is long, and comes in lumps with pauses
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +71,7 @@
     upgrades: bool  # a node's processes share a folder, so that a successor can take over
     shim: Mapping[str, Any]  # settings of the shim: faults of system calls and clocks in each node
     faults: Sequence[Fault]  # in order of time
+    memory_mb: int = 192  # maximum memory of a node's processes together
 
 
 # Minimum and maximum of a fault's `size`; 1 where the kind isn't listed.
@@ -87,11 +90,14 @@
     Kind.CLIENTS_LEAVE: (0.2, 0.8),
     Kind.BURST: (1.5, 3),
     Kind.UPGRADE_FAILS: (0.1, 1.5),
+    Kind.SLOW_CROWD: (0.1, 1.0),
+    Kind.BACKENDS_LUMPY: (0.1, 0.5),
 }
 # Minimum and maximum length of a fault, in seconds.
 LENGTHS: Mapping[Kind, tuple[float, float]] = {
     Kind.DISCOVERY_DOWN: (1.0, 4.0),
     Kind.CROWD: (1.0, 3.0),
+    Kind.SLOW_CROWD: (2.0, 4.0),
 }
 DEFAULT_LENGTH = (0.5, 4.0)  # of kinds that LENGTHS doesn't list
 FREQUENT_KINDS = (  # drawn more often than the others
@@ -103,7 +109,12 @@
     Kind.CONNECTIONS_RESET,
 )
 UPGRADE_KINDS = (Kind.UPGRADE, Kind.UPGRADE_FAILS)
-REGULAR_KINDS = tuple(kind for kind in Kind if kind not in UPGRADE_KINDS)  # drawn for every run
+SLOW_PEER_KINDS = (Kind.SLOW_CROWD, Kind.BACKENDS_LUMPY)
+# Drawn for every run; the others have generators of their own.
+REGULAR_KINDS = tuple(kind for kind in Kind if kind not in (*UPGRADE_KINDS, *SLOW_PEER_KINDS))
+MEMORY_CHOICES_MB = (32, 64, 192)
+MEMORY_CHOICES_WITH_UPGRADES_MB = (96, 192)  # two processes share the limit
+MAX_SLOW_PEER_FAULTS = 3  # in a run with slow peers
 MAX_UPGRADES = 4  # in a run with upgrades
 FAULT_FREE_START_S = 1.0  # at the beginning of a run
 
@@ -141,6 +152,8 @@
     kinds = [random.choice(FREQUENT_KINDS if random.random() < 0.4 else REGULAR_KINDS) for _ in range(count)]
     faults = [_draw_fault(random, kind, seconds) for kind in kinds]
     upgrades = _draw_upgrades(seed, seconds)
+    slow_peers = _draw_slow_peers(seed, seconds)
+    memory_choices = MEMORY_CHOICES_WITH_UPGRADES_MB if upgrades else MEMORY_CHOICES_MB
     return Plan(
         seed=seed,
         nodes=nodes or drawn_nodes,
@@ -150,9 +163,10 @@
         seconds=seconds,
         rate=random.choice((60, 120, 200)),
         descriptors=random.choice((64, 120, 256, 1024)),
+        memory_mb=Random(f"soak memory {seed}").choice(memory_choices),
         upgrades=bool(upgrades),
         shim=shim,
-        faults=sorted((*faults, *upgrades), key=lambda fault: fault.at),
+        faults=sorted((*faults, *upgrades, *slow_peers), key=lambda fault: fault.at),
     )
 
 
@@ -165,6 +179,15 @@
     return [_draw_fault(random, random.choice(UPGRADE_KINDS), seconds) for _ in range(count)]
 
 
+def _draw_slow_peers(seed: int, seconds: float) -> list[Fault]:
+    """Draws slow clients and backends for two thirds of the seeds."""
+    random = Random(f"soak slow peers {seed}")
+    if random.random() < 1 / 3:
+        return []
+    count = random.randint(1, MAX_SLOW_PEER_FAULTS)
+    return [_draw_fault(random, random.choice(SLOW_PEER_KINDS), seconds) for _ in range(count)]
+
+
 def _draw_fault(random: Random, kind: Kind, seconds: float) -> Fault:
     at = random.uniform(FAULT_FREE_START_S, seconds * 0.8)
     length = random.uniform(*LENGTHS.get(kind, DEFAULT_LENGTH))
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -15,8 +15,9 @@
 from notchjunction.addresses import text_of
 from notchjunction.soak.backend import CAPACITY_SPAN_S, Backend, Behaviour, Trouble
 from notchjunction.soak.client import FakeClients, WritingStyle
+from notchjunction.soak.crowd import CrowdForm, play_crowd
 from notchjunction.soak.discovery import ACTIVE, LEAVING, LEFT, FakeDiscovery
-from notchjunction.soak.events import Effect, Journal
+from notchjunction.soak.events import Effect, Journal, MemoryUse
 from notchjunction.soak.node import SoakNode
 from notchjunction.soak.oracle import Limits, Violation, violations
 from notchjunction.soak.plan import Fault, Kind, Plan
@@ -35,7 +36,11 @@
 MIN_DRAIN_S = 1.5  # from a drain until the backend leaves the list, even if the fault is shorter
 FINISH_TIMEOUT_S = MAX_DEADLINE_S + 1.5  # for requests to end after the last one was sent
 CONNECTIONS_PER_DESCRIPTOR = 1.2  # idle client connections, for each descriptor that a node may have open
-ALL_TROUBLES = tuple(trouble for trouble in Trouble if trouble not in (Trouble.NONE, Trouble.HANG))
+# LUMPS has a fault of its own, so that older seeds keep the troubles that they had before.
+ALL_TROUBLES = tuple(
+    trouble for trouble in Trouble if trouble not in (Trouble.NONE, Trouble.HANG, Trouble.LUMPS)
+)
+MEMORY_CHECK_INTERVAL_S = 0.1  # between two looks at the memory of the node processes
 ODD_STYLES = tuple(style for style in WritingStyle if style is not WritingStyle.PLAIN)
 
 
@@ -85,10 +90,12 @@
             self.clients.traffic.styles = ODD_STYLES
             arrivals = self._spawn(self.clients.send_until(began + plan.seconds))
             crash_watch = self._spawn(self._watch_crashes())
+            memory_watch = self._spawn(self._watch_memory())
             faults = [self._spawn(self._play_fault(fault, began)) for fault in plan.faults]
             await asyncio.gather(arrivals, *faults)
             await self.clients.finish(FINISH_TIMEOUT_S)
             crash_watch.cancel()
+            memory_watch.cancel()
             await asyncio.gather(*(self._terminate_ready(node) for node in self.nodes))
         finally:
             stall_watch.cancel()
@@ -133,7 +140,7 @@
                 "discovery": text_of(port.address),
                 "seed": f"{self.plan.seed:x}{number:04x}",
                 "known": json.loads(json.dumps(snapshot)),
-                "limits": {"sockets": self.plan.descriptors},
+                "limits": {"sockets": self.plan.descriptors, "memory_mb": self.plan.memory_mb},
                 "settings": {**self._settings(number), **settings},
             }
         )
@@ -283,6 +290,15 @@
                 if node.has_crashed and node.name not in self._busy_nodes:
                     node.record_crash()
 
+    async def _watch_memory(self) -> None:
+        while True:
+            for node in self.nodes:
+                use = MemoryUse(asyncio.get_running_loop().time(), node.name, node.memory_mb())
+                highest = self.journal.memory_peaks.setdefault(node.name, use)
+                if use.megabytes > highest.megabytes:
+                    self.journal.memory_peaks[node.name] = use
+            await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+
     async def _terminate_ready(self, node: SoakNode) -> None:
         if node.ready:
             await node.terminate(MAX_DEADLINE_S)
@@ -301,6 +317,7 @@
             OVERLOAD_MULTIPLE,
             OVERLOAD_SPAN_S,
             self.capacity,
+            self.plan.memory_mb,
         )
         counters: dict[str, float] = {}
         for node in self.nodes:
@@ -489,6 +506,19 @@
         )
 
 
+async def _slow_crowd(run: SoakRun, fault: Fault, seconds: float) -> None:
+    node = run.nodes[fault.target % len(run.nodes)]
+    if node.ready:
+        forms = list(CrowdForm)
+        clients = round(fault.size * run.plan.descriptors)
+        name = f"crowd{fault.target}-{round(fault.at * 1000)}"
+        await play_crowd(node.listen, forms[fault.target % len(forms)], clients, seconds, name)
+
+
+async def _backends_lumpy(run: SoakRun, fault: Fault, seconds: float) -> None:
+    await _change_behaviour(run, seconds, trouble_share=fault.size, troubles=(Trouble.LUMPS,))
+
+
 FAULT_ACTIONS: Mapping[Kind, FaultAction] = {
     Kind.TERMINATE: _on_node(SoakRun.terminate),
     Kind.TERMINATE_SERIES: _terminate_series,
@@ -513,4 +543,6 @@
     Kind.CLIENTS_LEAVE: _clients_leave,
     Kind.BURST: _burst,
     Kind.CROWD: _crowd,
+    Kind.SLOW_CROWD: _slow_crowd,
+    Kind.BACKENDS_LUMPY: _backends_lumpy,
 }
--- a/notchjunction/soak/shim.py
+++ b/notchjunction/soak/shim.py
@@ -7,6 +7,11 @@
 
 from __future__ import annotations
 
+from notchjunction.net.tls_stub import leave_out_tls
+
+if __name__ == "__main__":
+    leave_out_tls()  # before the imports below, as in the program: a node's memory is judged
+
 import asyncio
 import atexit
 import errno
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,10 +11,12 @@
 from notchjunction.soak.events import (
     Attempt,
     BackendStart,
+    CutResponse,
     Disposition,
     Effect,
     Exchange,
     Journal,
+    MemoryUse,
     Notified,
     ProcessExit,
     Published,
@@ -165,3 +167,41 @@
     result = play(seed, tmp_path, nodes=None, seconds=8.0, backends=None)
     assert result.succeeded > 100
     assert [str(violation) for violation in result.violations] == []
+
+
+def long_response(observed: Exchange, head_at: float = SENT_AT + 0.1) -> Journal:
+    """Returns the journal of a request whose long response the node cut off at its backend."""
+    journal = journal_of(observed, attempt())
+    journal.long_responses = {"r1"}
+    journal.cut_responses = [CutResponse(SENT_AT + 0.9, head_at, "r1")]
+    return journal
+
+
+def test_a_long_response_that_the_node_cuts_off_is_detected() -> None:
+    rejected = changed(exchange(), status=503, body=b"")
+    assert violated(long_response(rejected)) == {"lost"}
+    assert violated(long_response(exchange())) == set()  # of another attempt
+    gone = changed(exchange(), status=None, ended_at=None, cancelled_at=SENT_AT + 0.8)
+    assert violated(long_response(gone)) == set()
+    assert violated(long_response(rejected, head_at=SENT_AT + 1.9)) == set()  # too late for the client
+    ending = long_response(rejected)
+    ending.process_exits = [ProcessExit(SENT_AT + 1.0, "n0", SENT_AT, 0)]
+    assert violated(ending) == set()
+
+
+def test_the_first_bytes_of_a_long_response_are_due_by_the_deadline_and_its_last_ones_later() -> None:
+    late = changed(exchange(), ended_at=SENT_AT + 5.0, response_begun=True, begun_at=SENT_AT + 1.0)
+    assert violated(journal_of(late, attempt())) == {"lost"}
+    long = journal_of(late, attempt())
+    long.long_responses = {"r1"}
+    assert violated(long) == set()
+    long.exchanges = [changed(late, begun_at=SENT_AT + 2.6)]
+    assert violated(long) == {"lost"}
+
+
+def test_a_node_over_its_memory_limit_is_detected() -> None:
+    journal = journal_of(exchange(), attempt())
+    journal.memory_peaks = {"n0": MemoryUse(SENT_AT, "n0", 33.0)}
+    limits = replace(LIMITS, memory_mb=32.0)
+    assert {violation.invariant for violation in violations(journal, limits)} == {"memory"}
+    assert violations(journal, replace(limits, memory_mb=64.0)) == []
