A connection that ends while it lingers is no internal error, and admin calls linger in turns

Cause: "What a rejected client still sends is not read byte by byte" reads past the stream, whose socket is gone where a client's last bytes and its end arrive together. The same class as there, a loop of awaits without a turn, stood in the admin API.

Change: the end is looked at first; the admin API gives others a turn after each read.

--- a/notchjunction/net/admin.py
+++ b/notchjunction/net/admin.py
@@ -205,6 +205,7 @@
                         end_sending(stream.socket)
                     while True:
                         await start_read(stream)
+                        await asyncio.sleep(0)  # guards against a caller that sends fast and starves others
 
     async def _read(self, stream: AdminStream) -> Request:
         parser = RequestReader()
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -293,6 +293,8 @@
             reading = self._reading or start_read(self._stream, DISCARD_READ_BYTES)
             self._reading = None
             remaining -= len(await reading)
+            if self._stream.closed():
+                return  # the client's last bytes and its end arrived together
             # Without the stream's buffers, which all lingering connections would fill in the same moment.
             remaining -= discard_unread(self._stream.socket, remaining)
             await asyncio.sleep(0)  # guards against one client that sends fast and starves all others
