A refused upload whose last byte never came breaks no invariant

Seen by operators: error lines "anomaly why=refused_after_run" for uploads that may not be repeated and were answered 503 as their time was over.

Cause: the ledger of a request took each written attempt for one that may have run, also where the body's last byte never reached the node. An endpoint begins a request when its last byte has come, so the refusal was right and the alarm false.

Change: the ledger is told when a body stays incomplete.

Measured: tests/test_upload_clock.py, both forms of the body, failed before with that counter.

--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -83,6 +83,8 @@
     def _select_response(
         self, response: FinalResponse | None, error: Response | None
     ) -> FinalResponse | None:
+        if self.upload is not None and not self.upload.complete:
+            self.handler.ledger.body_incomplete()
         if response is None:
             self._context.counters.add("requests_cancelled")
             error = error or (Response(503, keep_alive=False) if self._state.upload_rejected else None)
--- a/notchjunction/safety/invariants.py
+++ b/notchjunction/safety/invariants.py
@@ -73,6 +73,10 @@
         if attempt in self.may_have_run:
             self.may_have_run[attempt] = result not in NEVER_RAN
 
+    def body_incomplete(self) -> None:
+        """Records that the last byte of the request's body never arrived, so that no attempt can have run."""
+        self.may_have_run = dict.fromkeys(self.may_have_run, False)
+
     def response_sent(self, now: float, rejected: bool) -> list[Violation]:
         """Records the final response to the client; returns the invariants that this violates.
 
--- a/tests/test_upload_clock.py
+++ b/tests/test_upload_clock.py
@@ -74,5 +74,7 @@
             while node._clients.connections:
                 await asyncio.sleep(0.002)
             assert not node.counters.read().get("internal_errors")
+            # The request may not run twice, and a refusal says that it has not run: its last byte never left.
+            assert not [name for name in node.counters.read() if name.startswith("invariant_")]
 
     run(scenario())
