Clients queued behind a crowd wait for room once, and not anew with each that gets in

Seen by callers: while places for clients were used up, usual clients in the system's queue were answered over half a second past their time.

Cause: the time for which the queue had waited was forgotten whenever one of its clients got in. Besides, uploads that waited 1.5 s for memory held the places.

Change: the wait counts from when clients were last not queued; while there is no place for others, none waits for memory.

--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -295,6 +295,8 @@
             self._context.counters.add("uploads_over_limit")
             return False
         timeout = UPLOAD_MEMORY_TIMEOUT_S if is_upload else REQUEST_MEMORY_TIMEOUT_S
+        if self._context.descriptors.full_for_clients():
+            timeout = 0.0  # guards against clients that wait for memory and keep out others
         if await self._memory.open(timeout):
             return True
         self._context.memory_shortage.report("upload" if is_upload else "request")
--- a/notchjunction/net/client_listener.py
+++ b/notchjunction/net/client_listener.py
@@ -77,7 +77,7 @@
         self._paused = False
         self._stopping = False
         self._waiting: socket.socket | None = None  # accepted past the margin, not served yet
-        self._waiting_since: float | None = None
+        self._waiting_since: float | None = None  # s; since then clients have been queued without a gap
         self._hold_off_call: asyncio.TimerHandle | None = None  # no accept before it
         self._queued_since = 0.0  # s; the earliest time at which queued clients may have connected
         self._queue_checked_at = 0.0  # s; the last accept or start; clients may have remained queued
@@ -210,13 +210,13 @@
         if decision is AcceptDecision.WAIT:
             self._delay(connection)
             return
-        self._waiting_since = None
         self._clients.start(connection, decision is AcceptDecision.REJECT, self._queued_since)
 
     def _delay(self, connection: socket.socket) -> None:
         """Delays a client accepted past the margin; further ones stay queued, where they use no descriptor.
 
-        Guards against rejecting a short burst. A client that waits for too long is rejected.
+        Guards against rejecting a short burst. Once clients have been queued for too long, each is rejected
+        for which there is no room: those behind it have waited as well.
         """
         now = self._clients.clock()
         if self._waiting_since is None:
--- a/notchjunction/net/memory_budget.py
+++ b/notchjunction/net/memory_budget.py
@@ -19,9 +19,9 @@
 KIB = 1024
 MIB = 1024 * KIB
 # Left for what grows with the node's work and not with its clients: statistics of some seconds, upgrades.
-WORK_BYTES = 4 * MIB
-# A client's connection without a request: its socket, task and parser.
-CONNECTION_BYTES = 11 * KIB
+WORK_BYTES = 6 * MIB
+# A client's connection without an open request: its socket, task and parser, also as it waits for a body.
+CONNECTION_BYTES = 12 * KIB
 # An open request: its tasks, attempts and connection to an endpoint, and pieces of the least size.
 REQUEST_BYTES = 40 * KIB
 # Bytes of memory for each byte buffered: as it is read, parsed, and encoded to be sent.
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -318,6 +318,7 @@
             OVERLOAD_SPAN_S,
             self.capacity,
             self.plan.memory_mb,
+            connections_die=self.plan.shim.get("dead_connections", 0) > 0,
         )
         counters: dict[str, float] = {}
         for node in self.nodes:
