A client's time counts while its body waits for memory or in the stream's buffer

Cause: without room to buffer it a body is streamed, and its request may wait for memory. That time was not counted, though all of the body may have arrived. Besides, bytes in the buffer of the stream, which reads a chunk ahead, did not count as arrived, so a clock could start late.

Change: that time counts where all of the body may have been sent; bytes in the buffer count as unread. The rest of a body that nobody wants is dropped without the stream's buffers, which costs far less. The limit of clients by memory is one of each process, that by descriptors one of the node. The soak's crowds run in a process of their own.

--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -149,6 +149,10 @@
         """The length of the body in bytes, if the head states it."""
         return self._body_length if self._framing is Framing.LENGTH else None
 
+    def skip(self, count: int) -> None:
+        """Counts bytes of a streamed body of a stated length that were read and dropped elsewhere."""
+        self._body_received += count
+
     def take_piece(self) -> tuple[bytes, bool]:
         """Returns what has been received of a streamed body, and whether that was its end."""
         ended = self._read_body()
--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -279,7 +279,7 @@
         if refusal is not None or not await self._context.take_id(request_id, spec):
             # Guards against responses confused between requests of one id, here and at endpoints.
             return self._client_error(409)
-        if not request.more_body:
+        if not request.more_body or self._intake.may_be_sent():
             spec = replace(spec, time_left=spec.time_left - (self._context.clock() - asked_at))
         self._note_accepted(request_id, spec, waited)
         return spec
@@ -392,6 +392,9 @@
                 await self._migrator.pause()
             if self._state.upload_rejected and self._migrator.must_stay():
                 break  # the node shuts down, and no other process can take the connection
+            self._intake.drop_body()
+            if self._is_body_over():
+                break
             migration = asyncio.ensure_future(self._context.migrating.wait())
             reading = self._intake.read(self._context.streams.piece_size())
             timed_out = await self._intake.wait(reading, *([] if self._state.pinned else [migration]))
--- a/notchjunction/net/client_stream.py
+++ b/notchjunction/net/client_stream.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import select
+import socket
 import struct
 import termios
 import time
@@ -12,6 +13,8 @@
 from notchjunction.net.event_loop import max_unread_age
 from notchjunction.net.socket_stream import NodeStream, Unread
 
+# Bytes read at once of what is dropped.
+DROP_CHUNK_BYTES = 64 * 1024
 UNREAD_COUNT = struct.Struct("i")  # the result of FIONREAD
 # Poll events that report the end of the connection, also while bytes are unread.
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -33,14 +36,37 @@
         return count
 
     def unread_bytes(self) -> int:
-        """Returns how many bytes the operating system holds that have not been read; 0 if it cannot tell."""
+        """Returns how many bytes have arrived that have not been read.
+
+        These are the bytes that the operating system holds, if it can tell, and those in this stream's
+        buffer, which fills by a chunk while no read is in progress.
+        """
         if self.closed():
             return 0
+        buffered = int(self._read_buffer_size)
         try:
             count = fcntl.ioctl(self.socket, termios.FIONREAD, bytes(UNREAD_COUNT.size))
         except OSError:
+            return buffered
+        return buffered + int(UNREAD_COUNT.unpack(count)[0])
+
+    def drop_unread(self, max_bytes: int) -> int:
+        """Reads and drops bytes that have arrived, up to `max_bytes`; returns how many.
+
+        This costs far less than a read. Nothing is dropped while the buffer here holds earlier bytes, or a
+        read is in progress.
+        """
+        if self.closed() or self.reading() or self._read_buffer_size:
             return 0
-        return int(UNREAD_COUNT.unpack(count)[0])
+        dropped = 0
+        with suppress(OSError):
+            while dropped < max_bytes:
+                size = min(DROP_CHUNK_BYTES, max_bytes - dropped)
+                received = len(self.socket.recv(size, socket.MSG_DONTWAIT))
+                dropped += received
+                if received < size:
+                    break
+        return dropped
 
     def has_unread(self) -> bool:
         """Whether bytes or the end of the stream are unread, or the operating system cannot tell."""
--- a/notchjunction/net/descriptors.py
+++ b/notchjunction/net/descriptors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import sys
 
 BASE_DESCRIPTORS = 16  # of the program itself: standard streams, event loop, listener, discovery, and slack
 MARGIN_SHARE = 0.1  # of the limit, left unused: the operating system frees closed sockets with a delay
@@ -20,7 +21,8 @@
     def __init__(self, limit: int, reserved: int = 0) -> None:
         self._margin = int(limit * MARGIN_SHARE)
         self._max = max(8, limit - self._margin - BASE_DESCRIPTORS - reserved)
-        self.max_clients = self._max - int(self._max * MIN_UPSTREAM_SHARE)
+        self._max_clients = self._max - int(self._max * MIN_UPSTREAM_SHARE)
+        self._max_clients_here = sys.maxsize  # by the memory of this process alone
         # How many requests may be open whose clients decide how long they last: each takes two descriptors.
         self.max_slow_requests = max(1, int(limit * MAX_SLOW_SHARE))
         self.in_use = 0
@@ -29,9 +31,14 @@
         self.other_process = 0
         self.other_process_clients = 0
 
+    @property
+    def max_clients(self) -> int:
+        """How many clients this process may have, if it is the node's only one."""
+        return min(self._max_clients, self._max_clients_here)
+
     def limit_clients(self, max_clients: int) -> None:
-        """Sets how many clients the memory limit allows, if the descriptors allow more."""
-        self.max_clients = min(self._max - int(self._max * MIN_UPSTREAM_SHARE), max_clients)
+        """Sets how many clients the memory of this process allows, whatever others of the node have."""
+        self._max_clients_here = max_clients
 
     def full(self) -> bool:
         """Whether all descriptors up to the margin are used."""
@@ -39,7 +46,7 @@
 
     def clients_over_share(self) -> bool:
         """Whether clients use up their share."""
-        return self.clients + self.other_process_clients >= self.max_clients
+        return self._has_clients_beyond(0, 0)
 
     def full_for_clients(self) -> bool:
         """Whether there is no descriptor for another client, short of the margin."""
@@ -48,9 +55,14 @@
     def exhausted(self) -> bool:
         """Whether half of the margin is used as well, in total or by clients."""
         extra = self._margin // 2
-        extra_clients = min(extra, max(1, int(self.max_clients * MARGIN_SHARE)))
-        in_use, clients = self.in_use + self.other_process, self.clients + self.other_process_clients
-        return in_use >= self._max + extra or clients >= self.max_clients + extra_clients
+        extra_here = min(extra, max(1, int(self._max_clients_here * MARGIN_SHARE)))
+        in_use = self.in_use + self.other_process
+        return in_use >= self._max + extra or self._has_clients_beyond(extra, extra_here)
+
+    def _has_clients_beyond(self, extra: int, extra_here: int) -> bool:
+        """Whether there are so many clients more than the node, or this process, should have."""
+        clients = self.clients + self.other_process_clients
+        return clients >= self._max_clients + extra or self.clients >= self._max_clients_here + extra_here
 
     def take(self) -> None:
         """Counts a descriptor as used."""
--- a/notchjunction/net/memory_budget.py
+++ b/notchjunction/net/memory_budget.py
@@ -29,7 +29,7 @@
 # An endpoint of the list, with what the node has learned of it.
 ENDPOINT_BYTES = 4 * KIB
 # Connections get no more than this share of the available memory, and open requests this share of the rest.
-CONNECTION_SHARE = 0.3
+CONNECTION_SHARE = 0.5
 REQUEST_SHARE = 0.6
 # Requests whose peers decide how long they last get no more than this share of the pool of open requests.
 SLOW_SHARE = 0.6
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -205,6 +205,11 @@
             return min(limit, max(1, self.parser.bytes_to_buffer))
         return min(limit, self.parser.read_limit)
 
+    def may_be_sent(self) -> bool:
+        """Whether the client may have sent all of the current body, read or not: then its time counts."""
+        missing, unread = self.parser.bytes_missing, self._stream.unread_bytes()
+        return self.has_read() or (unread > 0 if missing is None else unread >= missing)
+
     def may_read_ahead(self) -> bool:
         """Whether bytes of further requests are read while a request is open, although memory is short."""
         return self._context.memory.allows_read_ahead or self.parser.unread < MIN_READ_AHEAD_BYTES
@@ -281,6 +286,12 @@
             if self.state.request_open and not self.parser.streaming:
                 self._count_unparsed()
 
+    def drop_body(self) -> None:
+        """Drops what has arrived of a streamed body that nobody wants, if its length is stated."""
+        missing = self.parser.bytes_missing
+        if missing and self._reading is None:
+            self.parser.skip(self._stream.drop_unread(min(missing, MAX_DISCARDED_BYTES)))
+
     def is_over_discard_limit(self) -> bool:
         """Whether the client has sent too many bytes ahead for reading to continue."""
         return self.bytes_discarded > MAX_DISCARDED_BYTES
--- a/notchjunction/soak/crowd.py
+++ b/notchjunction/soak/crowd.py
@@ -1,8 +1,13 @@
-"""Crowds of clients that hold a node's connections and memory, and whose requests are never complete."""
+"""Crowds of clients that hold a node's connections and memory, and whose requests are never complete.
+
+A crowd runs in a process of its own, so that it does not delay what the soak observes.
+"""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
+import sys
 from collections.abc import AsyncIterator
 from contextlib import suppress
 from enum import Enum, auto
@@ -25,6 +30,20 @@
     MANY_FIELDS = auto()  # sends a head of many short fields and the beginning of a body, and stays
 
 
+async def run_crowd(address: Address, form: CrowdForm, clients: int, seconds: float, name: str) -> None:
+    """Plays a crowd in another process, as `play_crowd` does in this one."""
+    arguments = [*map(str, address), form.name, str(clients), str(seconds), name]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "notchjunction.soak.crowd", *arguments
+    )
+    try:
+        await process.wait()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
 async def play_crowd(address: Address, form: CrowdForm, clients: int, seconds: float, name: str) -> None:
     """Plays so many clients at once for so many seconds, then closes their connections.
 
@@ -89,3 +108,21 @@
         "",
     )
     return "\r\n".join(lines).encode()
+
+
+def main() -> None:
+    """Plays the crowd of the command line."""
+    parser = argparse.ArgumentParser(prog="notchjunction.soak.crowd", description=__doc__)
+    parser.add_argument("host")
+    parser.add_argument("port", type=int)
+    parser.add_argument("form", choices=CrowdForm.__members__)
+    parser.add_argument("clients", type=int)
+    parser.add_argument("seconds", type=float)
+    parser.add_argument("name")
+    options = parser.parse_args()
+    address, form = (options.host, options.port), CrowdForm[options.form]
+    asyncio.run(play_crowd(address, form, options.clients, options.seconds, options.name))
+
+
+if __name__ == "__main__":
+    main()
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -15,7 +15,7 @@
 from notchjunction.addresses import text_of
 from notchjunction.soak.backend import CAPACITY_SPAN_S, Backend, Behaviour, Trouble
 from notchjunction.soak.client import FakeClients, WritingStyle
-from notchjunction.soak.crowd import CrowdForm, play_crowd
+from notchjunction.soak.crowd import CrowdForm, run_crowd
 from notchjunction.soak.discovery import ACTIVE, LEAVING, LEFT, FakeDiscovery
 from notchjunction.soak.events import Effect, Journal, MemoryUse
 from notchjunction.soak.node import SoakNode
@@ -513,7 +513,7 @@
         forms = list(CrowdForm)
         clients = round(fault.size * run.plan.descriptors)
         name = f"crowd{fault.target}-{round(fault.at * 1000)}"
-        await play_crowd(node.listen, forms[fault.target % len(forms)], clients, seconds, name)
+        await run_crowd(node.listen, forms[fault.target % len(forms)], clients, seconds, name)
 
 
 async def _backends_lumpy(run: SoakRun, fault: Fault, seconds: float) -> None:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -11,6 +11,7 @@
 import pytest
 
 from notchjunction.addresses import Address
+from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.memory_budget import (
     COPIES,
     MAX_READ_BYTES,
@@ -82,6 +83,21 @@
     assert smallest.buffers.size > 0 and smallest.max_clients >= 1 and smallest.max_slow_requests >= 1
 
 
+def test_clients_are_limited_by_the_memory_of_their_process_and_by_the_descriptors_of_the_node() -> None:
+    descriptors = Descriptors(1024)
+    allowed = descriptors.max_clients
+    descriptors.limit_clients(100)
+    descriptors.other_process_clients = 300  # of another process, which has memory of its own
+    descriptors.clients = 99
+    assert descriptors.max_clients == 100 and not descriptors.full_for_clients()
+    descriptors.clients = 100
+    assert descriptors.full_for_clients() and not descriptors.exhausted()
+    descriptors.clients = 120
+    assert descriptors.exhausted()
+    descriptors.clients, descriptors.other_process_clients = 99, allowed - 99
+    assert descriptors.full_for_clients()
+
+
 def test_all_connections_together_read_no_more_at_once_than_the_budget_allows() -> None:
     budget = budget_of(10 * MIB)
     for connections in (1, 50, 500):
--- a/tests/test_upload_clock.py
+++ b/tests/test_upload_clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 
 import pytest
@@ -78,3 +79,31 @@
             assert not [name for name in node.counters.read() if name.startswith("invariant_")]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_clients_time_counts_while_its_body_waits_for_memory(chunked: bool) -> None:
+    """Guards against a deadline for the endpoint that is later than the client's."""
+    deadline_ms, waited_ms, slack_ms = 2000, 300, 150
+    told: list[int] = []
+
+    async def scenario() -> None:
+        async def record_deadline(connection: ScriptedConnection) -> None:
+            request, _ = await connection.read_request()
+            told.append(int(request.headers["req-deadline-ms"]))
+            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async with running_with_scripts(record_deadline) as (node, address, _):
+            for pool in (node._memory.buffers, node._memory.requests):
+                pool.resize(1)
+                pool.add(1)
+            client = await BodyClient().open(address)
+            client.begin_request(BODY[:8000], chunked=chunked, deadline_ms=deadline_ms)
+            await asyncio.sleep(0.05)  # the node reads the head first
+            client.send(b"1f40\r\n" + BODY[:8000] + b"\r\n0\r\n\r\n" if chunked else BODY[:8000])
+            await asyncio.sleep(waited_ms / 1000)
+            node._memory.requests.resize(math.inf)
+            assert (await client.answer()).status == 200
+            assert told[0] <= deadline_ms - waited_ms + slack_ms
+
+    run(scenario())
