A server is told what is left by the clock of uploads while the body waits for its connection

Cause: the time of an upload counted from the last byte read. While the connection to the server came up late, the node read one piece, and the rest waited with the client's time running; the clock of uploads knew that, and only the answer at the deadline asked it. The small pieces of a small memory limit made it show.

Change: an attempt asks the clock as it is written.

Measured: tests/test_upload_clock.py, a connection 0.4 s late: 1999 ms told before (1750 at most), passes now.

--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -45,6 +45,7 @@
         self._state = intake.state
         self._intake = intake
         self._clock = UploadClock(handler.time_left)
+        handler.upload_elapsed = self._update_clock
 
     async def wait_response(self) -> FinalResponse | None:
         """Waits for the response and returns it; None if the client has gone.
@@ -108,10 +109,15 @@
 
         Guards against a response seconds after the client's deadline, where an endpoint takes a body slowly.
         """
+        self._update_clock()
+        return self._clock.has_expired(self._context.clock())
+
+    def _update_clock(self) -> float:
+        """Returns for how long (s) the client may have sent all of its incomplete body."""
         now = self._context.clock()
         parser = self._intake.parser
         self._clock.update(now, parser.body_received, self._stream.unread_bytes(), parser.bytes_missing)
-        return self._clock.has_expired(now)
+        return self._clock.elapsed(now)
 
     async def _wait_for_body(self, handler_task: asyncio.Task[FinalResponse | None]) -> Response | None:
         """Waits for the response or more of the body. Returns the error response if the body is too slow."""
--- a/notchjunction/net/request_handler.py
+++ b/notchjunction/net/request_handler.py
@@ -134,6 +134,8 @@
         self.request_id = request.headers.get(protocol.REQUEST_ID, "")
         deadline = engine.now() + spec.time_left if spec.complete else math.inf
         self._upload_expires_at = math.inf  # s; known once the last byte is received
+        # Returns for how long (s) all of an incomplete body may have been sent already.
+        self.upload_elapsed: Callable[[], float] = lambda: 0.0
         self.ledger = RequestLedger(spec.idempotency, deadline, engine.now())
         self._handle = engine.submit(spec)
 
@@ -239,7 +241,7 @@
             command.expires_at,
             upload=self._upload,
             memory=self._memory,
-            upload_expires_at=lambda: self._upload_expires_at,
+            upload_expires_at=self._latest_upload_end,
             on_response_start=partial(self._response_started, attempt),
             acquire_quota=partial(permits.acquire, attempt) if permits is not None else None,
             is_wanted=partial(self._engine.is_wanted, self._handle, attempt),
@@ -253,6 +255,13 @@
         # Reported here and not inside the task: a task that is cancelled before its first step runs no code.
         task.add_done_callback(lambda _: self._attempt_done(attempt, task))
 
+    def _latest_upload_end(self) -> float:
+        """Returns when (s) the client's time ends; inf if its last byte has certainly not been sent."""
+        if self._upload_expires_at < math.inf:
+            return self._upload_expires_at
+        elapsed = self.upload_elapsed()
+        return self._engine.now() + self.time_left - elapsed if elapsed > 0 else math.inf
+
     def _attempt_written(self, attempt: int, endpoint: str, time_left: float) -> None:
         listed = self._upstreams.is_listed(endpoint)
         now = self._engine.now()
--- a/tests/test_upload_clock.py
+++ b/tests/test_upload_clock.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from notchjunction.net.body_streaming import StreamBuffers
 from notchjunction.net.upload_clock import MAX_CLIENT_BUFFER_BYTES, MIN_BACKLOG_BYTES, UploadClock
+from notchjunction.net.upstream_connection import UpstreamConnection
 from tests.test_large_bodies import BODY, MB, BodyClient, ScriptedConnection, running_with_scripts
 from tests.test_net import run
 
@@ -107,3 +109,34 @@
             assert told[0] <= deadline_ms - waited_ms + slack_ms
 
     run(scenario())
+
+
+def test_endpoint_is_told_what_is_left_where_a_body_waits_for_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a deadline for the endpoint that counts from when the last byte is read."""
+    deadline_ms, connect_s, slack_ms = 2000, 0.4, 150
+    told: list[int] = []
+    monkeypatch.setattr(StreamBuffers, "piece_size", lambda _: 4096)
+    connect = UpstreamConnection.open
+
+    async def connect_late(connection: UpstreamConnection) -> None:
+        await asyncio.sleep(connect_s)
+        await connect(connection)
+
+    monkeypatch.setattr(UpstreamConnection, "open", connect_late)
+
+    async def scenario() -> None:
+        async def record_deadline(connection: ScriptedConnection) -> None:
+            request, _ = await connection.read_request()
+            told.append(int(request.headers["req-deadline-ms"]))
+            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async with running_with_scripts(record_deadline) as (_, address, _):
+            client = await BodyClient().open(address)
+            client.begin_request(BODY[:150_000], deadline_ms=deadline_ms)
+            client.send(BODY[:150_000])
+            assert (await client.answer()).status == 200
+            assert told[0] <= deadline_ms - connect_s * 1000 + slack_ms
+
+    run(scenario())
