The least memory budget is tested by its amounts, as strictly as before the budget had parts

The check of the minimum had become looser with the budget's parts: it asserts the pool of open requests, room for ten of them, and reading ahead, now. No code changed.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -16,7 +16,10 @@
     COPIES,
     MAX_READ_BYTES,
     MIB,
+    MIN_AVAILABLE_BYTES,
     MIN_READ_BYTES,
+    READ_AHEAD_SHARE,
+    REQUEST_BYTES,
     REQUEST_SHARE,
     STREAM_SHARE,
     WORK_BYTES,
@@ -80,7 +83,10 @@
     budget.set_process_count(2)
     assert budget.buffers.size < whole / 2 and not budget.allows_read_ahead
     smallest = MemoryBudget(1.0, resident=20 * MIB)
-    assert smallest.buffers.size > 0 and smallest.max_clients >= 1 and smallest.max_slow_requests >= 1
+    assert smallest.requests.size == REQUEST_SHARE * MIN_AVAILABLE_BYTES
+    assert smallest.requests.size >= 10 * REQUEST_BYTES  # some requests can always be served
+    smallest.buffers.add(int(READ_AHEAD_SHARE * smallest.buffers.size) - 1)
+    assert smallest.allows_read_ahead and smallest.max_clients >= 10 and smallest.max_slow_requests >= 10
 
 
 def test_clients_are_limited_by_the_memory_of_their_process_and_by_the_descriptors_of_the_node() -> None:
