A request that has ended is freed at once, as before the clock of uploads was shared

Found in the last reading: let the handler of a request refer to its open request, which refers to the handler. So every ended request kept its connection and bytes in memory until the cycle collector ran, which no budget counts.

Change: only an upload lends its clock, and takes it back when it ends.

Measured: a new test in tests/test_upload_clock.py failed before (the open request was still there without the collector), passes now, with the 13 others of the file.

--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -11,7 +11,7 @@
 from notchjunction.net.client_context import ClientContext
 from notchjunction.net.client_state import ConnectionState
 from notchjunction.net.client_stream import ClientStream
-from notchjunction.net.request_handler import RequestHandler
+from notchjunction.net.request_handler import RequestHandler, no_time_elapsed
 from notchjunction.net.request_intake import RequestIntake
 from notchjunction.net.upload_clock import UploadClock
 from notchjunction.net.upstream_connection import CLIENT_CHECK_INTERVAL_S
@@ -45,7 +45,6 @@
         self._state = intake.state
         self._intake = intake
         self._clock = UploadClock(handler.time_left)
-        handler.upload_elapsed = self._update_clock
 
     async def wait_response(self) -> FinalResponse | None:
         """Waits for the response and returns it; None if the client has gone.
@@ -53,6 +52,15 @@
         Raises:
             StreamClosedError: The client had gone before a read began. The handler still runs.
         """
+        if self.upload is not None:
+            self.handler.upload_elapsed = self._update_clock
+        try:
+            return await self._wait_response()
+        finally:
+            # Guards against requests that stay in memory until the cycle collector runs.
+            self.handler.upload_elapsed = no_time_elapsed
+
+    async def _wait_response(self) -> FinalResponse | None:
         handler_task = asyncio.create_task(self.handler.run(self._stream.is_peer_connected))
         error: Response | None = None
         while not handler_task.done():
--- a/notchjunction/net/request_handler.py
+++ b/notchjunction/net/request_handler.py
@@ -48,6 +48,11 @@
 INTERNAL_ERROR_RESPONSE = Response(500)
 
 
+def no_time_elapsed() -> float:
+    """Returns 0 s, for a request without an incomplete body."""
+    return 0.0
+
+
 def internal_error(counters: Counters) -> Response:
     """Counts a request that the node itself failed, and returns the response for it."""
     counters.add("responses_internal_error")
@@ -135,7 +140,7 @@
         deadline = engine.now() + spec.time_left if spec.complete else math.inf
         self._upload_expires_at = math.inf  # s; known once the last byte is received
         # Returns for how long (s) all of an incomplete body may have been sent already.
-        self.upload_elapsed: Callable[[], float] = lambda: 0.0
+        self.upload_elapsed: Callable[[], float] = no_time_elapsed
         self.ledger = RequestLedger(spec.idempotency, deadline, engine.now())
         self._handle = engine.submit(spec)
 
--- a/tests/test_upload_clock.py
+++ b/tests/test_upload_clock.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import math
 import socket
+import weakref
 
 import pytest
 
 from notchjunction.net.body_streaming import StreamBuffers
+from notchjunction.net.open_request import OpenRequest
 from notchjunction.net.upload_clock import MAX_CLIENT_BUFFER_BYTES, MIN_BACKLOG_BYTES, UploadClock
 from notchjunction.net.upstream_connection import UpstreamConnection
-from tests.test_large_bodies import BODY, MB, BodyClient, ScriptedConnection, running_with_scripts
+from tests.test_large_bodies import (
+    BODY,
+    MB,
+    BodyClient,
+    ScriptedConnection,
+    echo,
+    running_with_scripts,
+    wait_until_idle,
+)
 from tests.test_net import run
 
 
@@ -140,3 +151,31 @@
             assert told[0] <= deadline_ms - connect_s * 1000 + slack_ms
 
     run(scenario())
+
+
+def test_request_that_has_ended_is_freed_without_the_cycle_collector() -> None:
+    """Guards against memory of ended requests that grows until the collector runs."""
+    ended: list[weakref.ref[OpenRequest]] = []
+
+    async def scenario() -> None:
+        async with running_with_scripts(echo) as (node, address, _):
+            client = await BodyClient().open(address)
+            client.begin_request(BODY)
+            client.send(BODY[:-1])
+            while not any(connection._open_request for connection in node._clients.connections):
+                await asyncio.sleep(0.002)
+            (connection,) = node._clients.connections
+            open_request = connection._open_request
+            assert open_request is not None
+            ended.append(weakref.ref(open_request))
+            del connection, open_request
+            client.send(BODY[-1:])
+            assert (await client.read_response())[0] == 200
+            await wait_until_idle(node)
+            assert ended[0]() is None
+
+    gc.disable()
+    try:
+        run(scenario())
+    finally:
+        gc.enable()
