Why a request was refused and how its body stood are in the flight recorder

A body that is streamed had no entry between its acceptance and its answer, and the reasons of refusals and failed attempts were dropped.

Change: entries for a body that its endpoint holds back, for the end of a body, and for each refusal with its reason; the reason of a failed attempt; counters uploads_held_back and uploads_expired. No decision changes.

--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -270,37 +270,45 @@
         if refusal is Refusal.CONNECTION_CLOSING:
             # Guards against a request that arrives as its connection is closed: no response could be sent.
             return None
-        if refusal is None and (self._state.over_limit or not await self._reserve_memory(request)):
+        shortage = None if refusal is not None else await self._find_shortage(request)
+        if shortage is not None:
             self._note_accepted(request_id, spec, waited)
+            self._note_refused(request_id, shortage)
             self._context.counters.add("responses_rejected")
             return Response(503)
         if self._state.closing:
             return None  # closed while it waited for memory
         if refusal is not None or not await self._context.take_id(request_id, spec):
             # Guards against responses confused between requests of one id, here and at endpoints.
+            self._note_refused(request_id, "its id is taken")
             return self._client_error(409)
         if not request.more_body or self._intake.may_be_sent():
             spec = replace(spec, time_left=spec.time_left - (self._context.clock() - asked_at))
         self._note_accepted(request_id, spec, waited)
         return spec
 
-    async def _reserve_memory(self, request: Request) -> bool:
-        """Reserves what the open request will use; returns False if there is no room.
+    async def _find_shortage(self, request: Request) -> str | None:
+        """Reserves what the open request will use; returns what there is not enough of, if anything.
 
         Guards against more requests than fit into the node's memory limit, and against slow uploads that
         leave no room for other requests.
         """
+        if self._state.over_limit:
+            return "too many clients are connected"
         is_upload = request.more_body
         if is_upload and self._context.streams.uploads >= self._context.max_uploads:
             self._context.counters.add("uploads_over_limit")
-            return False
+            return "too many uploads are open"
         timeout = UPLOAD_MEMORY_TIMEOUT_S if is_upload else REQUEST_MEMORY_TIMEOUT_S
         if self._context.descriptors.full_for_clients():
             timeout = 0.0  # guards against clients that wait for memory and keep out others
         if await self._memory.open(timeout):
-            return True
+            return None
         self._context.memory_shortage.report("upload" if is_upload else "request")
-        return False
+        return "no memory for it"
+
+    def _note_refused(self, request_id: str, why: str) -> None:
+        self._context.counters.recorder.note(Occurrence.REQUEST_REFUSED, request_id, why=why)
 
     def _note_accepted(self, request_id: str, spec: RequestSpec, waited: float) -> None:
         self._context.counters.add("requests_received")
--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -45,6 +45,9 @@
         self._state = intake.state
         self._intake = intake
         self._clock = UploadClock(handler.time_left)
+        self._held_back_at: float | None = (
+            None  # s; when its endpoint first left no room for more of the body
+        )
 
     async def wait_response(self) -> FinalResponse | None:
         """Waits for the response and returns it; None if the client has gone.
@@ -57,6 +60,8 @@
         try:
             return await self._wait_response()
         finally:
+            if self.upload is not None and not self.upload.complete:
+                self._note_body_ended("incomplete")
             # Guards against requests that stay in memory until the cycle collector runs.
             self.handler.upload_elapsed = no_time_elapsed
 
@@ -69,10 +74,13 @@
                 is_client_gone = await self._wait_complete(handler_task)
             elif self._is_overdue():
                 error = Response(503)  # its last byte was never sent on, so it has not run
+                self._context.counters.add("uploads_expired")
+                self._note_refused("its time is over and its body incomplete")
                 break
             elif upload.has_room():
                 error, is_client_gone = await self._wait_for_body(handler_task), False
             else:
+                self._note_held_back()
                 is_client_gone = not await self._wait_for_room(handler_task, upload)
             if is_client_gone:
                 self._cancel_for_client()
@@ -134,6 +142,7 @@
         )
         # Guards against a late event loop: a response that is ready by now is not replaced by 408.
         if timed_out and not self._intake.has_read() and not handler_task.done():
+            self._note_refused("its body came too slowly")
             return client_error(self._context, self._state, 408)
         return None
 
@@ -161,13 +170,43 @@
             if self.upload is not None and not self.upload.complete:
                 self.upload.put(*self._intake.parser.take_piece())
                 if self.upload.complete:
+                    self._note_body_ended("complete")
                     self.handler.report_body_complete(self._clock.elapsed(self._context.clock()))
         except MalformedMessageError as malformed:
+            self._note_refused(str(malformed))
             return client_error(self._context, self._state, malformed.status)
         if self._intake.is_over_discard_limit():
+            self._note_refused("its client sent too much ahead")
             return client_error(self._context, self._state, 413)
         return None
 
+    def _note_refused(self, why: str) -> None:
+        self._context.counters.recorder.note(Occurrence.REQUEST_REFUSED, self.handler.request_id, why=why)
+
+    def _note_held_back(self) -> None:
+        """Records that the endpoint takes the body more slowly than the client sends it, once a request."""
+        if self._held_back_at is None:
+            self._held_back_at = self._context.clock()
+            self._context.counters.add("uploads_held_back")
+            self._note_body(Occurrence.BODY_HELD_BACK)
+
+    def _note_body_ended(self, state: str) -> None:
+        held_back_s = 0.0 if self._held_back_at is None else self._context.clock() - self._held_back_at
+        self._note_body(Occurrence.BODY_ENDED, state=state, held_back=round(held_back_s, 3))
+
+    def _note_body(self, occurrence: Occurrence, **facts: str | float) -> None:
+        """Records an event of the body, with what the node knows of it at this moment."""
+        parser = self._intake.parser
+        self._context.counters.recorder.note(
+            occurrence,
+            self.handler.request_id,
+            received=parser.body_received,
+            unread=self._stream.unread_bytes(),
+            missing=parser.bytes_missing,
+            elapsed=round(self._clock.elapsed(self._context.clock()), 3),
+            **facts,
+        )
+
     def _cancel_for_client(self) -> None:
         """Withdraws the request, as its client has gone: neither a response nor an attempt is needed."""
         self.handler.ledger.client_gone = True
@@ -178,4 +217,5 @@
         """Rejects a request whose body is incomplete, as the node shuts down. The request has not run."""
         if self.upload is not None and not self.upload.complete and not self._state.upload_rejected:
             self._state.upload_rejected = True
+            self._note_refused("the node shuts down and its body is incomplete")
             self.handler.cancel()
--- a/notchjunction/net/upstream.py
+++ b/notchjunction/net/upstream.py
@@ -238,6 +238,7 @@
             kept_headers=KEPT_RESPONSE_HEADERS,
         )
         first_bytes_after: float | None = None
+        why: str | None = None  # the reason of a failure
         loop = asyncio.get_running_loop()
 
         def all_written() -> None:
@@ -288,17 +289,18 @@
                 await download.ended
                 # Guards against the rest of a response whose client has gone being read as the next response.
                 keep = download.finished and parser.connection_reusable() and not download.moved
-        except AttemptWithheldError:
-            result, keep = AttemptResult.NOT_SENT, not writing
-        except NoDescriptorError:
-            result = AttemptResult.NOT_SENT
-        except RequestNotSentError:
-            result = AttemptResult.NO_CONNECTION
-        except ConnectionLostError:
-            result = AttemptResult.RESET
+        except AttemptWithheldError as error:
+            result, keep, why = AttemptResult.NOT_SENT, not writing, str(error)
+        except NoDescriptorError as error:
+            result, why = AttemptResult.NOT_SENT, str(error)
+        except RequestNotSentError as error:
+            result, why = AttemptResult.NO_CONNECTION, str(error)
+        except ConnectionLostError as error:
+            result, why = AttemptResult.RESET, str(error)
             if connection is not None and connection.has_served:
                 self._reset_at = self._clock()
-        except MalformedMessageError:
+        except MalformedMessageError as error:
+            why = str(error)
             # The endpoint's own fault: a malformed response further down the call chain arrives as an error.
             result = AttemptResult.MALFORMED
         except TimeoutError:
@@ -315,6 +317,7 @@
             after=round(self._clock() - started_at, 4),
             received=parser.body_received,
             kept=str(keep),
+            why=why or None,
         )
         if result is AttemptResult.TIMED_OUT and parser.in_body:
             self._counters.add("responses_abandoned")
--- a/notchjunction/telemetry/flight_recorder.py
+++ b/notchjunction/telemetry/flight_recorder.py
@@ -30,8 +30,11 @@
     """A kind of event. The values are written as the event of log lines."""
 
     REQUEST_ACCEPTED = "request taken"
+    REQUEST_REFUSED = "request refused"
     REQUEST_ANSWERED = "request answered"
     CLIENT_GONE = "client gone"
+    BODY_HELD_BACK = "request body held back"
+    BODY_ENDED = "request body ended"
     CLIENT_CONNECTION_CLOSED = "client connection closed"
     ATTEMPT_ORDERED = "attempt ordered"
     ATTEMPT_WRITTEN = "attempt written"
