A client's time counts from when its last byte may have been sent, until that is certain to be later

Cause: since when the last byte may have been sent was guessed by how much waits unread and whether more arrives.

Change: the clock keeps the latest moment at which the last byte had certainly not been sent, and the time runs from there. Proof is that all that arrived was read while the client could send, or that more arrived later than its system can hold. The intake owns the clock from the first byte on, so waits for memory, quotas and connections count.

--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -282,7 +282,9 @@
             # Guards against responses confused between requests of one id, here and at endpoints.
             self._note_refused(request_id, "its id is taken")
             return self._client_error(409)
-        if not request.more_body or self._intake.may_be_sent():
+        if request.more_body:
+            self._intake.note_held_back()
+        else:
             spec = replace(spec, time_left=spec.time_left - (self._context.clock() - asked_at))
         self._note_accepted(request_id, spec, waited)
         return spec
--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -13,7 +13,6 @@
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.request_handler import RequestHandler, no_time_elapsed
 from notchjunction.net.request_intake import RequestIntake
-from notchjunction.net.upload_clock import UploadClock
 from notchjunction.net.upstream_connection import CLIENT_CHECK_INTERVAL_S
 from notchjunction.telemetry.flight_recorder import Occurrence
 
@@ -44,7 +43,6 @@
         self._stream = stream
         self._state = intake.state
         self._intake = intake
-        self._clock = UploadClock(handler.time_left)
         self._held_back_at: float | None = (
             None  # s; when its endpoint first left no room for more of the body
         )
@@ -56,7 +54,7 @@
             StreamClosedError: The client had gone before a read began. The handler still runs.
         """
         if self.upload is not None:
-            self.handler.upload_elapsed = self._update_clock
+            self.handler.upload_elapsed = self._intake.observe_upload
         try:
             return await self._wait_response()
         finally:
@@ -80,6 +78,7 @@
             elif upload.has_room():
                 error, is_client_gone = await self._wait_for_body(handler_task), False
             else:
+                self._intake.note_held_back()
                 self._note_held_back()
                 is_client_gone = not await self._wait_for_room(handler_task, upload)
             if is_client_gone:
@@ -125,15 +124,7 @@
 
         Guards against a response seconds after the client's deadline, where an endpoint takes a body slowly.
         """
-        self._update_clock()
-        return self._clock.has_expired(self._context.clock())
-
-    def _update_clock(self) -> float:
-        """Returns for how long (s) the client may have sent all of its incomplete body."""
-        now = self._context.clock()
-        parser = self._intake.parser
-        self._clock.update(now, parser.body_received, self._stream.unread_bytes(), parser.bytes_missing)
-        return self._clock.elapsed(now)
+        return self._intake.observe_upload() >= self.handler.time_left
 
     async def _wait_for_body(self, handler_task: asyncio.Task[FinalResponse | None]) -> Response | None:
         """Waits for the response or more of the body. Returns the error response if the body is too slow."""
@@ -171,7 +162,7 @@
                 self.upload.put(*self._intake.parser.take_piece())
                 if self.upload.complete:
                     self._note_body_ended("complete")
-                    self.handler.report_body_complete(self._clock.elapsed(self._context.clock()))
+                    self.handler.report_body_complete(self._intake.upload_elapsed())
         except MalformedMessageError as malformed:
             self._note_refused(str(malformed))
             return client_error(self._context, self._state, malformed.status)
@@ -203,7 +194,7 @@
             received=parser.body_received,
             unread=self._stream.unread_bytes(),
             missing=parser.bytes_missing,
-            elapsed=round(self._clock.elapsed(self._context.clock()), 3),
+            elapsed=round(self._intake.upload_elapsed(), 3),
             **facts,
         )
 
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -14,6 +14,7 @@
 from notchjunction.net.client_state import ConnectionState, ManagedConnection
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.socket_stream import discard_unread
+from notchjunction.net.upload_clock import UploadClock
 from notchjunction.net.upstream_connection import READ_CHUNK_BYTES, start_read
 from notchjunction.net.write_stall import MIN_BYTES_PER_S
 from notchjunction.safety.preconditions import ConnectionFacts, may_close
@@ -69,6 +70,8 @@
         # s; since when bytes that were sent before the accept may have been queued.
         self._queued_since: float | None = None
         self._read_started_at = self.arrived_at  # s; start of the latest read
+        self._request_began_at = self.arrived_at  # s; when the first byte of the current request arrived
+        self._upload_clock: UploadClock | None = None  # of the current request, once it takes further reads
         self._body_waited = 0.0  # s spent waiting for the current body
         self._reserved = 0  # bytes of memory for the body of the current request
         self._unparsed = 0  # bytes of heads and of further requests, which count as reserved, too
@@ -118,6 +121,7 @@
         """Starts the idle phase between two requests, unless part of the next one has been read."""
         now = self._context.clock()
         self._body_waited = 0.0
+        self._request_began_at, self._upload_clock = self.arrived_at, None
         self.release_memory()
         self._count_unparsed()
         if self.parser.started:
@@ -205,10 +209,36 @@
             return min(limit, max(1, self.parser.bytes_to_buffer))
         return min(limit, self.parser.read_limit)
 
-    def may_be_sent(self) -> bool:
-        """Whether the client may have sent all of the current body, read or not: then its time counts."""
-        missing, unread = self.parser.bytes_missing, self._stream.unread_bytes()
-        return self.has_read() or (unread > 0 if missing is None else unread >= missing)
+    def note_held_back(self) -> None:
+        """Records that the current body is not read now, as there is no room for more of it."""
+        self._clock_of_upload().note_held_back(self._context.clock())
+
+    def observe_upload(self) -> float:
+        """Returns for how long (s) the client may have sent all of the current body, which is incomplete."""
+        now = self._context.clock()
+        clock = self._clock_of_upload()
+        if not self.has_read():
+            clock.observe(now, self._stream.unread_bytes(), self.parser.bytes_missing)
+        return clock.elapsed(now)
+
+    def upload_elapsed(self) -> float:
+        """Returns the same as observed last, also for a body whose last byte has just been read."""
+        return self._clock_of_upload().elapsed(self._context.clock())
+
+    def _clock_of_upload(self) -> UploadClock:
+        if self._upload_clock is None:
+            self._upload_clock = UploadClock(self._request_began_at)
+        return self._upload_clock
+
+    def _clock_read(self, arrived_at: float, size: int) -> None:
+        """Tells the clock of the current request of a read. A request of one read needs no clock."""
+        if not self.parser.started:
+            self._request_began_at, self._upload_clock = self.arrived_at, None
+            return
+        clock = self._clock_of_upload()
+        if arrived_at > self._read_started_at:
+            clock.observe(arrived_at, 0, self.parser.bytes_missing)
+        clock.note_read(self._context.clock(), size, self._stream.unread_bytes())
 
     def may_read_ahead(self) -> bool:
         """Whether bytes of further requests are read while a request is open, although memory is short."""
@@ -266,12 +296,15 @@
         reading, self._reading = self._reading, None
         piece = reading.result()
         now = self._context.clock()
+        # Guards against a late event loop whose delay is added to the time that the client allows.
+        arrived_at = now - max(0.0, time.monotonic() - self._stream.arrived_at)
         # A request's time left counts from its last byte; from its first if sent ahead, the only one known.
         if not self.state.request_open or not self.parser.started:
-            # Guards against a late event loop whose delay is added to the time that the client allows.
-            self.arrived_at = now - max(0.0, time.monotonic() - self._stream.arrived_at)
+            self.arrived_at = arrived_at
         if self._queued_since is not None:
             self.arrived_at, self._queued_since = min(self.arrived_at, self._queued_since), None
+        if not self.state.request_open or self.parser.streaming:
+            self._clock_read(arrived_at, len(piece))
         if not self.parser.started:
             if self._connection in self._context.phases.idle:
                 self._times_out_at = now + HEAD_TIMEOUT_S
