The hold of a long answer ends before the client's time does, also where its request was taken slowly

What callers saw: 502 as their time ended, while the server was still writing a long answer to a large request.

Cause: the first bytes of a long answer are held back until 0.2 s before the attempt times out. After an upload that timeout starts at its last byte written, and the client's time earlier, at its last byte sent: it ended first, with the answer in hand.

Change: the hold goes by the earlier of the two. Evidence: the test failed in 3 of 3 plays, 502; 3 of 3 pass now.

--- a/notchjunction/net/upstream.py
+++ b/notchjunction/net/upstream.py
@@ -250,7 +250,9 @@
 
         def time_left() -> float:
             times_out_at = limit.when()
-            return math.inf if times_out_at is None else times_out_at - loop.time()
+            until_timeout = math.inf if times_out_at is None else times_out_at - loop.time()
+            # The client's time, which may end before the timeout where an upload took long.
+            return min(until_timeout, attempt.upload_expires_at() - self._clock())
 
         try:
             async with asyncio.timeout(None if upload is not None else timeout) as limit:
