A head without a stated length counts as an answer, so that its attempt's timeout does not cut it off

What callers saw: 503 while a server was still writing a long answer in chunks, or to the connection's end, which had sent its head and paused for longer than the class's objective.

Cause: such an answer counted as begun only with a byte of its body; a head with a long length counted at once.

--- a/notchjunction/http1/parser.py
+++ b/notchjunction/http1/parser.py
@@ -455,14 +455,18 @@
         """Whether `start_streaming` is possible, however short the body may be: part of it is there."""
         return self._in_body and len(self._body) > 0 and self._max_body > self._max_buffered_body
 
+    def may_be_large(self) -> bool:
+        """Whether the incomplete body is large, or may be as its length is not stated."""
+        if not self._in_body or self._max_body <= self._max_buffered_body:
+            return False
+        return self.length is None or self.length > self._max_buffered_body
+
     def can_stream_early(self) -> bool:
         """Whether `start_streaming` is worth it before the body is complete.
 
         The body's length has to be stated and large, or part of it is there and it may turn out to be large.
         """
-        if not self._in_body or self._max_body <= self._max_buffered_body:
-            return False
-        return len(self._body) > 0 if self.length is None else self.length > self._max_buffered_body
+        return self.may_be_large() and (self.length is not None or len(self._body) > 0)
 
     def start_streaming(self) -> Response:
         """Returns the response with what has been received of its body; `take_piece` returns the rest."""
--- a/notchjunction/net/upstream_connection.py
+++ b/notchjunction/net/upstream_connection.py
@@ -125,6 +125,20 @@
     return str(getattr(error, "real_error", None) or error)
 
 
+def _hold_left(parser: ResponseReader, held: float, time_left: float) -> float:
+    """Returns for how long (s) a response that may be large is still held back, if nothing further arrives.
+
+    Args:
+        parser: Has received its head at least.
+        held: How long it has been held, in s.
+        time_left: The time in s until the exchange times out.
+    """
+    until_timeout = time_left - RESPONSE_START_MARGIN_S
+    if not parser.can_stream_early():
+        return until_timeout
+    return 0.0 if held >= RESPONSE_HOLD_S else min(until_timeout, MAX_RESPONSE_HOLD_S - held)
+
+
 class UpstreamConnection:
     """A connection to an address, and the state of the exchange on it."""
 
@@ -233,11 +247,9 @@
                 if not has_room:
                     return parser.start_streaming()
             read_size = min(parser.read_limit, memory.read_size())
-            if head_at is not None and parser.can_stream_early():
-                held = clock() - head_at
-                max_wait = min(MAX_RESPONSE_HOLD_S - held, time_left() - RESPONSE_START_MARGIN_S)
-                is_hold_over = held >= RESPONSE_HOLD_S or max_wait <= 0
-                if is_hold_over or not await self._wait_received(read_size, max_wait):
+            if head_at is not None and parser.may_be_large():
+                hold_left = _hold_left(parser, clock() - head_at, time_left())
+                if hold_left <= 0 or not await self._wait_received(read_size, hold_left):
                     return parser.start_streaming()
             try:
                 parser.feed(await self.read(read_size))
@@ -252,7 +264,7 @@
     async def _wait_received(self, max_bytes: int, timeout: float) -> bool:
         """Waits up to `timeout` s for bytes or the end of the connection. Returns whether `read` has them."""
         reading = self.start_reading(max_bytes)
-        await asyncio.wait({reading}, timeout=timeout)
+        await asyncio.wait({reading}, timeout=None if math.isinf(timeout) else timeout)
         return reading.done()
 
     async def _write_body(
