At the limit of clients, one that is answered and has stopped in its body makes room for a new one

What callers saw: under 32 MB, beside 100 clients that stop in a body, usual clients were answered 503.

Cause: 74 of the crowd had been refused themselves, and kept their places while the rest of their bodies was awaited.

Change: such a client is closed at once if it has sent nothing for 0.25 s.

--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -236,6 +236,16 @@
         if self._discarding:
             self._closer.end_sending_and_close_later()
 
+    def close_if_stopped(self) -> bool:
+        """Closes the connection at once if its request is answered and its client sends no more of the body.
+
+        Returns whether it did.
+        """
+        if not self._discarding or not self._intake.has_stopped():
+            return False
+        self._closer.end_sending()
+        return self.close_if_idle()
+
     def close_if_idle(self) -> bool:
         """Closes the connection at once if no request is open on it. Returns whether it did."""
         if not self._closer.end_sending_and_discard():
--- a/notchjunction/net/client_state.py
+++ b/notchjunction/net/client_state.py
@@ -18,6 +18,12 @@
     def reject_partial_head(self) -> None:
         """Responds 408 to an incomplete request head and closes the sending side, unless bytes are unread."""
 
+    def close_if_stopped(self) -> bool:
+        """Closes the connection at once if its request is answered and its client sends no more of the body.
+
+        Returns whether it did.
+        """
+
     def stop_discarding(self) -> None:
         """Closes the sending side if the request is answered and only the rest of its body is read."""
 
--- a/notchjunction/net/descriptor_pressure.py
+++ b/notchjunction/net/descriptor_pressure.py
@@ -71,10 +71,23 @@
     def _make_room(self) -> bool:
         """Closes an idle client, or an idle upstream connection if clients are within their share."""
         self._stop_discarding()
-        return self.close_oldest() or (
-            not self._descriptors.clients_over_share() and self._close_idle_upstream()
+        return (
+            self.close_oldest()
+            or self._close_stopped()
+            or (not self._descriptors.clients_over_share() and self._close_idle_upstream())
         )
 
+    def _close_stopped(self) -> bool:
+        """Closes a client that is answered and sends no more of its body. Returns whether it did.
+
+        Guards against rejecting usual clients for the sake of a crowd that was rejected itself and stays.
+        """
+        for connection in list(islice(self._phases.discarding, MAX_CANDIDATES)):
+            if connection.close_if_stopped():
+                self._counters.add("client_connections_shed")
+                return True
+        return False
+
     def make_room_past_margin(self) -> bool:
         """Makes room for a client that could not even be rejected otherwise. Returns whether it did.
 
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -26,6 +26,9 @@
 # A body may be this much later than at BODY_MIN_RATE, and pause for as long, as slow clients pause. A client
 # that stops in the middle of a request gets its response within 3 s of its last byte.
 BODY_GRACE_S = 2.2
+# A client whose request is answered, and that sends nothing for this time, may be closed to let in another:
+# longer than most round trips.
+STOPPED_AFTER_S = 0.25
 # A client over the descriptor limit has this time to send the one request that is rejected.
 REJECTED_TIMEOUT_S = 1.0
 # A connection without a request is closed after this time. Longer than pauses in traffic.
@@ -209,6 +212,12 @@
             return min(limit, max(1, self.parser.bytes_to_buffer))
         return min(limit, self.parser.read_limit)
 
+    def has_stopped(self) -> bool:
+        """Whether the client has sent nothing for a while although the node was reading."""
+        if self._reading is None or self._reading.done() or self._stream.has_unread():
+            return False
+        return self._context.clock() >= self._read_started_at + STOPPED_AFTER_S
+
     def note_held_back(self) -> None:
         """Records that the current body is not read now, as there is no room for more of it."""
         self._clock_of_upload().note_held_back(self._context.clock())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -37,6 +37,7 @@
     write_stall,
 )
 from notchjunction.net.body_streaming import StreamBuffers, Upload
+from notchjunction.net.client_registry import ClientRegistry
 from notchjunction.net.descriptors import Descriptors
 from notchjunction.net.discovery_client import DiscoveryClient
 from notchjunction.net.request_handler import request_spec_of
@@ -46,7 +47,7 @@
 from notchjunction.telemetry.counters import Counters
 from notchjunction.telemetry.logs import KeyValueFormatter, pairs
 from notchjunction.upgrade import shutdown
-from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, configuration, news, rows, running
+from tests.helpers import FULL, OK, SILENT, Client, Peer, Reply, configuration, news, rows, running, wire_of
 
 PROGRAM = [sys.executable, "-m", "notchjunction"]
 REQUEST = Request(
@@ -1131,6 +1132,36 @@
     run(scenario())
 
 
+def test_when_descriptors_are_short_a_rejected_client_that_stopped_in_its_body_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against rejecting usual clients for the sake of a crowd that was rejected itself and stays."""
+    monkeypatch.setattr(descriptor_pressure, "MIN_DISCARDING_S", 60.0)
+    monkeypatch.setattr(ClientRegistry, "max_uploads", 0)
+
+    async def scenario() -> None:
+        async with Peer() as peer, running(peer, sockets=28) as (node, address):
+            clients = [await Client().open(address) for _ in range(7)]
+            for number, client in enumerate(clients):
+                client.send(wire_of(number, extra="Content-Length: 90000\r\n").replace(b"GET", b"POST"))
+                client.send(b"x" * 70_000)
+                assert (await client.answer()).status == 503
+            sending_until = asyncio.get_running_loop().time() + 0.35
+            while asyncio.get_running_loop().time() < sending_until:
+                clients[0].send(b"x" * 10)
+                await asyncio.sleep(0.02)
+            clients[0].send(b"x" * 10)
+            for number in range(100, 105):
+                new_client = await Client().open(address)
+                new_client.send(wire_of(number))
+                assert (await new_client.answer()).status == 200
+            assert node.counters.read().get("client_connections_rejected", 0) == 0
+            assert node.counters.read()["client_connections_shed"] >= 1 and await clients[1].closed()
+            assert not clients[0]._reader.at_eof()
+
+    run(scenario())
+
+
 def test_silent_clients_leave_descriptors_for_connections_to_servers() -> None:
     async def scenario() -> None:
         async with Peer() as peer, running(peer, sockets=28) as (node, address):
