The soak draws backends that read long requests slowly or not at all, and bodies long after their head

Backends of such a run use small segments and receive buffers; clients send 100 to 900 KB, half of them in chunks, read while they write, and their time counts from when their system has taken the last byte.

--- a/notchjunction/soak/backend.py
+++ b/notchjunction/soak/backend.py
@@ -31,6 +31,11 @@
 LUMPS = 4  # of a long response with pauses
 MIN_LUMP_PAUSE_S, MAX_LUMP_PAUSE_S = 0.2, 0.8  # between the lumps
 LARGE_BODY_SIZE = 200 * 1024  # bytes; large enough that a node forwards the response in chunks
+# Loopback holds megabytes of a body in its buffers; with these sizes it holds as little as a network.
+SEGMENT_BYTES = 1400
+RECEIVE_BUFFER_BYTES = 8 * 1024
+READ_AT_ONCE_BYTES = 20_000  # of a body, before a backend reads slowly
+READ_PAUSE_S = 0.1  # between two reads of a backend that reads slowly
 
 
 class Trouble(Enum):
@@ -57,6 +62,15 @@
     LONG_RESET = auto()  # a large response without a length, in chunks, reset midway
     SLOW_RESET = auto()  # the connection is reset long after the request was read
     LUMPS = auto()  # a large body that comes in lumps with long pauses
+    LATE_BODY = auto()  # a large body without a length that comes long after its head
+
+
+class ReadingPace(Enum):
+    """How a backend reads a long request."""
+
+    FULL = auto()
+    SLOW = auto()  # about 100 kB a second
+    STOPPED = auto()
 
 
 # Troubles with which a client can't get a complete response.
@@ -78,6 +92,7 @@
     trouble_share: float = 0.0  # share of requests that get one of `troubles`, from 0 to 1
     troubles: tuple[Trouble, ...] = (Trouble.ERROR,)
     hangs: bool = False  # reads requests and responds to none
+    reading: ReadingPace = ReadingPace.FULL
     idle_seconds: float = 30.0  # after which an idle connection is closed
 
 
@@ -111,6 +126,7 @@
         self.journal = journal
         self.random = random
         self.id_of = id_of
+        self.holds_little = False  # its connections hold as few bytes as those of a network
         self.capacity = inf  # requests per CAPACITY_SPAN_S; further ones are declined
         self._admitted_at: deque[float] = deque()
         self._listener: asyncio.Server | None = None
@@ -119,9 +135,13 @@
     async def open(self) -> None:
         """Listens at a free port, or at the address used before."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: BackendConnection(self), *self.address, backlog=BACKLOG, reuse_address=True
-        )
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.holds_little:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.bind(self.address)
+        self._listener = await loop.create_server(lambda: BackendConnection(self), sock=sock, backlog=BACKLOG)
         self.address = self._listener.sockets[0].getsockname()[:2]
 
     def crash(self) -> None:
@@ -216,6 +236,24 @@
                 self._on_request(request, now)
         except MalformedMessageError:
             self.abort()
+        if self._is_held_back():
+            assert self._transport is not None
+            self._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            loop.call_later(READ_PAUSE_S, self._continue_reading)
+
+    def _is_held_back(self) -> bool:
+        """Whether the request that is being read is so long that the backend reads it at its pace."""
+        is_long = self._requests.in_body and self._requests.body_received >= READ_AT_ONCE_BYTES
+        return is_long and self._backend.behaviour.reading is not ReadingPace.FULL
+
+    def _continue_reading(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._backend.behaviour.reading is ReadingPace.STOPPED:
+            asyncio.get_running_loop().call_later(READ_PAUSE_S, self._continue_reading)
+        else:
+            self._transport.resume_reading()
 
     def abort(self) -> None:
         """Resets the connection."""
@@ -270,13 +308,13 @@
         if self._transport is None or self._transport.is_closing():
             return
         body = f"{request_id}@{self._backend.name}#{self._backend.random.randrange(1 << 30)}".encode()
-        if trouble in (Trouble.LARGE, Trouble.LUMPS):
+        if trouble in (Trouble.LARGE, Trouble.LUMPS, Trouble.LATE_BODY):
             body += b"." * LARGE_BODY_SIZE
         wire = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         complete = trouble not in INCOMPLETE
         if complete:
             self._backend.journal.response_bodies.setdefault(request_id, set()).add(body)
-        if trouble is Trouble.LUMPS:
+        if trouble in (Trouble.LUMPS, Trouble.LATE_BODY):
             self._backend.journal.long_responses.add(request_id)
         elif complete and trouble is not Trouble.DRIP:
             self._pending_request = None
@@ -352,6 +390,12 @@
             delay += self._backend.random.uniform(MIN_LUMP_PAUSE_S, MAX_LUMP_PAUSE_S)
         self._call_later(delay, self._send_last_lump, wire[step * (LUMPS - 1) :])
 
+    def _send_late_body(self, _: bytes, body: bytes) -> None:
+        self._long_response_at = asyncio.get_running_loop().time()
+        self._write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        delay = self._backend.random.uniform(MIN_LUMP_PAUSE_S, MAX_LUMP_PAUSE_S)
+        self._call_later(delay, self._send_last_lump, b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body))
+
     def _send_last_lump(self, lump: bytes) -> None:
         self._long_response_at = self._pending_request = None
         self._write(lump)
@@ -404,4 +448,5 @@
     Trouble.SLOW_RESET: BackendConnection._reset_slowly,
     Trouble.CLOSING: BackendConnection._send_closing,
     Trouble.LUMPS: BackendConnection._send_lumps,
+    Trouble.LATE_BODY: BackendConnection._send_late_body,
 }
--- a/notchjunction/soak/client.py
+++ b/notchjunction/soak/client.py
@@ -28,6 +28,11 @@
 HALF_CLOSED_S = 0.2  # for which a client keeps a connection after closing its sending side
 PIPELINE_DEPTH = 3  # requests written at once on one connection
 LARGE_BODY_SIZE = 150 * 1024  # bytes; large enough that a node forwards the request in chunks
+# Bytes of long bodies: some of them more than all buffers on the way to a backend hold.
+MIN_LONG_BODY_SIZE, MAX_LONG_BODY_SIZE = 100 * 1024, 900 * 1024
+LONG_BODY_INTERVAL_S = 0.1  # between two requests with a long body
+SEGMENT_BYTES = 1400  # of their connections, as on a network
+MAX_SENDING_S = 12.0  # longer than a node waits for a backend that reads nothing
 
 
 class WritingStyle(Enum):
@@ -44,9 +49,12 @@
     CHUNKED = auto()  # uses the chunked transfer coding
     EXPECTS = auto()  # sends Expect: 100-continue, and its body later
     NONSENSE = auto()  # writes bytes that are not HTTP
+    LONG = auto()  # writes a long body as fast as the node takes it
+    LONG_CHUNKED = auto()  # the same in the chunked transfer coding
 
 
 CANCELLING_STYLES = (WritingStyle.LEAVES, WritingStyle.RESETS, WritingStyle.HALF_CLOSES)
+LONG_STYLES = (WritingStyle.LONG, WritingStyle.LONG_CHUNKED)
 
 
 @dataclass(slots=True)
@@ -140,6 +148,58 @@
         for connection in connections:
             connection.writer.close()
 
+    async def send_long_bodies(self, seconds: float) -> None:
+        """Sends requests with long bodies for so many seconds, one after another to random nodes."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            ready = [node for node in self._nodes if self._accepts_connections(node, loop.time())]
+            if ready:
+                self._spawn(self._send_long_body(self._random.choice(ready)))
+            await asyncio.sleep(LONG_BODY_INTERVAL_S)
+
+    async def _send_long_body(self, node: SoakNode) -> None:
+        """Sends a request with a long body on a new connection, and reads while it writes."""
+        with suppress(OSError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                connection = await self._connect(node, SEGMENT_BYTES)
+            connection.writer.transport.set_write_buffer_limits(0)
+            effect = self._random.choice((Effect.KEYED, Effect.UNSAFE))
+            exchange = self._new_exchange(connection, effect, self._random.choice(self.traffic.deadlines))
+            wire = self._encode(exchange, self._random.choice(LONG_STYLES), f"k{exchange.request}")
+            try:
+                with recording_end(exchange):
+                    await self._exchange_long(connection, exchange, wire)
+            finally:
+                connection.writer.close()
+
+    async def _exchange_long(self, connection: ClientConnection, exchange: Exchange, wire: bytes) -> None:
+        """Writes a long request and reads the response; the deadline counts from the last byte written.
+
+        Raises:
+            TimeoutError: the response did not arrive in time.
+        """
+        loop = asyncio.get_running_loop()
+        writing = loop.create_task(self._write_long(connection, exchange, wire))
+        reading = loop.create_task(self._read_response(connection, exchange))
+        try:
+            await asyncio.wait({reading, writing}, timeout=MAX_SENDING_S, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait({reading}, timeout=exchange.deadline_seconds + RESPONSE_GRACE_S)
+            if exchange.response_begun and exchange.request in self._journal.long_responses:
+                await asyncio.wait({reading}, timeout=LONG_RESPONSE_S)
+            if not reading.done():
+                raise TimeoutError
+            reading.result()
+        finally:
+            reading.cancel()
+            writing.cancel()
+            await asyncio.gather(writing, return_exceptions=True)
+
+    async def _write_long(self, connection: ClientConnection, exchange: Exchange, wire: bytes) -> None:
+        connection.writer.write(wire)
+        await connection.writer.drain()
+        exchange.sent_at = asyncio.get_running_loop().time()
+
     def cancel_share(self, share: float) -> None:
         """Cancels a random share of the requests in progress; their clients close the connection."""
         for task in list(self._tasks):
@@ -251,8 +311,17 @@
             return now < node.terminated_at + NEW_CONNECTIONS_SPAN_S
         return node.ready
 
-    async def _connect(self, node: SoakNode) -> ClientConnection:
-        reader, writer = await asyncio.open_connection(*node.listen)
+    async def _connect(self, node: SoakNode, segment_bytes: int | None = None) -> ClientConnection:
+        sock = socket.socket()
+        if segment_bytes is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
+        sock.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(sock, node.listen)
+            reader, writer = await asyncio.open_connection(sock=sock)
+        except BaseException:
+            sock.close()
+            raise
         return ClientConnection(node, reader, writer)
 
     async def _exchange(
@@ -351,7 +420,7 @@
     def _encode(self, exchange: Exchange, style: WritingStyle, key: str) -> bytes:
         body = b""
         if exchange.effect is not Effect.SAFE:
-            body = b"b" * (LARGE_BODY_SIZE if style is WritingStyle.LARGE else 10)
+            body = b"b" * self._body_size(style)
         lines = [
             f"{'GET' if exchange.effect is Effect.SAFE else 'POST'} /api HTTP/1.1",
             "Host: app.svc",
@@ -361,13 +430,18 @@
         ]
         if exchange.effect is Effect.KEYED:
             lines.append(f"Idempotency-Key: {key}")
-        if body and style is WritingStyle.CHUNKED:
+        if body and style in (WritingStyle.CHUNKED, WritingStyle.LONG_CHUNKED):
             lines.append("Transfer-Encoding: chunked")
             body = b"%x;x=1\r\n%b\r\n0\r\nTrailer: 1\r\n\r\n" % (len(body), body)
         elif body:
             lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join([*lines, "", ""]).encode() + body
 
+    def _body_size(self, style: WritingStyle) -> int:
+        if style in LONG_STYLES:
+            return self._random.randint(MIN_LONG_BODY_SIZE, MAX_LONG_BODY_SIZE)
+        return LARGE_BODY_SIZE if style is WritingStyle.LARGE else 10
+
     async def _read_response(
         self, connection: ClientConnection, exchange: Exchange, responses: ResponseReader | None = None
     ) -> bool:
--- a/notchjunction/soak/plan.py
+++ b/notchjunction/soak/plan.py
@@ -43,6 +43,8 @@
     CROWD = auto()  # idle client connections use up a node's descriptors
     SLOW_CROWD = auto()  # clients for a share `size` of a node's descriptors send slowly, or stop midway
     BACKENDS_LUMPY = auto()  # a share `size` of the responses is long, and comes in lumps with pauses
+    BACKENDS_READ_SLOWLY = auto()  # a share `size` of the backends reads long requests slowly, or stops
+    BACKENDS_LATE_BODY = auto()  # a share `size` of the responses is long; its body comes after a pause
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +94,15 @@
     Kind.UPGRADE_FAILS: (0.1, 1.5),
     Kind.SLOW_CROWD: (0.1, 1.0),
     Kind.BACKENDS_LUMPY: (0.1, 0.5),
+    Kind.BACKENDS_READ_SLOWLY: (0.3, 1.0),
+    Kind.BACKENDS_LATE_BODY: (0.1, 0.5),
 }
 # Minimum and maximum length of a fault, in seconds.
 LENGTHS: Mapping[Kind, tuple[float, float]] = {
     Kind.DISCOVERY_DOWN: (1.0, 4.0),
     Kind.CROWD: (1.0, 3.0),
     Kind.SLOW_CROWD: (2.0, 4.0),
+    Kind.BACKENDS_READ_SLOWLY: (2.0, 6.0),
 }
 DEFAULT_LENGTH = (0.5, 4.0)  # of kinds that LENGTHS doesn't list
 FREQUENT_KINDS = (  # drawn more often than the others
@@ -110,11 +115,14 @@
 )
 UPGRADE_KINDS = (Kind.UPGRADE, Kind.UPGRADE_FAILS)
 SLOW_PEER_KINDS = (Kind.SLOW_CROWD, Kind.BACKENDS_LUMPY)
+HELD_BODY_KINDS = (Kind.BACKENDS_READ_SLOWLY, Kind.BACKENDS_LATE_BODY)
+SEPARATE_KINDS = (*UPGRADE_KINDS, *SLOW_PEER_KINDS, *HELD_BODY_KINDS)
 # Drawn for every run; the others have generators of their own.
-REGULAR_KINDS = tuple(kind for kind in Kind if kind not in (*UPGRADE_KINDS, *SLOW_PEER_KINDS))
+REGULAR_KINDS = tuple(kind for kind in Kind if kind not in SEPARATE_KINDS)
 MEMORY_CHOICES_MB = (32, 64, 192)
 MEMORY_CHOICES_WITH_UPGRADES_MB = (96, 192)  # two processes share the limit
 MAX_SLOW_PEER_FAULTS = 3  # in a run with slow peers
+MAX_HELD_BODY_FAULTS = 3  # in a run with held bodies
 MAX_UPGRADES = 4  # in a run with upgrades
 FAULT_FREE_START_S = 1.0  # at the beginning of a run
 
@@ -153,6 +161,7 @@
     faults = [_draw_fault(random, kind, seconds) for kind in kinds]
     upgrades = _draw_upgrades(seed, seconds)
     slow_peers = _draw_slow_peers(seed, seconds)
+    held_bodies = _draw_held_bodies(seed, seconds)
     memory_choices = MEMORY_CHOICES_WITH_UPGRADES_MB if upgrades else MEMORY_CHOICES_MB
     return Plan(
         seed=seed,
@@ -166,7 +175,7 @@
         memory_mb=Random(f"soak memory {seed}").choice(memory_choices),
         upgrades=bool(upgrades),
         shim=shim,
-        faults=sorted((*faults, *upgrades, *slow_peers), key=lambda fault: fault.at),
+        faults=sorted((*faults, *upgrades, *slow_peers, *held_bodies), key=lambda fault: fault.at),
     )
 
 
@@ -188,6 +197,15 @@
     return [_draw_fault(random, random.choice(SLOW_PEER_KINDS), seconds) for _ in range(count)]
 
 
+def _draw_held_bodies(seed: int, seconds: float) -> list[Fault]:
+    """Draws backends that hold bodies back, in requests and in responses, for half of the seeds."""
+    random = Random(f"soak held bodies {seed}")
+    if random.random() < 0.5:
+        return []
+    count = random.randint(1, MAX_HELD_BODY_FAULTS)
+    return [_draw_fault(random, random.choice(HELD_BODY_KINDS), seconds) for _ in range(count)]
+
+
 def _draw_fault(random: Random, kind: Kind, seconds: float) -> Fault:
     at = random.uniform(FAULT_FREE_START_S, seconds * 0.8)
     length = random.uniform(*LENGTHS.get(kind, DEFAULT_LENGTH))
--- a/notchjunction/soak/run.py
+++ b/notchjunction/soak/run.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from notchjunction.addresses import text_of
-from notchjunction.soak.backend import CAPACITY_SPAN_S, Backend, Behaviour, Trouble
-from notchjunction.soak.client import FakeClients, WritingStyle
+from notchjunction.soak.backend import CAPACITY_SPAN_S, Backend, Behaviour, ReadingPace, Trouble
+from notchjunction.soak.client import LONG_STYLES, FakeClients, WritingStyle
 from notchjunction.soak.crowd import CrowdForm, run_crowd
 from notchjunction.soak.discovery import ACTIVE, LEAVING, LEFT, FakeDiscovery
 from notchjunction.soak.events import Effect, Journal, MemoryUse
@@ -36,12 +36,12 @@
 MIN_DRAIN_S = 1.5  # from a drain until the backend leaves the list, even if the fault is shorter
 FINISH_TIMEOUT_S = MAX_DEADLINE_S + 1.5  # for requests to end after the last one was sent
 CONNECTIONS_PER_DESCRIPTOR = 1.2  # idle client connections, for each descriptor that a node may have open
-# LUMPS has a fault of its own, so that older seeds keep the troubles that they had before.
-ALL_TROUBLES = tuple(
-    trouble for trouble in Trouble if trouble not in (Trouble.NONE, Trouble.HANG, Trouble.LUMPS)
-)
+# These have faults of their own, so that older seeds keep the troubles and styles that they had before.
+SEPARATE_TROUBLES = (Trouble.HANG, Trouble.LUMPS, Trouble.LATE_BODY)
+ALL_TROUBLES = tuple(trouble for trouble in Trouble if trouble not in (Trouble.NONE, *SEPARATE_TROUBLES))
+SLOW_PACES = (ReadingPace.SLOW, ReadingPace.STOPPED)
 MEMORY_CHECK_INTERVAL_S = 0.1  # between two looks at the memory of the node processes
-ODD_STYLES = tuple(style for style in WritingStyle if style is not WritingStyle.PLAIN)
+ODD_STYLES = tuple(style for style in WritingStyle if style not in (WritingStyle.PLAIN, *LONG_STYLES))
 
 
 @dataclass(slots=True)
@@ -128,6 +128,7 @@
         backend = Backend(name, f"z{zone}", self.journal, self.random)
         backend.capacity = self.capacity * CAPACITY_SPAN_S
         backend.behaviour.idle_seconds = self.random.choice((1.0, IDLE_TIMEOUT_S, IDLE_TIMEOUT_S))
+        backend.holds_little = any(fault.kind is Kind.BACKENDS_READ_SLOWLY for fault in self.plan.faults)
         await backend.open()
         return backend
 
@@ -520,6 +521,20 @@
     await _change_behaviour(run, seconds, trouble_share=fault.size, troubles=(Trouble.LUMPS,))
 
 
+async def _backends_read_slowly(run: SoakRun, fault: Fault, seconds: float) -> None:
+    affected = run.pick_backends(fault)
+    pace = SLOW_PACES[fault.target % len(SLOW_PACES)]
+    for backend in affected:
+        backend.behaviour.reading = pace
+    await run.clients.send_long_bodies(seconds)
+    for backend in affected:
+        backend.behaviour.reading = ReadingPace.FULL
+
+
+async def _backends_late_body(run: SoakRun, fault: Fault, seconds: float) -> None:
+    await _change_behaviour(run, seconds, trouble_share=fault.size, troubles=(Trouble.LATE_BODY,))
+
+
 FAULT_ACTIONS: Mapping[Kind, FaultAction] = {
     Kind.TERMINATE: _on_node(SoakRun.terminate),
     Kind.TERMINATE_SERIES: _terminate_series,
@@ -546,4 +561,6 @@
     Kind.CROWD: _crowd,
     Kind.SLOW_CROWD: _slow_crowd,
     Kind.BACKENDS_LUMPY: _backends_lumpy,
+    Kind.BACKENDS_READ_SLOWLY: _backends_read_slowly,
+    Kind.BACKENDS_LATE_BODY: _backends_late_body,
 }
