A client that is rejected unread gets its 503 although the system lacks memory for a moment

Cause: the 503 is written by one call on a plain socket before the close; ENOBUFS or ENOMEM there was taken for final.

Change: that write, and the reads that discard what is unread, are made up to five times.

--- a/notchjunction/net/client_listener.py
+++ b/notchjunction/net/client_listener.py
@@ -19,7 +19,7 @@
 from notchjunction.net.descriptor_pressure import AcceptDecision, DescriptorPressure
 from notchjunction.net.descriptors import SHORTAGE_ERRNOS, SHORTAGE_PAUSE_S
 from notchjunction.net.event_loop import max_unread_age
-from notchjunction.net.socket_stream import end_sending_and_discard
+from notchjunction.net.socket_stream import call_despite_shortage, end_sending_and_discard
 from notchjunction.telemetry.logs import pairs
 
 log = logging.getLogger(__name__)
@@ -45,7 +45,7 @@
 SHORTAGE_LOG_INTERVAL_S = 10.0
 
 
-def _reject_unread(connection: socket.socket) -> None:
+def reject_unread(connection: socket.socket) -> None:
     """Responds 503 without reading the request, and closes at once to free the descriptor.
 
     The request does not run. Unread bytes are discarded, because a close with unread bytes sends a reset,
@@ -53,7 +53,7 @@
     the operating system delivers that first.
     """
     with suppress(OSError):
-        connection.send(REJECTION_RESPONSE, socket.MSG_DONTWAIT)
+        call_despite_shortage(connection.send, REJECTION_RESPONSE, socket.MSG_DONTWAIT)
     end_sending_and_discard(connection)
     connection.close()
 
@@ -226,4 +226,4 @@
             self._hold_off(ROOM_POLL_INTERVAL_S)
         else:
             self._counters.add("client_connections_dropped")
-            _reject_unread(connection)
+            reject_unread(connection)
--- a/notchjunction/net/socket_stream.py
+++ b/notchjunction/net/socket_stream.py
@@ -7,14 +7,19 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum, auto
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from tornado.iostream import IOStream
 
+Result = TypeVar("Result")
+
 # Errors of recv(2) and send(2) for a temporary shortage of memory; the connection persists.
 OUT_OF_MEMORY_ERRORS = (errno.ENOBUFS, errno.ENOMEM)
+# How often a call is made that fails with one of them, where the connection is closed right after it.
+MAX_CALLS = 5
 # The result of TIOCOUTQ: how many bytes the peer has not acknowledged.
 SEND_QUEUE_SIZE = struct.Struct("i")
 # Fields of tcp_info: the scale of the peer's windows (the lower four bits), the bytes that it has
@@ -140,6 +145,21 @@
         return isinstance(exc, OSError)
 
 
+def call_despite_shortage(call: Callable[..., Result], *arguments: bytes | int) -> Result:
+    """Makes a system call, and again while it fails for a temporary shortage of memory, a few times at most.
+
+    Raises:
+        OSError: The call failed for another reason, or each time.
+    """
+    for _ in range(MAX_CALLS - 1):
+        try:
+            return call(*arguments)
+        except OSError as error:
+            if error.errno not in OUT_OF_MEMORY_ERRORS:
+                raise
+    return call(*arguments)
+
+
 def end_sending(sock: socket.socket) -> None:
     """Closes the sending side of a connection, which may have ended already."""
     with suppress(OSError):
@@ -160,7 +180,7 @@
     discarded = 0
     with suppress(OSError):
         while discarded < max_bytes:
-            received = len(sock.recv(DISCARD_CHUNK_BYTES, socket.MSG_DONTWAIT))
+            received = len(call_despite_shortage(sock.recv, DISCARD_CHUNK_BYTES, socket.MSG_DONTWAIT))
             if not received:
                 break
             discarded += received
--- a/tests/test_socket_stream.py
+++ b/tests/test_socket_stream.py
@@ -10,6 +10,7 @@
 import pytest
 from tornado.iostream import IOStream
 
+from notchjunction.net.client_listener import reject_unread
 from tests.helpers import Client, Peer, running
 from tests.test_net import run
 
@@ -71,3 +72,29 @@
             assert (await client.answer()).status == 200 and len(peer.requests) == 1
 
     run(scenario())
+
+
+@pytest.mark.parametrize("error_number", [errno.ENOBUFS, errno.ENOMEM])
+@pytest.mark.parametrize("method", ["send", "recv"])
+def test_a_client_that_is_rejected_unread_gets_its_response_despite_a_brief_lack_of_memory(
+    method: str, error_number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a close with no response written, or over unread bytes, which resets the connection."""
+    original = getattr(socket.socket, method)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    failed: list[int] = []
+
+    def fail_first_call(self: socket.socket, *arguments: Any) -> Any:
+        if self is accepted and not failed:
+            failed.append(error_number)
+            raise OSError(error_number, os.strerror(error_number))
+        return original(self, *arguments)
+
+    monkeypatch.setattr(socket.socket, method, fail_first_call)
+    with client:
+        client.sendall(b"GET /api HTTP/1.1\r\nHost: a\r\n\r\n")
+        reject_unread(accepted)
+        assert failed and client.recv(1000).startswith(b"HTTP/1.1 503 ")
+        assert client.recv(1000) == b""
