--- a/tests/test_held_uploads.py
+++ b/tests/test_held_uploads.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -20,6 +22,8 @@
 KIB = 1024
 DEADLINE_S = 1.0
 MAX_DELAY_S = 0.5  # a later answer counts as lost
+MAX_STOPPED_S = 3.0  # until a client that stops in a request gets an error or a close
+LONGEST_DEADLINE_MS = 2500
 CLIENT_PATIENCE_S = 12.0  # longer than any timeout of the node
 READ_AT_ONCE_BYTES = 20_000
 SERVER_NAMES = 3
@@ -27,6 +31,7 @@
 SIZES = [*range(80 * KIB, 640 * KIB, 40 * KIB), 1024 * KIB, 2048 * KIB]
 # The operators' clients send a body at 64 kB a second or faster.
 STUCK, SLOW = 0, 64_000
+SLOW_PIECE_BYTES, SLOW_BYTES_PER_S = 8 * KIB, 128_000  # of a slow client
 
 
 class Upload(NamedTuple):
@@ -47,6 +52,17 @@
         return self.sent_at is not None and self.answered_at - self.sent_at > DEADLINE_S + MAX_DELAY_S
 
 
+@asynccontextmanager
+async def program_with(server: SlowServer, folder: Path) -> AsyncIterator[Program]:
+    document: dict[str, Any] = configuration(layers=["web"])
+    row = {"address": server.at, "zone": "a", "group": 0, "status": "active", "since_ms": 0}
+    endpoints = [{"name": f"s{number}", **row} for number in range(SERVER_NAMES)]
+    document["known"] = {"index": 1, "snapshot": True, "endpoints": endpoints}
+    async with Program(folder, document) as program:
+        await program.says("ready")
+        yield program
+
+
 async def send_body(client: socket.socket, upload: Upload) -> float:
     """Send the body; return when its last byte was written."""
     loop = asyncio.get_running_loop()
@@ -87,15 +103,9 @@
 
 async def play_uploads(folder: Path, bytes_per_s: int, uploads: list[Upload]) -> list[Result]:
     """Play all uploads at once, at a server that reads as many bytes a second once it has read some."""
-    async with SlowServer(READ_AT_ONCE_BYTES, bytes_per_s) as server:
-        document: dict[str, Any] = configuration(layers=["web"])
-        row = {"address": server.at, "zone": "a", "group": 0, "status": "active", "since_ms": 0}
-        endpoints = [{"name": f"s{number}", **row} for number in range(SERVER_NAMES)]
-        document["known"] = {"index": 1, "snapshot": True, "endpoints": endpoints}
-        async with Program(folder, document) as program:
-            await program.says("ready")
-            plays = (play_upload(program.listen, *numbered) for numbered in enumerate(uploads))
-            return await asyncio.gather(*plays)
+    async with SlowServer(READ_AT_ONCE_BYTES, bytes_per_s) as server, program_with(server, folder) as program:
+        plays = (play_upload(program.listen, *numbered) for numbered in enumerate(uploads))
+        return await asyncio.gather(*plays)
 
 
 @pytest.mark.parametrize("chunked", [False, True])
@@ -124,8 +134,50 @@
 
     async def scenario() -> None:
         sizes = range(80 * KIB, 400 * KIB, 20 * KIB)
-        uploads = [Upload(size, chunked, 16 * KIB, 128_000) for size in sizes]
+        uploads = [Upload(size, chunked, SLOW_PIECE_BYTES, SLOW_BYTES_PER_S) for size in sizes]
         results = await play_uploads(tmp_path, bytes_per_s, uploads)
         assert not [result for result in results if result.is_late]
 
     run(scenario())
+
+
+async def stop_in_body(node: Address, number: int, size: int, chunked: bool) -> float:
+    """Send a part of a body slowly and wait; return after how long (s) the node answered or closed."""
+    loop = asyncio.get_running_loop()
+    framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {4096 * KIB}"
+    head = (
+        f"POST /api HTTP/1.1\r\nHost: a\r\nReq-Id: stop-{number}\r\nReq-Kind: plain\r\n"
+        f"Req-Deadline-Ms: {LONGEST_DEADLINE_MS}\r\n{framing}\r\n\r\n"
+    )
+    with small_segment_socket() as client:
+        await loop.sock_connect(client, node)
+        chunk_head = b"%x\r\n" % (4096 * KIB) if chunked else b""
+        await loop.sock_sendall(client, head.encode() + chunk_head)
+        for _ in range(0, size, SLOW_PIECE_BYTES):
+            await loop.sock_sendall(client, b"z" * SLOW_PIECE_BYTES)
+            await asyncio.sleep(SLOW_PIECE_BYTES / SLOW_BYTES_PER_S)
+        stopped_at = loop.time()
+        try:
+            async with asyncio.timeout(CLIENT_PATIENCE_S):
+                await loop.sock_recv(client, 64 * KIB)
+        except TimeoutError:
+            pass
+        return loop.time() - stopped_at
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_client_that_stops_in_a_body_is_ended_where_its_server_has_stopped_reading_as_well(
+    chunked: bool, tmp_path: Path
+) -> None:
+    """Guards against a client's pause that is looked at only while the node reads from it."""
+
+    async def scenario() -> None:
+        async with (
+            SlowServer(READ_AT_ONCE_BYTES, STUCK) as server,
+            program_with(server, tmp_path) as program,
+        ):
+            sizes = range(80 * KIB, 400 * KIB, SLOW_PIECE_BYTES)
+            plays = (stop_in_body(program.listen, number, size, chunked) for number, size in enumerate(sizes))
+            assert max(await asyncio.gather(*plays)) < MAX_STOPPED_S
+
+    run(scenario())
