A client's pause in a body counts from its last bytes, also while its server leaves no room

What callers saw: a client that stopped in a body had neither an error nor a close for 9.9 s where its server had stopped reading too; 3 s are owed.

Cause: the pause was a timer of the node's read, and there is none while the server leaves no room.

Change: the clock of uploads tells when bytes arrived last and whether the end is certainly unsent.

--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -67,35 +67,53 @@
         handler_task = asyncio.create_task(self.handler.run(self._stream.is_peer_connected))
         error: Response | None = None
         while not handler_task.done():
-            upload = self.upload
-            if upload is None or upload.complete:
-                is_client_gone = await self._wait_complete(handler_task)
-            elif self._is_overdue():
-                error = Response(503)  # its last byte was never sent on, so it has not run
-                self._context.counters.add("uploads_expired")
-                self._note_refused("its time is over and its body incomplete")
-                break
-            elif upload.has_room():
-                error, is_client_gone = await self._wait_for_body(handler_task), False
-            else:
-                self._intake.note_held_back()
-                self._note_held_back()
-                is_client_gone = not await self._wait_for_room(handler_task, upload)
-            if is_client_gone:
-                self._cancel_for_client()
-                break
-            if self._intake.has_read() and not handler_task.done():
+            error = self._rejection_due()
+            is_client_gone = False
+            if error is None:
+                error, is_client_gone = await self._wait_for_progress(handler_task)
+            has_bytes = self._intake.has_read() and not handler_task.done()
+            if error is None and has_bytes and not is_client_gone:
                 try:
                     error = self._feed()
                 except StreamClosedError:
-                    self._cancel_for_client()
-                    break
+                    is_client_gone = True
+            if is_client_gone:
+                self._cancel_for_client()
+                break
             if error is not None:
+                self.handler.cancel()
                 break
-        if error is not None:
-            self.handler.cancel()
         return self._select_response(await handler_task, error)
 
+    def _rejection_due(self) -> Response | None:
+        """Returns the response to a request whose body is incomplete, if it cannot be served any more."""
+        upload = self.upload
+        if upload is None or upload.complete:
+            return None
+        if self._is_overdue():
+            self._context.counters.add("uploads_expired")
+            self._note_refused("its time is over and its body incomplete")
+            return Response(503)  # its last byte was never sent on, so it has not run
+        if not upload.has_room() and self._intake.is_pause_over():
+            return self._reject_slow_body()
+        return None
+
+    async def _wait_for_progress(
+        self, handler_task: asyncio.Task[FinalResponse | None]
+    ) -> tuple[Response | None, bool]:
+        """Waits for the response, for bytes of the client, or for room for them.
+
+        Returns the error response if the body is too slow, and whether the client has gone.
+        """
+        upload = self.upload
+        if upload is None or upload.complete:
+            return None, await self._wait_complete(handler_task)
+        if upload.has_room():
+            return await self._wait_for_body(handler_task), False
+        self._intake.note_held_back()
+        self._note_held_back()
+        return None, not await self._wait_for_room(handler_task, upload)
+
     def _select_response(
         self, response: FinalResponse | None, error: Response | None
     ) -> FinalResponse | None:
@@ -133,10 +151,13 @@
         )
         # Guards against a late event loop: a response that is ready by now is not replaced by 408.
         if timed_out and not self._intake.has_read() and not handler_task.done():
-            self._note_refused("its body came too slowly")
-            return client_error(self._context, self._state, 408)
+            return self._reject_slow_body()
         return None
 
+    def _reject_slow_body(self) -> Response:
+        self._note_refused("its body came too slowly")
+        return client_error(self._context, self._state, 408)
+
     async def _wait_for_room(self, handler_task: asyncio.Task[FinalResponse | None], upload: Upload) -> bool:
         """Waits for the response or for room in the upload. Returns False if the client has gone.
 
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 import weakref
 from collections.abc import Awaitable, Callable
@@ -14,7 +15,7 @@
 from notchjunction.net.client_state import ConnectionState, ManagedConnection
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.socket_stream import discard_unread
-from notchjunction.net.upload_clock import UploadClock
+from notchjunction.net.upload_clock import MAX_REOPENING_S, UploadClock
 from notchjunction.net.upstream_connection import READ_CHUNK_BYTES, start_read
 from notchjunction.net.write_stall import MIN_BYTES_PER_S
 from notchjunction.safety.preconditions import ConnectionFacts, may_close
@@ -234,6 +235,13 @@
         """Returns the same as observed last, also for a body whose last byte has just been read."""
         return self._clock_of_upload().elapsed(self._context.clock())
 
+    def is_pause_over(self) -> bool:
+        """Whether the client has sent nothing of its incomplete body for longer than a slow one pauses."""
+        return self._body_pause() > BODY_GRACE_S
+
+    def _body_pause(self) -> float:
+        return self._clock_of_upload().pause(self._context.clock())
+
     def _clock_of_upload(self) -> UploadClock:
         if self._upload_clock is None:
             self._upload_clock = UploadClock(self._request_began_at)
@@ -267,15 +275,18 @@
         have sent much at once.
         """
         wait_started_at = self._context.clock()
+        longest_wait = math.inf
         in_body = self.parser.in_body and not self.state.over_limit
         if in_body:
             allowed = BODY_GRACE_S + self.parser.body_received / BODY_MIN_RATE
-            self._times_out_at = min(
-                wait_started_at + allowed - self._body_waited, self._read_started_at + BODY_GRACE_S
-            )
+            self.observe_upload()
+            pause = max(wait_started_at - self._read_started_at, self._body_pause())
+            self._times_out_at = wait_started_at + min(allowed - self._body_waited, BODY_GRACE_S - pause)
+            if not self._clock_of_upload().is_certainly_incomplete:
+                longest_wait = MAX_REOPENING_S  # by then it is, unless more arrives
         await asyncio.wait(
             futures,
-            timeout=max(0.0, self._times_out_at - wait_started_at),
+            timeout=max(0.0, min(longest_wait, self._times_out_at - wait_started_at)),
             return_when=asyncio.FIRST_COMPLETED,
         )
         now = self._context.clock()
--- a/notchjunction/net/upload_clock.py
+++ b/notchjunction/net/upload_clock.py
@@ -43,6 +43,9 @@
     def __init__(self, started_at: float) -> None:
         """Starts at the arrival of the request's first byte."""
         self._unsent_at = started_at  # the last byte had not been sent then
+        self._observed_at = started_at
+        self._arrived = 0  # bytes of the request, read or not
+        self._grew_at = started_at  # when that number grew last
         self._read = 0  # bytes of the request, head and framing included
         self._may_wait = False  # the client may wait for its window to open
         self._restrained_at = started_at  # the last moment at which the node let bytes wait
@@ -52,6 +55,7 @@
     def note_read(self, now: float, size: int, unread: int) -> None:
         """Records a read of `size` bytes, with the number of bytes that are unread after it."""
         self._read += size
+        self._note_growth(now, self._read + unread)
         self._note_backlog(now, size + unread)
         self._empty_since = None if unread else now
 
@@ -67,6 +71,7 @@
             unread: Bytes that have arrived and have not been read.
             missing: Bytes of the body that have not been read; None if its length is not known.
         """
+        self._observed_at = now
         self._note_backlog(now, unread)
         if unread == 0:
             self._note_nothing_unread(now)
@@ -83,6 +88,10 @@
             self._may_wait = True
             self._restrained_at = now
 
+    def _note_growth(self, now: float, arrived: int) -> None:
+        if arrived > self._arrived:
+            self._arrived, self._grew_at = arrived, now
+
     def _note_nothing_unread(self, now: float) -> None:
         if self._empty_since is None:
             self._empty_since = now
@@ -92,6 +101,7 @@
 
     def _note_arrivals(self, now: float, unread: int, missing: int | None) -> None:
         arrived = self._read + unread
+        self._note_growth(now, arrived)
         least_total = arrived if missing is None else self._read + missing
         if least_total - arrived > MAX_CLIENT_BUFFER_BYTES:
             self._unsent_at = now
@@ -103,3 +113,12 @@
     def elapsed(self, now: float) -> float:
         """Returns how much (s) of the client's time may have passed."""
         return now - self._unsent_at
+
+    def pause(self, now: float) -> float:
+        """Returns for how long (s) the client has sent nothing, although its body is certainly incomplete."""
+        return now - self._grew_at if self.is_certainly_incomplete else 0.0
+
+    @property
+    def is_certainly_incomplete(self) -> bool:
+        """Whether the last byte had certainly not been sent at the moment observed last."""
+        return self._unsent_at == self._observed_at
