A short body that is read in many turns counts from when it may have been sent, like a long one

What servers saw: 1,705 ms told where under 1,000 were left, on a node whose event loop takes 30 ms a turn and reads 4 KB a time, as under a small memory limit.

Cause: a buffered request counted from the read of its last piece. Change: if it took several reads it counts by the clock of uploads.

--- a/notchjunction/net/client_connection.py
+++ b/notchjunction/net/client_connection.py
@@ -269,7 +269,7 @@
         Returns its specification, or the response that rejects it, or None if the connection is closing: no
         response could be sent.
         """
-        waited = 0.0 if request.more_body else self._context.clock() - self._intake.arrived_at
+        waited = 0.0 if request.more_body else self._intake.waited()
         spec = request_spec_of(request, waited, self._context.request_classes)
         if spec is None:
             return self._client_error(400)
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -235,6 +235,11 @@
         """Returns the same as observed last, also for a body whose last byte has just been read."""
         return self._clock_of_upload().elapsed(self._context.clock())
 
+    def waited(self) -> float:
+        """Returns for how long (s) a request that has been read may have been sent."""
+        waited = self._context.clock() - self.arrived_at
+        return waited if self._upload_clock is None else max(waited, self.upload_elapsed())
+
     def is_pause_over(self) -> bool:
         """Whether the client has sent nothing of its incomplete body for longer than a slow one pauses."""
         return self._body_pause() > BODY_GRACE_S
--- a/tests/test_upload_clock.py
+++ b/tests/test_upload_clock.py
@@ -6,11 +6,13 @@
 import gc
 import math
 import socket
+import time
 import weakref
 
 import pytest
 
 from notchjunction.net.body_streaming import StreamBuffers
+from notchjunction.net.memory_budget import MemoryBudget
 from notchjunction.net.open_request import OpenRequest
 from notchjunction.net.upload_clock import (
     MAX_CATCH_UP_S,
@@ -226,6 +228,44 @@
     run(scenario())
 
 
+def test_endpoint_is_told_what_is_left_where_a_busy_node_reads_a_short_body_in_many_turns(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a deadline that counts from its last piece, which was sent with the first."""
+    deadline_ms, read_bytes, body_bytes, slack_ms = 2000, 4096, 60_000, 150
+    turn_s, endpoint_turns = 0.03, 4
+    told: list[int] = []
+    received_at: list[float] = []
+    monkeypatch.setattr(MemoryBudget, "read_size", lambda *_: read_bytes)
+
+    async def scenario() -> None:
+        async def record_deadline(connection: ScriptedConnection) -> None:
+            request, _ = await connection.read_request()
+            received_at.append(asyncio.get_running_loop().time())
+            told.append(int(request.headers["req-deadline-ms"]))
+            await connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async def keep_busy() -> None:
+            while not told:
+                time.sleep(turn_s)
+                await asyncio.sleep(0)
+
+        async with running_with_scripts(record_deadline) as (_, address, _):
+            client = await BodyClient().open(address)
+            client.begin_request(BODY[:body_bytes], deadline_ms=deadline_ms)
+            client.send(BODY[:body_bytes])
+            sent_at = asyncio.get_running_loop().time()
+            busy = asyncio.create_task(keep_busy())
+            assert (await client.answer()).status == 200
+            await busy
+            # The endpoint takes some turns of the same event loop to read the request.
+            passed_ms = (received_at[0] - sent_at - endpoint_turns * turn_s) * 1000
+            assert passed_ms > 2 * slack_ms
+            assert told[0] <= deadline_ms - passed_ms + slack_ms
+
+    run(scenario())
+
+
 def test_request_that_has_ended_is_freed_without_the_cycle_collector() -> None:
     """Guards against memory of ended requests that grows until the collector runs."""
     ended: list[weakref.ref[OpenRequest]] = []
