One attempt and the pool of connections have a module each

The attempt is a class of its own now, upstream_attempt.py, whose state has names; the pool tells it by a protocol what it offers.

--- a/notchjunction/net/request_handler.py
+++ b/notchjunction/net/request_handler.py
@@ -26,7 +26,8 @@
 from notchjunction.balancing.interface import AttemptResult, Idempotency
 from notchjunction.http1.messages import Request, Response
 from notchjunction.net.body_streaming import Download, Upload
-from notchjunction.net.upstream import AttemptSpec, ExchangeResult, UpstreamPool
+from notchjunction.net.upstream import UpstreamPool
+from notchjunction.net.upstream_attempt import AttemptSpec, ExchangeResult
 from notchjunction.net.upstream_connection import (
     UNLIMITED_MEMORY,
     ConnectionLostError,
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -22,7 +22,8 @@
 from notchjunction.net.request_intake import RequestIntake
 from notchjunction.net.response_writer import ResponseWriter
 from notchjunction.net.socket_stream import NodeStream
-from notchjunction.net.upstream import MIN_IDLE_BEFORE_REUSE_S, AttemptSpec, UpstreamPool
+from notchjunction.net.upstream import MIN_IDLE_BEFORE_REUSE_S, UpstreamPool
+from notchjunction.net.upstream_attempt import AttemptSpec
 from notchjunction.net.upstream_connection import READ_CHUNK_BYTES, UpstreamConnection
 from notchjunction.node.node import Node
 from tests.helpers import FULL, OK, SILENT, Client, Peer, RawClient, running
@@ -41,7 +42,7 @@
 
     The event loop does not run in between: only the operating system knows yet of what the callback did.
     """
-    original_acquire, calls = UpstreamPool._acquire, 0
+    original_acquire, calls = UpstreamPool.acquire, 0
 
     async def acquire_and_call(self: UpstreamPool, *args: Any, **kwargs: Any) -> UpstreamConnection:
         nonlocal calls
@@ -51,7 +52,7 @@
             callback()
         return connection
 
-    monkeypatch.setattr(UpstreamPool, "_acquire", acquire_and_call)
+    monkeypatch.setattr(UpstreamPool, "acquire", acquire_and_call)
 
 
 async def wait_cancelled(node: Node, count: int = 1) -> dict[str, float]:
--- a/tests/test_large_bodies.py
+++ b/tests/test_large_bodies.py
@@ -27,7 +27,7 @@
 from notchjunction.net import body_streaming, request_intake, upstream, upstream_connection, write_stall
 from notchjunction.net.body_streaming import Download, StreamBuffers
 from notchjunction.net.socket_stream import NodeStream
-from notchjunction.net.upstream import AttemptSpec
+from notchjunction.net.upstream_attempt import AttemptSpec
 from notchjunction.net.upstream_connection import ConnectionLostError
 from notchjunction.node.node import Node
 from notchjunction.upgrade import shutdown
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -42,7 +42,8 @@
 from notchjunction.net.discovery_client import DiscoveryClient
 from notchjunction.net.request_handler import request_spec_of
 from notchjunction.net.response_writer import ResponseWriter
-from notchjunction.net.upstream import MIN_IDLE_BEFORE_REUSE_S, AttemptSpec, ExchangeResult, UpstreamPool
+from notchjunction.net.upstream import MIN_IDLE_BEFORE_REUSE_S, UpstreamPool
+from notchjunction.net.upstream_attempt import AttemptSpec, ExchangeResult
 from notchjunction.net.upstream_connection import RequestNotSentError, UpstreamConnection
 from notchjunction.telemetry.counters import Counters
 from notchjunction.telemetry.logs import KeyValueFormatter, pairs
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -11,6 +11,7 @@
 
 from notchjunction.balancing.interface import ListUpdate
 from notchjunction.discovery.endpoint_list import read_list
+from notchjunction.http1.messages import Request
 from notchjunction.net import admin
 from notchjunction.net.admin import AdminListener
 from notchjunction.net.descriptors import BASE_DESCRIPTORS
@@ -342,15 +343,15 @@
         async with Peer() as peer, Peer() as other:
             admin_address = free_address()
             async with running(peer, other, mgmt=admin_address) as (node, listen):
-                acquire = UpstreamPool._acquire
+                acquire = UpstreamPool.acquire
 
-                async def ban_meanwhile(pool: UpstreamPool, server: str, reuse: bool) -> object:
-                    connection = acquire(pool, server, reuse)
+                async def ban_meanwhile(pool: UpstreamPool, server: str, request: Request) -> object:
+                    connection = acquire(pool, server, request)
                     if server == "s0":
                         assert await node.take_offline("s0")
                     return await connection
 
-                monkeypatch.setattr(UpstreamPool, "_acquire", ban_meanwhile)
+                monkeypatch.setattr(UpstreamPool, "acquire", ban_meanwhile)
                 statuses = []
                 while not other.requests or "s0" not in node._engine.banned:
                     client = await Client().open(listen)
