--- a/notchjunction/net/event_loop.py
+++ b/notchjunction/net/event_loop.py
@@ -14,8 +14,8 @@
 
 # A select call that took at least this long waited for its events; for a shorter one they were there before.
 MIN_WAIT_S = 0.0005
-# After a turn of this length events may be there already. A call that finds them may take long all the same, as
-# other processes have the processor. So one without a wait looks first whether there are any.
+# After a turn of this length events may be there already. A call that finds them may take long all the same,
+# as other processes have the processor. So a call without a wait comes first.
 LONG_TURN_S = 0.005
 
 
