A client that the node holds back is not taken for one that pauses; round trips set how soon it must send

Cause: a body is also certainly incomplete where more of it is missing than a client's system holds; its client may be blocked by the window that the node keeps closed. A pause now counts only while the client could send.

Change beside it: 20 ms were assumed for a client to send again once its window opens; on a connection with longer round trips it is two of those, as the system measures them.

--- a/notchjunction/net/open_request.py
+++ b/notchjunction/net/open_request.py
@@ -43,9 +43,8 @@
         self._stream = stream
         self._state = intake.state
         self._intake = intake
-        self._held_back_at: float | None = (
-            None  # s; when its endpoint first left no room for more of the body
-        )
+        # s; when its endpoint first left no room for more of the body
+        self._held_back_at: float | None = None
 
     async def wait_response(self) -> FinalResponse | None:
         """Waits for the response and returns it; None if the client has gone.
--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -15,7 +15,7 @@
 from notchjunction.net.client_state import ConnectionState, ManagedConnection
 from notchjunction.net.client_stream import ClientStream
 from notchjunction.net.socket_stream import discard_unread
-from notchjunction.net.upload_clock import MAX_REOPENING_S, UploadClock
+from notchjunction.net.upload_clock import UploadClock
 from notchjunction.net.upstream_connection import READ_CHUNK_BYTES, start_read
 from notchjunction.net.write_stall import MIN_BYTES_PER_S
 from notchjunction.safety.preconditions import ConnectionFacts, may_close
@@ -249,7 +249,7 @@
 
     def _clock_of_upload(self) -> UploadClock:
         if self._upload_clock is None:
-            self._upload_clock = UploadClock(self._request_began_at)
+            self._upload_clock = UploadClock(self._request_began_at, self._stream.round_trip())
         return self._upload_clock
 
     def _clock_read(self, arrived_at: float, size: int) -> None:
@@ -287,8 +287,8 @@
             self.observe_upload()
             pause = max(wait_started_at - self._read_started_at, self._body_pause())
             self._times_out_at = wait_started_at + min(allowed - self._body_waited, BODY_GRACE_S - pause)
-            if not self._clock_of_upload().is_certainly_incomplete:
-                longest_wait = MAX_REOPENING_S  # by then it is, unless more arrives
+            if not self._clock_of_upload().is_client_due:
+                longest_wait = self._clock_of_upload().reopening  # by then it is, unless more arrives
         await asyncio.wait(
             futures,
             timeout=max(0.0, min(longest_wait, self._times_out_at - wait_started_at)),
--- a/notchjunction/net/socket_stream.py
+++ b/notchjunction/net/socket_stream.py
@@ -22,9 +22,10 @@
 MAX_CALLS = 5
 # The result of TIOCOUTQ: how many bytes the peer has not acknowledged.
 SEND_QUEUE_SIZE = struct.Struct("i")
-# Fields of tcp_info: the scale of the peer's windows (the lower four bits), the bytes that it has
-# acknowledged, and the receive window that it advertised last (bytes). Older kernels lack the last one.
-TCP_INFO_FIELDS = struct.Struct("=6xB113xQ100xI")
+# Fields of tcp_info: the scale of the peer's windows (the lower four bits), the round trip (microseconds),
+# the bytes that the peer has acknowledged, and the receive window that it advertised last (bytes). Older
+# kernels lack the last one.
+TCP_INFO_FIELDS = struct.Struct("=6xB61xI48xQ100xI")
 WINDOW_SCALE_MASK = 0x0F
 MAX_UNSCALED_WINDOW = 65535
 # Bytes read and discarded before a close; reading more is not worth its cost.
@@ -36,6 +37,7 @@
 class TcpInfo(NamedTuple):
     """What the operating system knows of a TCP connection."""
 
+    round_trip: float  # s, smoothed
     window_scale: int  # the peer's windows are this power of two times what their 16 bits can hold
     bytes_acknowledged: int  # by the peer, of all bytes sent on the connection
     peer_window: int  # bytes; the receive window that the peer advertised last
@@ -102,6 +104,11 @@
             return None
         return self.bytes_sent - int(SEND_QUEUE_SIZE.unpack(queued)[0])
 
+    def round_trip(self) -> float:
+        """Returns the time (s) to the peer and back; 0 if the operating system cannot tell."""
+        info = self._tcp_info()
+        return 0.0 if info is None else info.round_trip
+
     def observe_peer_window(self) -> None:
         """Updates `max_peer_window`; it stays as it is if the operating system cannot tell the window."""
         if info := self._tcp_info():
@@ -126,8 +133,8 @@
             return None
         if len(info) < TCP_INFO_FIELDS.size:
             return None
-        scales, bytes_acknowledged, peer_window = TCP_INFO_FIELDS.unpack(info)
-        return TcpInfo(scales & WINDOW_SCALE_MASK, bytes_acknowledged, peer_window)
+        scales, round_trip_us, bytes_acknowledged, peer_window = TCP_INFO_FIELDS.unpack(info)
+        return TcpInfo(round_trip_us / 1e6, scales & WINDOW_SCALE_MASK, bytes_acknowledged, peer_window)
 
     def unread(self) -> Unread:
         """Returns what is unread, without reading it."""
--- a/notchjunction/net/upload_clock.py
+++ b/notchjunction/net/upload_clock.py
@@ -20,10 +20,15 @@
 # As many unread bytes leave the window of a connection open: Linux offers 64 KiB at least, and a sender waits
 # for no more than half of it. The window may be closed with more, and until the client has had time to send.
 OPEN_WINDOW_BYTES = 32 * 1024
-# With a window that is open again, the bytes of a client that waited for it arrive within this time.
-MAX_REOPENING_S = 0.02
+# With a window that is open again, the bytes of a client that waited for it arrive within this time, or
+# within so many round trips if those take longer.
+REOPENING_S = 0.02
+REOPENING_ROUND_TRIPS = 2
 # The same for a client whose bytes do arrive, but one after the other.
-MAX_CATCH_UP_S = 0.1
+CATCH_UP_S = 0.1
+CATCH_UP_ROUND_TRIPS = 10
+# Longer round trips are not believed.
+MAX_ROUND_TRIP_S = 1.0
 # What the client's system and the packets on their way may hold: Linux lets a send buffer grow to 4 MiB.
 MAX_CLIENT_BUFFER_BYTES = 5 * 1024 * 1024
 # Bytes between two samples of how much had arrived when.
@@ -40,10 +45,14 @@
 class UploadClock:
     """Follows the bytes of one request; moments are seconds on the node's clock."""
 
-    def __init__(self, started_at: float) -> None:
-        """Starts at the arrival of the request's first byte."""
+    def __init__(self, started_at: float, round_trip: float = 0.0) -> None:
+        """Starts at the arrival of the request's first byte; `round_trip` (s) is that of its connection."""
+        round_trip = min(round_trip, MAX_ROUND_TRIP_S)
+        # By then (s) nothing unread proves that the client's system holds nothing.
+        self.reopening = max(REOPENING_S, REOPENING_ROUND_TRIPS * round_trip)
+        self._catch_up = max(CATCH_UP_S, CATCH_UP_ROUND_TRIPS * round_trip)
         self._unsent_at = started_at  # the last byte had not been sent then
-        self._observed_at = started_at
+        self._observed_at = started_at  # the latest observation
         self._arrived = 0  # bytes of the request, read or not
         self._grew_at = started_at  # when that number grew last
         self._read = 0  # bytes of the request, head and framing included
@@ -95,8 +104,8 @@
     def _note_nothing_unread(self, now: float) -> None:
         if self._empty_since is None:
             self._empty_since = now
-        is_silent = now - self._empty_since >= MAX_REOPENING_S
-        if is_silent or now - self._restrained_at >= MAX_CATCH_UP_S:
+        is_silent = now - self._empty_since >= self.reopening
+        if is_silent or now - self._restrained_at >= self._catch_up:
             self._may_wait = False
 
     def _note_arrivals(self, now: float, unread: int, missing: int | None) -> None:
@@ -115,10 +124,10 @@
         return now - self._unsent_at
 
     def pause(self, now: float) -> float:
-        """Returns for how long (s) the client has sent nothing, although its body is certainly incomplete."""
-        return now - self._grew_at if self.is_certainly_incomplete else 0.0
+        """Returns for how long (s) the client has sent nothing, although it could."""
+        return now - self._grew_at if self.is_client_due else 0.0
 
     @property
-    def is_certainly_incomplete(self) -> bool:
-        """Whether the last byte had certainly not been sent at the moment observed last."""
-        return self._unsent_at == self._observed_at
+    def is_client_due(self) -> bool:
+        """Whether at the moment observed last the body was certainly incomplete and its client could send."""
+        return self._unsent_at == self._observed_at and not self._may_wait
--- a/tests/test_upload_clock.py
+++ b/tests/test_upload_clock.py
@@ -15,10 +15,10 @@
 from notchjunction.net.memory_budget import MemoryBudget
 from notchjunction.net.open_request import OpenRequest
 from notchjunction.net.upload_clock import (
-    MAX_CATCH_UP_S,
+    CATCH_UP_S,
     MAX_CLIENT_BUFFER_BYTES,
-    MAX_REOPENING_S,
     OPEN_WINDOW_BYTES,
+    REOPENING_S,
     SAMPLE_BYTES,
     UploadClock,
 )
@@ -114,10 +114,23 @@
     clock.note_read(1.0, FAST_READ_BYTES, 0)
     clock.observe(1.0, 0, None)
     assert clock.elapsed(1.0) == 1.0
-    clock.observe(1.0 + MAX_REOPENING_S / 2, 0, None)
-    assert clock.elapsed(1.0 + MAX_REOPENING_S / 2) > 1.0
-    clock.observe(1.0 + MAX_REOPENING_S, 0, None)
-    assert clock.elapsed(1.0 + MAX_REOPENING_S) == 0.0
+    clock.observe(1.0 + REOPENING_S / 2, 0, None)
+    assert clock.elapsed(1.0 + REOPENING_S / 2) > 1.0
+    clock.observe(1.0 + REOPENING_S, 0, None)
+    assert clock.elapsed(1.0 + REOPENING_S) == 0.0
+
+
+def test_a_client_that_is_far_away_has_the_round_trips_that_it_needs_to_send_again() -> None:
+    round_trip = 0.2
+    clock = UploadClock(started_at=0.0, round_trip=round_trip)
+    clock.note_read(1.0, FAST_READ_BYTES, 0)
+    for step in range(8):
+        now = 1.0 + step * 0.05  # up to two round trips
+        clock.observe(now, 0, None)
+        assert clock.elapsed(now) == pytest.approx(now)
+    later = 1.01 + 2 * round_trip
+    clock.observe(later, 0, None)
+    assert clock.elapsed(later) == 0.0
 
 
 def test_clients_time_does_not_count_once_the_node_has_caught_up() -> None:
@@ -128,7 +141,26 @@
         now = 1.0 + step * 0.01
         clock.note_read(now, SMALL_READ_BYTES, 0)
         clock.observe(now, 0, None)
-        assert (clock.elapsed(now) == 0.0) is (now >= 1.0 + MAX_CATCH_UP_S)
+        assert (clock.elapsed(now) == 0.0) is (now >= 1.0 + CATCH_UP_S)
+
+
+def test_a_client_whose_window_may_be_closed_is_not_taken_for_one_that_pauses() -> None:
+    """Guards against ending a client that the node itself holds back, as its body is incomplete."""
+    clock = UploadClock(started_at=0.0)
+    clock.note_read(0.0, FAST_READ_BYTES, FAST_READ_BYTES)
+    for second in range(5):
+        clock.note_held_back(float(second))
+        clock.observe(float(second), FAST_READ_BYTES, 2 * MAX_CLIENT_BUFFER_BYTES)
+        assert clock.elapsed(float(second)) == clock.pause(float(second)) == 0.0
+
+
+def test_a_client_pauses_from_its_last_bytes_on_also_while_it_is_not_read() -> None:
+    clock = UploadClock(started_at=0.0)
+    clock.note_read(0.0, SMALL_READ_BYTES, 0)
+    for second in range(5):
+        clock.note_held_back(float(second))
+        clock.observe(float(second), 100 if second else 0, MB)
+        assert clock.pause(float(second)) == max(0, second - 1)
 
 
 def test_clients_time_goes_on_while_the_rest_of_a_body_is_read() -> None:
