Bytes dropped after an early answer count as sent, so their client does not seem to pause

Found by reading the change once more.

Cause: the rest of the body is dropped past the clock of uploads, which so saw nothing arrive until reads had made up for it.

Change: what is dropped is told to the clock.

--- a/notchjunction/net/request_intake.py
+++ b/notchjunction/net/request_intake.py
@@ -348,7 +348,10 @@
         """Drops what has arrived of a streamed body that nobody wants, if its length is stated."""
         missing = self.parser.bytes_missing
         if missing and self._reading is None:
-            self.parser.skip(self._stream.drop_unread(min(missing, MAX_DISCARDED_BYTES)))
+            dropped = self._stream.drop_unread(min(missing, MAX_DISCARDED_BYTES))
+            self.parser.skip(dropped)
+            if dropped:
+                self._clock_of_upload().note_read(self._context.clock(), dropped, self._stream.unread_bytes())
 
     def is_over_discard_limit(self) -> bool:
         """Whether the client has sent too many bytes ahead for reading to continue."""
--- a/tests/test_connection_close.py
+++ b/tests/test_connection_close.py
@@ -34,6 +34,7 @@
     descriptor_pressure,
     request_intake,
 )
+from notchjunction.net.body_streaming import StreamBuffers
 from notchjunction.net.client_connection import ClientConnection, HandledRequest
 from notchjunction.net.client_listener import ClientListener
 from notchjunction.net.client_stream import ClientStream
@@ -973,3 +974,27 @@
         assert [facts["ending"] for facts in states if "ending" in facts][:1] == ["report_not_ready"]
 
     asyncio.run(scenario())
+
+
+def test_a_slow_client_whose_body_is_dropped_after_its_response_is_not_taken_for_one_that_pauses(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a pause that is reckoned without the bytes that were dropped unread."""
+    monkeypatch.setattr(request_intake, "BODY_GRACE_S", 0.5)
+    monkeypatch.setattr(StreamBuffers, "piece_size", lambda _: 4096)
+
+    async def scenario() -> None:
+        async with running() as (node, address):
+            client = connect_client(address)
+            head = wire_of(1, extra="Content-Length: 4000000\r\n").replace(b"GET", b"POST")
+            client.sendall(head + b"x" * 70_000)
+            while not any(connection._discarding for connection in node._clients.connections):
+                await asyncio.sleep(0.001)
+            client.sendall(b"x" * 200_000)
+            for _ in range(15):
+                await asyncio.sleep(0.1)
+                client.sendall(b"x" * 12_000)
+                assert any(connection._discarding for connection in node._clients.connections)
+            client.close()
+
+    run(scenario())
